--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/Fuchsiatrail.java
@@ -0,0 +1,61 @@
+package org.fuchsiatrail;
+
+import org.fuchsiatrail.internal.router.DefaultRouterCore;
+
+/**
+ * The entry point of the library.
+ *
+ * <h2>1. Create a router</h2>
+ *
+ * <pre>{@code
+ * RouterSettings settings = RouterSettings.builder()
+ *         .self(new EntryVm(new EntryVmId("vm-1"), new FailureDomain("lima-1"), "10.0.0.1:7001", false))
+ *         .incarnation(startedAtMillis)
+ *         .secret("shared by all routers")
+ *         .build();
+ * RouterCore router = Fuchsiatrail.router(settings);
+ * }</pre>
+ *
+ * <h2>2. Drive it</h2>
+ *
+ * <p>Everything that happens is an {@link Input}; everything to be done is an {@link Output}. The same settings and
+ * the same inputs at the same times give the same outputs.
+ *
+ * <pre>{@code
+ * for (Output output : router.tick(clock.nowMillis(), inputs)) {
+ *     switch (output) {
+ *         case Output.StartEngine start -> engines.start(start);
+ *         case Output.CallStore call -> store.call(call);
+ *         case Output.AnswerCaller answer -> callers.answer(answer);
+ *         ...
+ *     }
+ * }
+ * }</pre>
+ *
+ * <p>Tick when inputs arrive and at least every {@link RouterCore#LONGEST_TICK_GAP_MILLIS} milliseconds.
+ *
+ * <h2>3. Answer what it asks</h2>
+ *
+ * <p>Each {@link Output.CallStore} is answered by one {@link Input.StoreAnswered} with its number; when no answer
+ * comes, the router goes on after the time-out by itself. Each {@link Output.StartEngine} is followed by
+ * {@link Input.EngineSpoke} events, the last of which ends the attempt.
+ *
+ * <h2>4. Stop it</h2>
+ *
+ * <p>Give it {@link Input.StopAsked} and keep ticking until it returns {@link Output.Stopped}: requests in progress
+ * finish, new ones are refused.
+ */
+public final class Fuchsiatrail {
+
+    private Fuchsiatrail() {}
+
+    /**
+     * Creates a router.
+     *
+     * @param settings its settings
+     * @return a router that has seen nothing yet
+     */
+    public static RouterCore router(RouterSettings settings) {
+        return new DefaultRouterCore(settings);
+    }
+}
--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/Intent.java
@@ -0,0 +1,144 @@
+package org.fuchsiatrail;
+
+import java.util.List;
+
+/**
+ * What operators want: the whole configuration of customers, models, upstreams and services.
+ *
+ * @param models the model versions that may be served
+ * @param customers the customers and what each may use
+ * @param upstreams the engines and services
+ * @param services the plain services and their calls that are not idempotent
+ * @param scopes the cache scopes that several customers share
+ */
+public record Intent(
+        List<Model> models,
+        List<Customer> customers,
+        List<Upstream> upstreams,
+        List<Service> services,
+        List<Scope> scopes) {
+
+    /** Replaces missing lists by empty ones. */
+    public Intent {
+        models = models == null ? List.of() : List.copyOf(models);
+        customers = customers == null ? List.of() : List.copyOf(customers);
+        upstreams = upstreams == null ? List.of() : List.copyOf(upstreams);
+        services = services == null ? List.of() : List.copyOf(services);
+        scopes = scopes == null ? List.of() : List.copyOf(scopes);
+    }
+
+    /**
+     * Returns an intent that serves nobody.
+     *
+     * @return an intent with empty lists
+     */
+    public static Intent empty() {
+        return new Intent(List.of(), List.of(), List.of(), List.of(), List.of());
+    }
+
+    /**
+     * A model version that may be served.
+     *
+     * @param name the name that callers ask for
+     * @param weights the version of the weights
+     * @param adapters the adapters that may be used with it
+     */
+    public record Model(String name, String weights, List<String> adapters) {
+
+        /** Replaces a missing list by an empty one. */
+        public Model {
+            adapters = adapters == null ? List.of() : List.copyOf(adapters);
+        }
+
+        /**
+         * Returns the value type of this version.
+         *
+         * @return the model version
+         */
+        public ModelVersion version() {
+            return new ModelVersion(name, weights);
+        }
+    }
+
+    /**
+     * A customer.
+     *
+     * @param id its name, the part of its API key before the dot
+     * @param keyHash the salted hash of its API key, as {@code fuchsiatrail key} prints it
+     * @param share its weight when engines are full, from 1
+     * @param priority the most urgent priority its requests may have, 0 to 9
+     * @param models the model versions it may use, each {@code name@weights}; the first of a name is the default
+     */
+    public record Customer(String id, String keyHash, int share, int priority, List<String> models) {
+
+        /** Replaces missing values by defaults. */
+        public Customer {
+            share = share <= 0 ? 1 : share;
+            models = models == null ? List.of() : List.copyOf(models);
+        }
+    }
+
+    /** The two kinds of upstream. */
+    public enum UpstreamKind {
+        /** A model engine. */
+        ENGINE,
+        /** A plain service. */
+        SERVICE
+    }
+
+    /**
+     * An upstream.
+     *
+     * @param id its name
+     * @param kind what it is
+     * @param failureDomain where it is
+     * @param address its IP address and port
+     * @param serves the model versions that an engine should have loaded, or the service names of a service
+     * @param checksFencing whether an engine refuses orders with an old fencing token
+     * @param draining whether it is leaving
+     */
+    public record Upstream(
+            String id,
+            UpstreamKind kind,
+            String failureDomain,
+            String address,
+            List<String> serves,
+            boolean checksFencing,
+            boolean draining) {
+
+        /** Replaces missing values by defaults. */
+        public Upstream {
+            kind = kind == null ? UpstreamKind.ENGINE : kind;
+            serves = serves == null ? List.of() : List.copyOf(serves);
+        }
+    }
+
+    /**
+     * A plain service.
+     *
+     * @param name the name in the path of its calls
+     * @param notIdempotent the calls that must not be repeated, each a method and a path prefix such as
+     *     {@code POST /certificates}
+     */
+    public record Service(String name, List<String> notIdempotent) {
+
+        /** Replaces a missing list by an empty one. */
+        public Service {
+            notIdempotent = notIdempotent == null ? List.of() : List.copyOf(notIdempotent);
+        }
+    }
+
+    /**
+     * A cache scope that several customers share.
+     *
+     * @param name the name that callers ask for
+     * @param customers the customers that may use it
+     */
+    public record Scope(String name, List<String> customers) {
+
+        /** Replaces a missing list by an empty one. */
+        public Scope {
+            customers = customers == null ? List.of() : List.copyOf(customers);
+        }
+    }
+}
--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
@@ -0,0 +1,126 @@
+package org.fuchsiatrail;
+
+import java.util.List;
+
+/** What routers say to each other. */
+public sealed interface PeerMessage {
+
+    /**
+     * A router is alive, and what it knows.
+     *
+     * @param vm the sender, with its own address
+     * @param incarnation the life of the sender
+     * @param sequence the number of this heartbeat in this life
+     * @param revision the configuration revision in force at the sender
+     * @param stopping whether it is stopping
+     * @param loads load reports of the engines that the sender reads
+     * @param assignedTokens prompt tokens the sender has in flight
+     * @param draining upstreams that the sender knows to be leaving
+     * @param suspicions requests that ran on engines that crashed
+     */
+    record Heartbeat(
+            EntryVm vm,
+            long incarnation,
+            long sequence,
+            long revision,
+            boolean stopping,
+            List<LoadReport> loads,
+            List<AssignedTokens> assignedTokens,
+            List<String> draining,
+            List<Suspicion> suspicions)
+            implements PeerMessage {}
+
+    /**
+     * Work that a router has in flight on an engine.
+     *
+     * @param engine the engine
+     * @param tokens uncached prompt tokens not yet computed
+     */
+    record AssignedTokens(UpstreamId engine, long tokens) {}
+
+    /**
+     * How much a request is suspected of crashing engines.
+     *
+     * @param fingerprint customer and digest of the request
+     * @param crashes each engine life that ended while it ran the request, as engine and incarnation
+     */
+    record Suspicion(String fingerprint, List<String> crashes) {}
+
+    /**
+     * Asks which engines hold a prefix.
+     *
+     * @param lookup the number of the question
+     * @param checkpoints the hashes of the prompt's checkpoints, shortest first
+     */
+    record AskDirectory(long lookup, long[] checkpoints) implements PeerMessage {}
+
+    /**
+     * Answers which engines hold a prefix.
+     *
+     * @param lookup the number of the question
+     * @param matches the engines that hold some of it
+     */
+    record TellDirectory(long lookup, List<PrefixMatch> matches) implements PeerMessage {}
+
+    /**
+     * How much of a prefix an engine holds.
+     *
+     * @param engine the engine
+     * @param incarnation the life of the engine that holds it
+     * @param checkpoints how many checkpoints it holds, from the start
+     */
+    record PrefixMatch(UpstreamId engine, long incarnation, int checkpoints) {}
+
+    /**
+     * Reports cache events to the router that keeps them.
+     *
+     * @param engine the engine
+     * @param incarnation the life of the engine
+     * @param runs what was stored and evicted
+     */
+    record ReportCache(UpstreamId engine, long incarnation, List<CacheRun> runs) implements PeerMessage {}
+
+    /**
+     * Hands on a configuration.
+     *
+     * @param revision its revision
+     * @param document the stored form
+     */
+    record TellConfiguration(long revision, byte[] document) implements PeerMessage {}
+
+    /**
+     * Asks for the configuration.
+     *
+     * @param knownRevision the revision the sender has
+     */
+    record AskConfiguration(long knownRevision) implements PeerMessage {}
+
+    /**
+     * Asks the router that groups a ledger shard's writes to claim a key.
+     *
+     * @param claim the claim
+     */
+    record AskClaim(LedgerClaim claim) implements PeerMessage {}
+
+    /**
+     * Answers a claim.
+     *
+     * @param claimId the id of the claim
+     * @param verdict the answer
+     */
+    record TellClaim(String claimId, ClaimVerdict verdict) implements PeerMessage {}
+
+    /**
+     * Reports how a claimed call ended.
+     *
+     * @param end the end
+     */
+    record TellEnd(ClaimEnd end) implements PeerMessage {}
+
+    /**
+     * Answers that the end of a claimed call is written.
+     *
+     * @param claimId the id of the claim
+     */
+    record EndRecorded(String claimId) implements PeerMessage {}
+}
--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ResultCode.java
@@ -0,0 +1,127 @@
+package org.fuchsiatrail;
+
+/** The numbered results that callers and operators meet; docs/RESULT-CODES.md holds the same table. */
+public enum ResultCode {
+    /** The body, a header or a field is not acceptable. */
+    INVALID_REQUEST(1001, 400, false, "The request is malformed.", "Correct the request; do not repeat it unchanged."),
+    /** No API key, or a wrong one. */
+    UNAUTHORIZED(1002, 401, false, "The API key is missing or wrong.", "Send Authorization: Bearer with a valid key."),
+    /** The body or a header is too large. */
+    TOO_LARGE(1003, 413, false, "The request is larger than the limit.", "Send a smaller body or fewer headers."),
+    /** Unknown path. */
+    NOT_FOUND(1004, 404, false, "There is nothing at this path.", "Check the path and the method."),
+    /** The customer may not use this model. */
+    MODEL_NOT_ALLOWED(1005, 403, false, "No intent lets this customer use the model.", "Ask an operator."),
+    /** The customer may not use this cache scope. */
+    SCOPE_NOT_ALLOWED(1006, 403, false, "No intent lets this customer use the scope.", "Ask an operator."),
+    /** The service is not configured. */
+    SERVICE_UNKNOWN(1007, 404, false, "No intent names this service.", "Check the service name."),
+    /** A call that must not be repeated came without an idempotency key. */
+    IDEMPOTENCY_KEY_MISSING(
+            1008, 400, false, "This call must not be repeated and has no Idempotency-Key.", "Send an Idempotency-Key."),
+    /** The same key came with another body. */
+    IDEMPOTENCY_KEY_REUSED(
+            1009, 422, false, "The Idempotency-Key was used with another request.", "Use a new key for a new request."),
+    /** The resume token does not fit the request. */
+    RESUME_TOKEN_INVALID(1010, 400, false, "Last-Event-ID does not belong to this request.", "Start the stream anew."),
+    /** Engines are full. */
+    OVERLOADED(2001, 429, false, "The request cannot be served in time.", "Ask again after Retry-After."),
+    /** No engine for the model can be reached. */
+    NO_UPSTREAM(2002, 503, false, "No upstream for the request can be reached.", "Ask again after Retry-After."),
+    /** The router is stopping. */
+    STOPPING(2003, 503, false, "This router is stopping.", "Ask again at once; another router will serve."),
+    /** The deadline passed before dispatch. */
+    DEADLINE_PASSED(2004, 504, false, "The deadline passed before the call was sent.", "Ask again after Retry-After."),
+    /** The ledger cannot be reached. */
+    LEDGER_UNAVAILABLE(
+            2005,
+            503,
+            false,
+            "The ledger of calls that must not be repeated is unreachable; the call did not run.",
+            "Ask again with the same key after Retry-After."),
+    /** The router has no configuration yet. */
+    NOT_CONFIGURED(2006, 503, false, "No configuration is in force yet.", "Ask again after Retry-After."),
+    /** The same key is running. */
+    STILL_RUNNING(
+            3001, 409, true, "A call with this key is running.", "Ask again with the same key after Retry-After."),
+    /** Nobody knows whether the call ran. */
+    OUTCOME_UNKNOWN(3002, 502, true, "The call was sent and its outcome is unknown.", "Check with the service itself."),
+    /** Retries are used up. */
+    UPSTREAM_FAILED(3003, 502, true, "Upstreams failed while they ran the request.", "Ask again after Retry-After."),
+    /** The request crashes engines. */
+    QUARANTINED(3004, 422, true, "Engines crashed while they ran this request.", "Do not repeat it; tell an operator."),
+    /** The operator token is missing or wrong. */
+    OPERATOR_UNAUTHORIZED(4001, 401, false, "The operator token is missing or wrong.", "Send a valid operator token."),
+    /** The intent has faults. */
+    INTENT_INVALID(4002, 422, false, "The intent has faults.", "Correct each fault and plan again."),
+    /** The plan is unknown or based on an older revision. */
+    PLAN_OUTDATED(4003, 409, false, "The configuration changed since the plan was made.", "Plan again and read it."),
+    /** The platform's store did not answer. */
+    STORE_UNAVAILABLE(
+            4004,
+            503,
+            true,
+            "The platform's store did not answer; the change may have taken effect.",
+            "Run intent show, then confirm the same plan again; it takes effect once."),
+    /** Confirmed, but not everywhere yet. */
+    NOT_YET_EVERYWHERE(4005, 202, true, "Some routers have not reported the revision.", "Run status until none lags.");
+
+    private final int number;
+    private final int httpStatus;
+    private final boolean mayHaveRun;
+    private final String meaning;
+    private final String advice;
+
+    ResultCode(int number, int httpStatus, boolean mayHaveRun, String meaning, String advice) {
+        this.number = number;
+        this.httpStatus = httpStatus;
+        this.mayHaveRun = mayHaveRun;
+        this.meaning = meaning;
+        this.advice = advice;
+    }
+
+    /**
+     * Returns the number that logs and answers carry.
+     *
+     * @return four digits
+     */
+    public int number() {
+        return number;
+    }
+
+    /**
+     * Returns the HTTP status that goes with the code.
+     *
+     * @return an HTTP status
+     */
+    public int httpStatus() {
+        return httpStatus;
+    }
+
+    /**
+     * Tells whether the request may have run.
+     *
+     * @return false only when it certainly did not run
+     */
+    public boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+
+    /**
+     * Tells what happened.
+     *
+     * @return one sentence
+     */
+    public String meaning() {
+        return meaning;
+    }
+
+    /**
+     * Tells what to do next.
+     *
+     * @return one sentence
+     */
+    public String advice() {
+        return advice;
+    }
+}
--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Plans, confirms, spreads and adopts configurations. */
+package org.fuchsiatrail.internal.configuration;
--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/directory/package-info.java
@@ -0,0 +1,2 @@
+/** Keeps which engine holds which prefix. */
+package org.fuchsiatrail.internal.directory;
--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/limits/package-info.java
@@ -0,0 +1,2 @@
+/** Queues, shares and budgets. */
+package org.fuchsiatrail.internal.limits;
--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Keeps which routers are alive. */
+package org.fuchsiatrail.internal.membership;
--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/orders/package-info.java
@@ -0,0 +1,2 @@
+/** Orders engines to load models. */
+package org.fuchsiatrail.internal.orders;
--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/quarantine/package-info.java
@@ -0,0 +1,2 @@
+/** Finds requests that crash engines. */
+package org.fuchsiatrail.internal.quarantine;
--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/router/DefaultRouterCore.java
@@ -0,0 +1,266 @@
+package org.fuchsiatrail.internal.router;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.fuchsiatrail.CallerAnswer;
+import org.fuchsiatrail.EntryVmId;
+import org.fuchsiatrail.Input;
+import org.fuchsiatrail.Intent;
+import org.fuchsiatrail.OperatorAnswer;
+import org.fuchsiatrail.OperatorRequest;
+import org.fuchsiatrail.Output;
+import org.fuchsiatrail.PeerMessage;
+import org.fuchsiatrail.RequestId;
+import org.fuchsiatrail.ResultCode;
+import org.fuchsiatrail.RouterCore;
+import org.fuchsiatrail.RouterSettings;
+import org.fuchsiatrail.UpstreamId;
+import org.fuchsiatrail.internal.access.CustomerAccess;
+import org.fuchsiatrail.internal.configuration.ConfigurationSystem;
+import org.fuchsiatrail.internal.configuration.ConfirmationSystem;
+import org.fuchsiatrail.internal.directory.DirectorySystem;
+import org.fuchsiatrail.internal.ledger.LedgerSystem;
+import org.fuchsiatrail.internal.membership.Member;
+import org.fuchsiatrail.internal.membership.MembershipSystem;
+import org.fuchsiatrail.internal.orders.OrderSystem;
+import org.fuchsiatrail.internal.quarantine.QuarantineSystem;
+import org.fuchsiatrail.internal.routing.EngineChooser;
+import org.fuchsiatrail.internal.services.ServiceSystem;
+import org.fuchsiatrail.internal.store.StoreCalls;
+import org.fuchsiatrail.internal.streams.ChatSystem;
+import org.fuchsiatrail.internal.upstreams.UpstreamRow;
+import org.fuchsiatrail.internal.upstreams.UpstreamSystem;
+
+/** Hands inputs to the systems and runs every system once a tick. */
+public final class DefaultRouterCore implements RouterCore {
+
+    /** When to come back to a router that has no configuration yet, in milliseconds. */
+    private static final long NOT_CONFIGURED_RETRY_MILLIS = 500;
+
+    private final RouterContext context;
+    private final StoreCalls store;
+    private final MembershipSystem membership;
+    private final ConfigurationSystem configuration;
+    private final ConfirmationSystem confirmation;
+    private final CustomerAccess access = new CustomerAccess();
+    private final UpstreamSystem upstreams;
+    private final QuarantineSystem quarantine;
+    private final DirectorySystem directory;
+    private final ChatSystem chats;
+    private final LedgerSystem ledger;
+    private final ServiceSystem services;
+    private final OrderSystem orders;
+    private final StatusReporter status;
+    private long heartbeatSequence;
+    private boolean stopped;
+
+    /**
+     * Creates a router.
+     *
+     * @param settings its settings
+     */
+    public DefaultRouterCore(RouterSettings settings) {
+        context = new RouterContext(settings);
+        store = new StoreCalls(context);
+        membership = new MembershipSystem(context, store, this::heartbeat);
+        configuration = new ConfigurationSystem(context, store, membership);
+        confirmation = new ConfirmationSystem(context, store, membership, configuration);
+        upstreams = new UpstreamSystem(context, membership, this::engineRestarted);
+        quarantine = new QuarantineSystem(context, membership::announceSoon);
+        directory = new DirectorySystem(context, membership, upstreams);
+        EngineChooser chooser = new EngineChooser(context, upstreams);
+        chats = new ChatSystem(context, access, directory, chooser, upstreams, quarantine);
+        ledger = new LedgerSystem(context, store, membership);
+        services = new ServiceSystem(context, access, upstreams, ledger);
+        orders = new OrderSystem(context, store, upstreams);
+        status = new StatusReporter(context, configuration, membership, upstreams);
+        configuration.onAdoption(this::configure);
+    }
+
+    private void configure(Intent intent) {
+        access.configure(intent);
+        upstreams.configure(intent);
+    }
+
+    @Override
+    public List<Output> tick(long nowMillis, List<Input> inputs) {
+        context.begin(nowMillis);
+        for (Input input : inputs) {
+            take(input);
+        }
+        runSystems();
+        finishStop();
+        return context.finish();
+    }
+
+    @Override
+    public boolean ready() {
+        return configuration.current().revision() > 0 && !context.stopping();
+    }
+
+    private void runSystems() {
+        store.run();
+        membership.run();
+        configuration.run();
+        confirmation.run();
+        upstreams.run();
+        quarantine.run();
+        directory.run();
+        chats.run();
+        services.run();
+        ledger.run();
+        orders.run();
+    }
+
+    private void finishStop() {
+        boolean idle = chats.open() == 0 && services.open() == 0 && ledger.isIdle();
+        if (context.stopping() && idle && !stopped) {
+            stopped = true;
+            context.emit(new Output.Stopped());
+        }
+    }
+
+    private void take(Input input) {
+        switch (input) {
+            case Input.ChatArrived chat -> {
+                if (mayTake(chat.request())) {
+                    chats.arrive(chat.request(), chat.apiKey(), chat.call());
+                }
+            }
+            case Input.ServiceArrived service -> {
+                if (mayTake(service.request())) {
+                    services.arrive(service.request(), service.apiKey(), service.call());
+                }
+            }
+            case Input.CallerLeft left -> {
+                chats.callerLeft(left.request());
+                services.callerLeft(left.request());
+            }
+            case Input.EngineSpoke spoke -> chats.hear(spoke.attempt(), spoke.event());
+            case Input.ServiceEnded ended -> services.hear(ended.attempt(), ended.outcome());
+            case Input.LoadArrived load -> {
+                upstreams.takeLoad(load.report());
+                quarantine.takeLoad(load.report());
+            }
+            case Input.LoadMissing missing -> upstreams.loadMissing(missing.engine());
+            case Input.CacheEventsArrived arrived -> directory.takeEvents(arrived.events());
+            case Input.OrderEnded ended -> orders.hear(ended.order(), ended.accepted(), ended.reason());
+            case Input.PeerSpoke spoke -> hear(spoke.from(), spoke.message());
+            case Input.StoreAnswered answered -> store.answer(answered.call(), answered.result());
+            case Input.OperatorAsked asked -> answer(asked.call(), asked.request());
+            case Input.StopAsked stop -> beginStop();
+        }
+    }
+
+    private boolean mayTake(RequestId request) {
+        if (ready()) {
+            return true;
+        }
+        boolean stopping = context.stopping();
+        ResultCode code = stopping ? ResultCode.STOPPING : ResultCode.NOT_CONFIGURED;
+        long retryAfter = stopping ? 1 : NOT_CONFIGURED_RETRY_MILLIS;
+        context.count("refusals." + code.number());
+        context.emit(new Output.AnswerCaller(request, new CallerAnswer.Refusal(code, "", retryAfter)));
+        return false;
+    }
+
+    private void hear(EntryVmId from, PeerMessage message) {
+        switch (message) {
+            case PeerMessage.Heartbeat beat -> hearHeartbeat(from, beat);
+            case PeerMessage.AskDirectory question -> directory.hear(from, question);
+            case PeerMessage.TellDirectory answer -> directory.hear(from, answer);
+            case PeerMessage.ReportCache report -> directory.hear(report);
+            case PeerMessage.TellConfiguration told -> configuration.hear(told);
+            case PeerMessage.AskConfiguration asked -> configuration.hear(from, asked);
+            case PeerMessage.AskClaim claim -> ledger.hear(from, claim);
+            case PeerMessage.TellClaim told -> hearVerdict(told);
+            case PeerMessage.TellEnd end -> ledger.hear(from, end);
+            case PeerMessage.EndRecorded recorded -> ledger.hear(recorded);
+        }
+    }
+
+    private void hearVerdict(PeerMessage.TellClaim told) {
+        boolean awaited = ledger.hear(told);
+        if (!awaited) {
+            services.lateGrant(told.claimId());
+        }
+    }
+
+    private void hearHeartbeat(EntryVmId from, PeerMessage.Heartbeat beat) {
+        boolean fresh = membership.hear(beat);
+        beat.loads().forEach(report -> {
+            upstreams.takeLoad(report);
+            quarantine.takeLoad(report);
+        });
+        upstreams.takePeerWork(from, beat.assignedTokens());
+        beat.draining().forEach(name -> upstreams.drain(new UpstreamId(name)));
+        quarantine.hear(beat.suspicions());
+        configuration.hearRevision(from, beat.revision());
+        if (fresh) {
+            membership.announceSoon();
+        }
+        forgetDeadPeers();
+    }
+
+    private void forgetDeadPeers() {
+        List<EntryVmId> alive = new ArrayList<>();
+        for (Member member : membership.members()) {
+            if (member.state() != Member.State.DEAD) {
+                alive.add(member.vm().id());
+            }
+        }
+        upstreams.forgetPeers(alive);
+    }
+
+    private void answer(long call, OperatorRequest request) {
+        switch (request) {
+            case OperatorRequest.Plan plan -> confirmation.plan(call, plan);
+            case OperatorRequest.Confirm confirm -> confirmation.confirm(call, confirm);
+            case OperatorRequest.Show show ->
+                context.emit(new Output.AnswerOperator(
+                        call,
+                        new OperatorAnswer.Shown(
+                                configuration.current().revision(),
+                                configuration.current().intent())));
+            case OperatorRequest.Status asked ->
+                context.emit(new Output.AnswerOperator(call, status.report(chats.open() + services.open())));
+            case OperatorRequest.Drain drain -> {
+                upstreams.drain(drain.upstream());
+                membership.announceSoon();
+                context.emit(new Output.AnswerOperator(call, new OperatorAnswer.Done()));
+            }
+            case OperatorRequest.Explain explain ->
+                context.emit(new Output.AnswerOperator(
+                        call, new OperatorAnswer.Explained(chats.explain(explain.customer(), explain.call()))));
+        }
+    }
+
+    private void beginStop() {
+        if (context.stopping()) {
+            return;
+        }
+        context.stop();
+        membership.refreshOwners();
+        membership.announceSoon();
+        context.note("router", "Stopping.", "openRequests", chats.open() + services.open());
+    }
+
+    private void engineRestarted(UpstreamRow engine) {
+        context.count("engines.restarts");
+    }
+
+    private PeerMessage.Heartbeat heartbeat() {
+        heartbeatSequence++;
+        return new PeerMessage.Heartbeat(
+                context.settings().self(),
+                context.settings().incarnation(),
+                heartbeatSequence,
+                configuration.current().revision(),
+                context.stopping(),
+                upstreams.ownReports(),
+                upstreams.ownWork(),
+                upstreams.drainingNames(),
+                quarantine.suspicions());
+    }
+}
--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Chooses the engine for a request. */
+package org.fuchsiatrail.internal.routing;
--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/services/package-info.java
@@ -0,0 +1,2 @@
+/** Runs calls to plain services. */
+package org.fuchsiatrail.internal.services;
--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/store/package-info.java
@@ -0,0 +1,2 @@
+/** Calls the platform's store. */
+package org.fuchsiatrail.internal.store;
--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatSystem.java
@@ -0,0 +1,565 @@
+package org.fuchsiatrail.internal.streams;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.fuchsiatrail.AttemptId;
+import org.fuchsiatrail.CallerAnswer;
+import org.fuchsiatrail.ChatCall;
+import org.fuchsiatrail.CustomerId;
+import org.fuchsiatrail.EngineCall;
+import org.fuchsiatrail.EngineEcho;
+import org.fuchsiatrail.EngineEvent;
+import org.fuchsiatrail.Intent;
+import org.fuchsiatrail.ModelVersion;
+import org.fuchsiatrail.Output;
+import org.fuchsiatrail.PeerMessage;
+import org.fuchsiatrail.PrefixChain;
+import org.fuchsiatrail.RequestId;
+import org.fuchsiatrail.ResultCode;
+import org.fuchsiatrail.UpstreamId;
+import org.fuchsiatrail.internal.access.CustomerAccess;
+import org.fuchsiatrail.internal.directory.DirectorySystem;
+import org.fuchsiatrail.internal.limits.RetryBudget;
+import org.fuchsiatrail.internal.quarantine.QuarantineSystem;
+import org.fuchsiatrail.internal.router.RouterContext;
+import org.fuchsiatrail.internal.routing.Candidate;
+import org.fuchsiatrail.internal.routing.EngineChooser;
+import org.fuchsiatrail.internal.store.Digests;
+import org.fuchsiatrail.internal.upstreams.UpstreamRow;
+import org.fuchsiatrail.internal.upstreams.UpstreamSystem;
+
+/**
+ * Runs chat requests: from arrival over the queue and an engine, or several in turn, to the final answer.
+ *
+ * <p>Tokens reach the caller strictly by position. An attempt that breaks off, falls silent, skips a position or speaks
+ * for another life or other weights is cancelled, and another engine goes on from the position reached.
+ */
+public final class ChatSystem {
+
+    /** Attempts of one request that ran on an engine, at most. */
+    private static final int MOST_ATTEMPTS = 6;
+
+    /** How long a begun answer waits for an engine that can go on with it, in milliseconds. */
+    private static final long RESUME_PATIENCE_MILLIS = 20_000;
+
+    /** The wait when retries are used up, in milliseconds. */
+    private static final long RETRY_PAUSE_MILLIS = 250;
+
+    /** When to come back if no engine can be reached, in milliseconds. */
+    private static final long NO_UPSTREAM_RETRY_MILLIS = 1_000;
+
+    private final RouterContext context;
+    private final CustomerAccess access;
+    private final DirectorySystem directory;
+    private final EngineChooser chooser;
+    private final UpstreamSystem upstreams;
+    private final QuarantineSystem quarantine;
+    private final Admission admission;
+    private final ResumeToken resumeTokens;
+    private final Map<RequestId, ChatRow> rows = new LinkedHashMap<>();
+    private final Map<AttemptId, ChatRow> attempts = new HashMap<>();
+    private final Map<CustomerId, RetryBudget> budgets = new HashMap<>();
+    private long nextAttempt = 1;
+
+    /**
+     * Creates an empty table.
+     *
+     * @param context the router's context
+     * @param access customers and what they may use
+     * @param directory who holds which prefix
+     * @param chooser chooses engines
+     * @param upstreams the engines
+     * @param quarantine requests that crash engines
+     */
+    public ChatSystem(
+            RouterContext context,
+            CustomerAccess access,
+            DirectorySystem directory,
+            EngineChooser chooser,
+            UpstreamSystem upstreams,
+            QuarantineSystem quarantine) {
+        this.context = context;
+        this.access = access;
+        this.directory = directory;
+        this.chooser = chooser;
+        this.upstreams = upstreams;
+        this.quarantine = quarantine;
+        this.admission = new Admission(context, chooser, upstreams);
+        this.resumeTokens = new ResumeToken(context.settings().secret());
+    }
+
+    /**
+     * Takes a new request.
+     *
+     * @param request its id
+     * @param apiKey the caller's key
+     * @param call what it asks
+     */
+    public void arrive(RequestId request, String apiKey, ChatCall call) {
+        Optional<Intent.Customer> customer = access.authenticate(apiKey);
+        if (customer.isEmpty()) {
+            refuse(request, ResultCode.UNAUTHORIZED, "", 0);
+            return;
+        }
+        if (!call.scope().isEmpty() && !access.mayShare(customer.get(), call.scope())) {
+            refuse(request, ResultCode.SCOPE_NOT_ALLOWED, "Scope: " + call.scope() + ".", 0);
+            return;
+        }
+        String fingerprint = fingerprint(customer.get(), call);
+        if (quarantine.isQuarantined(fingerprint)) {
+            refuse(request, ResultCode.QUARANTINED, "", 0);
+            return;
+        }
+        Optional<ResumeToken.Position> resumed = Optional.empty();
+        if (!call.resumeToken().isEmpty()) {
+            resumed = resumeTokens.read(fingerprint, call.resumeToken());
+            if (resumed.isEmpty()) {
+                refuse(request, ResultCode.RESUME_TOKEN_INVALID, "", 0);
+                return;
+            }
+        }
+        String asked = resumed.map(position -> position.model().toString()).orElse(call.model());
+        Optional<ModelVersion> model = access.model(customer.get(), asked, call.adapter());
+        if (model.isEmpty()) {
+            refuse(request, ResultCode.MODEL_NOT_ALLOWED, "Model: " + asked + ".", 0);
+            return;
+        }
+        ChatRow row = newRow(request, customer.get(), call, model.get(), fingerprint);
+        resumed.ifPresent(position -> row.nextPosition = position.next());
+        begin(row);
+    }
+
+    private ChatRow newRow(
+            RequestId request, Intent.Customer customer, ChatCall call, ModelVersion model, String fingerprint) {
+        String salt = cacheSalt(context.settings().secret(), customer.id(), call, model);
+        PrefixChain chain = PrefixChain.of(salt, call.prompt());
+        CustomerId id = new CustomerId(customer.id());
+        return new ChatRow(request, id, call, model, salt, chain, fingerprint, context.now());
+    }
+
+    private void begin(ChatRow row) {
+        rows.put(row.request, row);
+        context.count("requests.chat");
+        budget(row.customer).firstAttempt();
+        directory.lookup(row.chain, matches -> lookedUp(row, matches));
+    }
+
+    private void lookedUp(ChatRow row, List<PeerMessage.PrefixMatch> matches) {
+        if (row.state != ChatRow.State.LOOKING_UP) {
+            return;
+        }
+        row.matches = matches;
+        row.state = ChatRow.State.WAITING;
+        Intent.Customer customer = access.customer(row.customer).orElse(null);
+        if (customer == null) {
+            finish(row, new CallerAnswer.Refusal(ResultCode.UNAUTHORIZED, "", 0));
+            return;
+        }
+        Optional<CallerAnswer.Refusal> refusal = admission.admit(row, customer);
+        refusal.ifPresent(answer -> finish(row, answer));
+    }
+
+    /**
+     * Computes the seed of a prompt's cache keys.
+     *
+     * @param secret the routers' secret
+     * @param customer the customer
+     * @param call the call
+     * @param model the model that will run
+     * @return hexadecimal digits
+     */
+    static String cacheSalt(String secret, String customer, ChatCall call, ModelVersion model) {
+        String owner = call.scope().isEmpty() ? "customer/" + customer : "scope/" + call.scope();
+        return Digests.sha256(secret, owner, model.toString(), call.adapter()).substring(0, 32);
+    }
+
+    private static String fingerprint(Intent.Customer customer, ChatCall call) {
+        String digest = Digests.sha256(
+                customer.id(), call.adapter(), call.scope(), call.prompt(), Integer.toString(call.maximumTokens()));
+        return customer.id() + "/" + digest.substring(0, 32);
+    }
+
+    /** Starts waiting requests on engines with room, and ends attempts that fell silent. */
+    public void run() {
+        endSilentAttempts();
+        admission.refuseHopeless(this::finish);
+        admission.offer(this::tryStart);
+    }
+
+    private boolean tryStart(ChatRow row) {
+        if (row.state != ChatRow.State.WAITING) {
+            return true;
+        }
+        if (context.now() < row.notBeforeMillis) {
+            return false;
+        }
+        if (quarantine.isQuarantined(row.fingerprint)) {
+            finish(row, new CallerAnswer.Refusal(ResultCode.QUARANTINED, "", 0));
+            return true;
+        }
+        row.suspect = quarantine.isSuspect(row.fingerprint);
+        Set<UpstreamId> excluded = row.suspect ? withOtherSuspects(row) : row.excluded;
+        Optional<Candidate> choice = chooser.choose(row.model, row.chain, row.matches, excluded);
+        if (choice.isEmpty()) {
+            return giveUpWithoutEngine(row);
+        }
+        if (!admission.hasRoom(choice.get())) {
+            return false;
+        }
+        start(row, choice.get());
+        return true;
+    }
+
+    private boolean giveUpWithoutEngine(ChatRow row) {
+        boolean patient = row.begun() || row.suspect || row.attempts > 0;
+        if (patient && context.now() < row.interruptedAtMillis + RESUME_PATIENCE_MILLIS) {
+            row.excluded.clear();
+            row.notBeforeMillis = context.now() + RETRY_PAUSE_MILLIS;
+            return false;
+        }
+        ResultCode code = row.attempts > 0 ? ResultCode.UPSTREAM_FAILED : ResultCode.NO_UPSTREAM;
+        finish(row, new CallerAnswer.Refusal(code, "Model: " + row.model + ".", NO_UPSTREAM_RETRY_MILLIS));
+        return true;
+    }
+
+    private Set<UpstreamId> withOtherSuspects(ChatRow row) {
+        Set<UpstreamId> excluded = new HashSet<>(row.excluded);
+        for (ChatRow other : attempts.values()) {
+            if (other != row && other.suspect && other.engine != null) {
+                excluded.add(other.engine.id());
+            }
+        }
+        return excluded;
+    }
+
+    private void start(ChatRow row, Candidate choice) {
+        UpstreamRow engine = choice.engine();
+        row.state = ChatRow.State.RUNNING;
+        row.engine = engine;
+        row.engineIncarnation = engine.incarnation();
+        row.attempt = new AttemptId(context.selfId() + "-" + context.settings().incarnation() + "-" + nextAttempt++);
+        row.attempts++;
+        row.expectedCachedTokens = choice.cachedTokens();
+        row.uncachedTokens = choice.uncachedTokens();
+        row.prefillOver = false;
+        row.lastHeardMillis = context.now();
+        attempts.put(row.attempt, row);
+        engine.dispatched(context.now(), row.uncachedTokens);
+        admission.started(row);
+        context.count("attempts.chat");
+        directory.expectStored(engine.id(), engine.incarnation(), row.chain);
+        context.emit(new Output.StartEngine(row.attempt, engine.id(), engine.address(), engineCall(row)));
+    }
+
+    private EngineCall engineCall(ChatRow row) {
+        return new EngineCall(
+                row.request,
+                row.customer,
+                row.model,
+                row.call.adapter(),
+                row.cacheSalt,
+                row.engineIncarnation,
+                row.call.prompt(),
+                row.nextPosition,
+                row.call.maximumTokens(),
+                row.call.priority(),
+                row.call.traceparent());
+    }
+
+    /**
+     * Takes what an engine said about an attempt.
+     *
+     * @param attempt the attempt
+     * @param event what it said
+     */
+    public void hear(AttemptId attempt, EngineEvent event) {
+        ChatRow row = attempts.get(attempt);
+        if (row == null || row.state != ChatRow.State.RUNNING || !attempt.equals(row.attempt)) {
+            context.count("streams.late-events");
+            return;
+        }
+        switch (event) {
+            case EngineEvent.Started started -> {
+                if (accept(row, started.echo())) {
+                    takeStart(row, started);
+                }
+            }
+            case EngineEvent.Token token -> {
+                if (accept(row, token.echo())) {
+                    takeToken(row, token);
+                }
+            }
+            case EngineEvent.Ended ended -> {
+                if (accept(row, ended.echo())) {
+                    takeEnd(row, ended);
+                }
+            }
+            case EngineEvent.Refused refused -> takeRefusal(row, refused);
+            case EngineEvent.Lost lost -> takeLoss(row, lost);
+        }
+    }
+
+    private boolean accept(ChatRow row, EngineEcho echo) {
+        boolean own = echo.request().equals(row.request) && echo.customer().equals(row.customer);
+        if (!own) {
+            context.count("streams.crossed-events");
+            return false;
+        }
+        boolean sameWeights = echo.model().equals(row.model);
+        boolean sameLife = row.engineIncarnation == 0 || echo.incarnation() == row.engineIncarnation;
+        if (sameWeights && sameLife) {
+            row.lastHeardMillis = context.now();
+            return true;
+        }
+        context.count(sameWeights ? "streams.other-life" : "streams.other-weights");
+        upstreams.seeIncarnation(row.engine, echo.incarnation());
+        row.excluded.add(row.engine.id());
+        cancelAttempt(row);
+        waitAgain(row);
+        return false;
+    }
+
+    private void takeStart(ChatRow row, EngineEvent.Started started) {
+        row.engineIncarnation = started.echo().incarnation();
+        upstreams.seeIncarnation(row.engine, row.engineIncarnation);
+        row.engine.succeeded();
+        prefillOver(row);
+        row.cachedTokens = started.cachedTokens();
+        context.count("tokens.prompt", started.promptTokens());
+        context.count("tokens.cached", started.cachedTokens());
+        long missed = Math.max(0, row.expectedCachedTokens - started.cachedTokens());
+        context.count("tokens.expected-but-missed", missed);
+        directory.expectStored(row.engine.id(), row.engineIncarnation, row.chain);
+    }
+
+    private void takeToken(ChatRow row, EngineEvent.Token token) {
+        prefillOver(row);
+        if (token.position() < row.nextPosition) {
+            context.count("streams.repeated-tokens");
+            return;
+        }
+        if (token.position() > row.nextPosition) {
+            context.count("streams.gaps");
+            goOnElsewhere(row);
+            return;
+        }
+        row.nextPosition++;
+        context.count("tokens.generated");
+        String eventId = resumeTokens.write(row.fingerprint, row.model, row.nextPosition);
+        context.emit(
+                new Output.AnswerCaller(row.request, new CallerAnswer.Token(eventId, token.position(), token.text())));
+    }
+
+    private void takeEnd(ChatRow row, EngineEvent.Ended ended) {
+        if (ended.count() != row.nextPosition) {
+            context.count("streams.short-ends");
+            goOnElsewhere(row);
+            return;
+        }
+        quarantine.finished(row.fingerprint);
+        finish(row, new CallerAnswer.End(ended.count(), row.cachedTokens));
+    }
+
+    private void takeRefusal(ChatRow row, EngineEvent.Refused refused) {
+        context.count("attempts.refused-by-engine");
+        leaveEngine(row);
+        row.attempts--;
+        row.notBeforeMillis = context.now() + Math.min(refused.retryAfterMillis(), RETRY_PAUSE_MILLIS);
+        if (!refused.reason().equals("busy")) {
+            row.excluded.add(row.engine.id());
+            row.notBeforeMillis = 0;
+        }
+        if (refused.reason().equals("draining")) {
+            upstreams.drain(row.engine.id());
+        }
+        waitAgain(row);
+    }
+
+    private void takeLoss(ChatRow row, EngineEvent.Lost lost) {
+        context.count("attempts.lost");
+        upstreams.failed(row.engine);
+        if (lost.connected()) {
+            quarantine.crashed(row.engine.id(), row.engineIncarnation, runningOn(row.engine));
+        }
+        row.excluded.add(row.engine.id());
+        leaveEngine(row);
+        if (!row.begun() && !budget(row.customer).tryRetry()) {
+            row.notBeforeMillis = context.now() + RETRY_PAUSE_MILLIS;
+        }
+        waitAgain(row);
+    }
+
+    private List<String> runningOn(UpstreamRow engine) {
+        List<String> fingerprints = new ArrayList<>();
+        for (ChatRow row : attempts.values()) {
+            if (row.engine == engine && row.state == ChatRow.State.RUNNING) {
+                fingerprints.add(row.fingerprint);
+            }
+        }
+        return fingerprints;
+    }
+
+    private void goOnElsewhere(ChatRow row) {
+        row.excluded.add(row.engine.id());
+        cancelAttempt(row);
+        waitAgain(row);
+    }
+
+    private void waitAgain(ChatRow row) {
+        row.interruptedAtMillis = context.now();
+        if (row.attempts >= MOST_ATTEMPTS) {
+            finish(row, new CallerAnswer.Refusal(ResultCode.UPSTREAM_FAILED, "", NO_UPSTREAM_RETRY_MILLIS));
+            return;
+        }
+        if (row.excluded.size() >= upstreams.engines().size()) {
+            row.excluded.clear();
+        }
+        row.state = ChatRow.State.WAITING;
+        Intent.Customer customer = access.customer(row.customer).orElse(null);
+        if (customer == null) {
+            finish(row, new CallerAnswer.Refusal(ResultCode.UNAUTHORIZED, "", 0));
+            return;
+        }
+        admission.enqueueFirst(row, customer);
+    }
+
+    /** Ends attempts whose engine has said nothing for long, such as one that is frozen. */
+    private void endSilentAttempts() {
+        long oldest = context.now() - context.settings().silenceMillis();
+        List<ChatRow> silent = new ArrayList<>();
+        for (ChatRow row : attempts.values()) {
+            long allowance = row.prefillOver
+                    ? 0
+                    : row.engine.queuedTokens(context.now()) * 1000 / row.engine.prefillTokensPerSecond();
+            if (row.lastHeardMillis + allowance < oldest) {
+                silent.add(row);
+            }
+        }
+        for (ChatRow row : silent) {
+            context.count("attempts.silent");
+            upstreams.failed(row.engine);
+            goOnElsewhere(row);
+        }
+    }
+
+    /**
+     * Cancels the work of a caller that left.
+     *
+     * @param request the request
+     */
+    public void callerLeft(RequestId request) {
+        ChatRow row = rows.get(request);
+        if (row == null) {
+            return;
+        }
+        context.count("requests.abandoned");
+        if (row.state == ChatRow.State.RUNNING) {
+            cancelAttempt(row);
+        }
+        forget(row);
+    }
+
+    /**
+     * Tells where a request would go.
+     *
+     * @param customer the customer
+     * @param call the call
+     * @return one line a candidate, cheapest first
+     */
+    public List<String> explain(CustomerId customer, ChatCall call) {
+        Optional<Intent.Customer> known = access.customer(customer);
+        if (known.isEmpty()) {
+            return List.of("Customer " + customer + " is not configured.");
+        }
+        Optional<ModelVersion> model = access.model(known.get(), call.model(), call.adapter());
+        if (model.isEmpty()) {
+            return List.of("Customer " + customer + " may not use " + call.model() + ".");
+        }
+        PrefixChain chain = PrefixChain.of(
+                cacheSalt(context.settings().secret(), customer.value(), call, model.get()), call.prompt());
+        List<String> lines = new ArrayList<>();
+        directory.lookup(
+                chain,
+                matches -> chooser.rank(model.get(), chain, matches, Set.of())
+                        .forEach(candidate -> lines.add(describe(candidate))));
+        if (lines.isEmpty()) {
+            lines.add("The directory owner of this prompt is another router, or no engine may run it; by load alone:");
+            chooser.rank(model.get(), chain, List.of(), Set.of()).forEach(candidate -> lines.add(describe(candidate)));
+        }
+        return lines;
+    }
+
+    private static String describe(Candidate candidate) {
+        return String.format(
+                Locale.ROOT,
+                "%s in %s: cost %.1f ms, first token in %d ms, queue %d ms, cached %d tokens, to compute %d tokens",
+                candidate.engine().id(),
+                candidate.engine().domain(),
+                candidate.cost(),
+                candidate.firstTokenMillis(),
+                candidate.queueMillis(),
+                candidate.cachedTokens(),
+                candidate.uncachedTokens());
+    }
+
+    /**
+     * Returns the number of requests without a final answer.
+     *
+     * @return rows
+     */
+    public int open() {
+        return rows.size();
+    }
+
+    private void cancelAttempt(ChatRow row) {
+        context.emit(new Output.CancelEngine(row.attempt, row.engine.id(), row.engine.address(), row.request));
+        leaveEngine(row);
+    }
+
+    private void leaveEngine(ChatRow row) {
+        attempts.remove(row.attempt);
+        prefillOver(row);
+        row.engine.streamOver();
+    }
+
+    private void prefillOver(ChatRow row) {
+        if (!row.prefillOver) {
+            row.prefillOver = true;
+            row.engine.prefillOver(row.uncachedTokens);
+        }
+    }
+
+    private void finish(ChatRow row, CallerAnswer answer) {
+        if (row.state == ChatRow.State.RUNNING) {
+            leaveEngine(row);
+        }
+        forget(row);
+        if (answer instanceof CallerAnswer.Refusal refusal) {
+            context.count("refusals." + refusal.code().number());
+        }
+        context.emit(new Output.AnswerCaller(row.request, answer));
+    }
+
+    private void forget(ChatRow row) {
+        row.state = ChatRow.State.OVER;
+        rows.remove(row.request);
+    }
+
+    private void refuse(RequestId request, ResultCode code, String detail, long retryAfterMillis) {
+        context.count("refusals." + code.number());
+        context.emit(new Output.AnswerCaller(request, new CallerAnswer.Refusal(code, detail, retryAfterMillis)));
+    }
+
+    private RetryBudget budget(CustomerId customer) {
+        return budgets.computeIfAbsent(
+                customer, key -> new RetryBudget(context.settings().retryRatio()));
+    }
+}
--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/upstreams/package-info.java
@@ -0,0 +1,2 @@
+/** Keeps the state of engines and services. */
+package org.fuchsiatrail.internal.upstreams;
--- /dev/null
+++ b/fuchsiatrail-standins/src/main/java/org/fuchsiatrail/standins/drive/package-info.java
@@ -0,0 +1,2 @@
+/** Drives routers and stand-ins together on virtual time, with faults. */
+package org.fuchsiatrail.standins.drive;
--- /dev/null
+++ b/fuchsiatrail-standins/src/main/java/org/fuchsiatrail/standins/server/EngineServer.java
@@ -0,0 +1,106 @@
+package org.fuchsiatrail.standins.server;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+
+import org.fuchsiatrail.CacheEvents;
+import org.fuchsiatrail.EngineCall;
+import org.fuchsiatrail.EngineEvent;
+import org.fuchsiatrail.standins.model.EngineModel;
+import org.fuchsiatrail.standins.model.EngineTraits;
+import org.fuchsiatrail.wire.client.EngineClient;
+import org.fuchsiatrail.wire.http.HttpExchange;
+
+/** A stand-in engine as a process. */
+public final class EngineServer extends StandinServer {
+
+    private static final long STEP_MILLIS = 2;
+    private static final Map<String, String> STREAM_HEADERS = Map.of("Content-Type", "application/x-ndjson");
+
+    private final EngineModel model;
+    private final String poison;
+
+    /**
+     * Starts the engine.
+     *
+     * @param address where to listen
+     * @param traits its properties
+     * @param poison a text that crashes the process when a prompt contains it, or an empty text
+     */
+    public EngineServer(InetSocketAddress address, EngineTraits traits, String poison) {
+        this.model = new EngineModel(traits, SystemTime.CLOCK.nowMillis());
+        this.poison = poison;
+        listen(address, STEP_MILLIS);
+    }
+
+    @Override
+    void step() {
+        model.advance(clock.nowMillis());
+    }
+
+    @Override
+    Object state() {
+        return Map.of("computedTokens", model.computedTokens(), "promptTokens", model.promptTokens());
+    }
+
+    @Override
+    void answer(HttpExchange exchange) throws IOException {
+        switch (exchange.path()) {
+            case "/v1/run" -> run(exchange, json.readValue(exchange.body(), EngineCall.class));
+            case "/v1/cancel" -> {
+                model.cancel(json.readValue(exchange.body(), EngineClient.Cancellation.class)
+                        .request());
+                sendText(exchange, 200, "");
+            }
+            case "/v1/load" -> sendJson(exchange, 200, model.load(clock.nowMillis()));
+            case "/v1/cache-events" -> sendEvents(exchange);
+            case "/v1/drain" -> {
+                model.drain(exchange.parameter("leaving").orElse("true").equals("true"));
+                sendText(exchange, 200, "");
+            }
+            case "/v1/orders" -> {
+                EngineClient.LoadOrder order = json.readValue(exchange.body(), EngineClient.LoadOrder.class);
+                String reason = model.order(clock.nowMillis(), order.order(), order.model(), order.fencingToken());
+                sendText(exchange, reason.isEmpty() ? 200 : 409, reason);
+            }
+            default -> sendText(exchange, 404, "There is nothing at this path.\n");
+        }
+    }
+
+    private void sendEvents(HttpExchange exchange) {
+        long from = Long.parseLong(exchange.parameter("from").orElse("0"));
+        CacheEvents events = model.cacheEvents(from);
+        if (faults.losesEvents()) {
+            events = new CacheEvents(
+                    events.engine(), events.incarnation(), events.nextSequence(), events.nextSequence(), List.of());
+        }
+        sendJson(exchange, 200, events);
+    }
+
+    private void run(HttpExchange exchange, EngineCall call) {
+        if (!poison.isEmpty() && call.prompt().contains(poison)) {
+            Runtime.getRuntime().halt(134);
+        }
+        exchange.begin(200, STREAM_HEADERS);
+        exchange.onClose(() -> model.cancel(call.request()));
+        model.start(clock.nowMillis(), call, event -> send(exchange, event));
+    }
+
+    private void send(HttpExchange exchange, EngineEvent event) {
+        try {
+            byte[] line = json.writerFor(EngineEvent.class).writeValueAsBytes(event);
+            byte[] ended = Arrays.copyOf(line, line.length + 1);
+            ended[line.length] = '\n';
+            exchange.send(ended);
+        } catch (IOException e) {
+            exchange.abort();
+            return;
+        }
+        if (event instanceof EngineEvent.Ended || event instanceof EngineEvent.Refused) {
+            exchange.end();
+        }
+    }
+}
--- /dev/null
+++ b/fuchsiatrail-standins/src/main/java/org/fuchsiatrail/standins/server/package-info.java
@@ -0,0 +1,2 @@
+/** The stand-ins as processes that speak HTTP. */
+package org.fuchsiatrail.standins.server;
--- /dev/null
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/package-info.java
@@ -0,0 +1,2 @@
+/** Serving HTTP through Netty. */
+package org.fuchsiatrail.wire.http;
--- /dev/null
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/package-info.java
@@ -0,0 +1,2 @@
+/** The written forms of the core's messages, in JSON and in MessagePack. */
+package org.fuchsiatrail.wire;
--- /dev/null
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/Handshake.java
@@ -0,0 +1,93 @@
+package org.fuchsiatrail.wire.peer;
+
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+import java.util.Arrays;
+
+/**
+ * The first frames of a connection, by which both sides prove that they hold the shared secret.
+ *
+ * <p>The accepting side sends a challenge: protocol version and a random number. The connecting side answers with its
+ * name, a random number of its own and a signature over the challenge. The accepting side signs that number in turn.
+ */
+final class Handshake {
+
+    /** The version of the protocol; a connection between two versions is refused. */
+    static final byte VERSION = 1;
+
+    static final int NONCE_BYTES = 16;
+    private static final int SIGNATURE_BYTES = 32;
+    private static final String ALGORITHM = "HmacSHA256";
+    private static final SecureRandom RANDOM = new SecureRandom();
+
+    private final byte[] secret;
+
+    Handshake(String secret) {
+        this.secret = secret.getBytes(StandardCharsets.UTF_8);
+    }
+
+    byte[] nonce() {
+        byte[] nonce = new byte[NONCE_BYTES];
+        RANDOM.nextBytes(nonce);
+        return nonce;
+    }
+
+    byte[] challenge(byte[] nonce) {
+        return ByteBuffer.allocate(1 + NONCE_BYTES).put(VERSION).put(nonce).array();
+    }
+
+    boolean isChallenge(byte[] frame) {
+        return frame.length == 1 + NONCE_BYTES && frame[0] == VERSION;
+    }
+
+    byte[] hello(byte[] challenge, byte[] ownNonce, String name) {
+        byte[] nameBytes = name.getBytes(StandardCharsets.UTF_8);
+        byte[] signature = sign("hello", challenge, ownNonce, nameBytes);
+        return ByteBuffer.allocate(NONCE_BYTES + SIGNATURE_BYTES + nameBytes.length)
+                .put(ownNonce)
+                .put(signature)
+                .put(nameBytes)
+                .array();
+    }
+
+    /** Returns the name of the connecting side, or null when it does not hold the secret. */
+    String checkHello(byte[] challenge, byte[] hello) {
+        if (hello.length <= NONCE_BYTES + SIGNATURE_BYTES) {
+            return null;
+        }
+        byte[] nonce = Arrays.copyOfRange(hello, 0, NONCE_BYTES);
+        byte[] signature = Arrays.copyOfRange(hello, NONCE_BYTES, NONCE_BYTES + SIGNATURE_BYTES);
+        byte[] name = Arrays.copyOfRange(hello, NONCE_BYTES + SIGNATURE_BYTES, hello.length);
+        boolean genuine = MessageDigest.isEqual(signature, sign("hello", challenge, nonce, name));
+        return genuine ? new String(name, StandardCharsets.UTF_8) : null;
+    }
+
+    byte[] welcome(byte[] hello) {
+        return sign("welcome", Arrays.copyOfRange(hello, 0, NONCE_BYTES));
+    }
+
+    boolean checkWelcome(byte[] ownNonce, byte[] welcome) {
+        return MessageDigest.isEqual(welcome, sign("welcome", ownNonce));
+    }
+
+    private byte[] sign(String purpose, byte[]... parts) {
+        try {
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(new SecretKeySpec(secret, ALGORITHM));
+            mac.update(purpose.getBytes(StandardCharsets.UTF_8));
+            for (byte[] part : parts) {
+                mac.update((byte) part.length);
+                mac.update(part);
+            }
+            return mac.doFinal();
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/package-info.java
@@ -0,0 +1,2 @@
+/** The protocol between routers: length-framed MessagePack over TCP. */
+package org.fuchsiatrail.wire.peer;
