--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/OperatorAnswer.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/OperatorAnswer.java
@@ -38,7 +38,7 @@
      * @param revision the revision it has in force
      * @param stopping whether it is stopping
      * @param openRequests its requests without a final answer
-     * @param routers its peers
+     * @param routers itself and its peers
      * @param engines the engines
      */
     record StatusReport(
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/OperatorRequest.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/OperatorRequest.java
@@ -1,5 +1,7 @@
 package org.fuchsiatrail;
 
+import java.util.Objects;
+
 /** What an operator asks of a router. */
 public sealed interface OperatorRequest {
 
@@ -8,7 +10,13 @@
      *
      * @param intent what is wanted
      */
-    record Plan(Intent intent) implements OperatorRequest {}
+    record Plan(Intent intent) implements OperatorRequest {
+
+        /** Refuses a missing intent. */
+        public Plan {
+            Objects.requireNonNull(intent, "intent");
+        }
+    }
 
     /**
      * Puts a plan in force.
@@ -16,7 +24,14 @@
      * @param planId the id that the plan carried
      * @param intent the intent that was planned
      */
-    record Confirm(String planId, Intent intent) implements OperatorRequest {}
+    record Confirm(String planId, Intent intent) implements OperatorRequest {
+
+        /** Refuses missing parts. */
+        public Confirm {
+            Objects.requireNonNull(planId, "planId");
+            Objects.requireNonNull(intent, "intent");
+        }
+    }
 
     /** Shows the configuration in force. */
     record Show() implements OperatorRequest {}
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
@@ -51,8 +51,9 @@
      *
      * @param lookup the number of the question
      * @param checkpoints the hashes of the prompt's checkpoints, shortest first
+     * @param traceparent the W3C trace context of the request behind it, or an empty text
      */
-    record AskDirectory(long lookup, long[] checkpoints) implements PeerMessage {}
+    record AskDirectory(long lookup, long[] checkpoints, String traceparent) implements PeerMessage {}
 
     /**
      * Answers which engines hold a prefix.
@@ -99,8 +100,9 @@
      * Asks the router that groups a ledger shard's writes to claim a key.
      *
      * @param claim the claim
+     * @param traceparent the W3C trace context of the request behind it, or an empty text
      */
-    record AskClaim(LedgerClaim claim) implements PeerMessage {}
+    record AskClaim(LedgerClaim claim, String traceparent) implements PeerMessage {}
 
     /**
      * Answers a claim.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/RouterSettings.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/RouterSettings.java
@@ -1,11 +1,13 @@
 package org.fuchsiatrail;
 
+import java.util.List;
 import java.util.Objects;
 
 /**
  * The settings of one router; times are milliseconds.
  *
  * @param self this router's entry VM
+ * @param seeds peers to try before the platform's list is known
  * @param incarnation the number of this life of the router; a restart must raise it
  * @param seed the seed of every random choice
  * @param secret the secret that all routers share; it signs resume tokens and cache salts
@@ -32,6 +34,7 @@
  */
 public record RouterSettings(
         EntryVm self,
+        List<EntryVm> seeds,
         long incarnation,
         long seed,
         String secret,
@@ -75,6 +78,7 @@
     public static final class Builder {
 
         private EntryVm self;
+        private List<EntryVm> seeds = List.of();
         private long incarnation = 1;
         private long seed = 1;
         private String secret = "";
@@ -112,6 +116,17 @@
             return this;
         }
 
+        /**
+         * Sets peers to try before the platform's list is known.
+         *
+         * @param value the peers
+         * @return this builder
+         */
+        public Builder seeds(List<EntryVm> value) {
+            seeds = List.copyOf(value);
+            return this;
+        }
+
         /**
          * Sets the number of this life of the router; a restart must raise it.
          *
@@ -373,6 +388,7 @@
         public RouterSettings build() {
             return new RouterSettings(
                     self,
+                    seeds,
                     incarnation,
                     seed,
                     secret,
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/access/CustomerAccess.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/access/CustomerAccess.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.fuchsiatrail.ApiKeys;
 import org.fuchsiatrail.CustomerId;
 import org.fuchsiatrail.Intent;
 import org.fuchsiatrail.ModelVersion;
@@ -42,17 +43,6 @@
         services = freshServices;
     }
 
-    /**
-     * Makes the stored form of a key.
-     *
-     * @param salt at least 8 hexadecimal digits
-     * @param key the key
-     * @return salt and digest
-     */
-    public static String hashKey(String salt, String key) {
-        return salt + ":" + Digests.sha256(salt, key);
-    }
-
     /**
      * Finds the customer of a key.
      *
@@ -69,7 +59,7 @@
             return Optional.empty();
         }
         String hash = customer.keyHash();
-        String computed = hashKey(hash.substring(0, Math.max(0, hash.indexOf(':'))), apiKey);
+        String computed = ApiKeys.hash(hash.substring(0, Math.max(0, hash.indexOf(':'))), apiKey);
         return Digests.sameSecret(computed, hash) ? Optional.of(customer) : Optional.empty();
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/directory/DirectorySystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/directory/DirectorySystem.java
@@ -72,9 +72,10 @@
      * Asks who holds how much of a prompt.
      *
      * @param chain the prompt's chain
+     * @param traceparent the W3C trace context of the request
      * @param receiver takes the matches, possibly none; called once, at once when this router is the owner
      */
-    public void lookup(PrefixChain chain, Consumer<List<PeerMessage.PrefixMatch>> receiver) {
+    public void lookup(PrefixChain chain, String traceparent, Consumer<List<PeerMessage.PrefixMatch>> receiver) {
         if (chain.checkpoints().length == 0 || !context.settings().affinity()) {
             receiver.accept(List.of());
             return;
@@ -85,11 +86,12 @@
         } else if (owner.get().equals(context.selfId())) {
             receiver.accept(directory.lookup(chain.checkpoints(), context.now()));
         } else {
-            askOwner(owner.get(), chain, receiver);
+            askOwner(owner.get(), chain, traceparent, receiver);
         }
     }
 
-    private void askOwner(EntryVmId owner, PrefixChain chain, Consumer<List<PeerMessage.PrefixMatch>> receiver) {
+    private void askOwner(
+            EntryVmId owner, PrefixChain chain, String traceparent, Consumer<List<PeerMessage.PrefixMatch>> receiver) {
         long number = nextLookup++;
         long expiresAt = context.now() + context.settings().lookupBudgetMillis();
         pending.put(number, new Pending(owner, expiresAt, receiver));
@@ -98,7 +100,7 @@
             asked = Arrays.copyOf(asked, LONGEST_LOOKUP);
         }
         context.count("directory.remote-lookups");
-        membership.send(owner, new PeerMessage.AskDirectory(number, asked));
+        membership.send(owner, new PeerMessage.AskDirectory(number, asked, traceparent));
     }
 
     /**
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/ledger/LedgerSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/ledger/LedgerSystem.java
@@ -69,13 +69,14 @@
      * Claims a call.
      *
      * @param claim the claim
+     * @param traceparent the W3C trace context of the call
      * @param receiver takes the verdict, once
      */
-    public void claim(LedgerClaim claim, Consumer<ClaimVerdict> receiver) {
+    public void claim(LedgerClaim claim, String traceparent, Consumer<ClaimVerdict> receiver) {
         Optional<EntryVmId> preferred = preferred(claim.entryKey());
         boolean remote = preferred.isPresent()
                 && !preferred.get().equals(context.selfId())
-                && membership.send(preferred.get(), new PeerMessage.AskClaim(claim));
+                && membership.send(preferred.get(), new PeerMessage.AskClaim(claim, traceparent));
         if (remote) {
             long fallBackAt = context.now() + PREFERRED_PATIENCE_MILLIS;
             remoteClaims.put(claim.claimId(), new RemoteClaim(claim, fallBackAt, receiver));
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/membership/MembershipSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/membership/MembershipSystem.java
@@ -55,6 +55,11 @@
         this.context = context;
         this.store = store;
         this.heartbeats = heartbeats;
+        for (EntryVm seed : context.settings().seeds()) {
+            if (!seed.id().equals(context.selfId())) {
+                members.put(seed.id(), new Member(seed));
+            }
+        }
         refreshOwners();
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/router/DefaultRouterCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/router/DefaultRouterCore.java
@@ -87,7 +87,7 @@
     public List<Output> tick(long nowMillis, List<Input> inputs) {
         context.begin(nowMillis);
         for (Input input : inputs) {
-            take(input);
+            takeSafely(input);
         }
         runSystems();
         finishStop();
@@ -121,6 +121,16 @@
         }
     }
 
+    private void takeSafely(Input input) {
+        try {
+            take(input);
+        } catch (RuntimeException e) {
+            context.count("inputs.failed");
+            context.note(
+                    "router", "Input dropped.", "kind", input.getClass().getSimpleName(), "reason", String.valueOf(e));
+        }
+    }
+
     private void take(Input input) {
         switch (input) {
             case Input.ChatArrived chat -> {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/router/StatusReporter.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/router/StatusReporter.java
@@ -33,6 +33,11 @@
 
     OperatorAnswer.StatusReport report(int openRequests) {
         List<OperatorAnswer.RouterStatus> routers = new ArrayList<>();
+        routers.add(new OperatorAnswer.RouterStatus(
+                context.selfId(),
+                context.settings().self().failureDomain(),
+                context.stopping() ? "leaving" : "alive",
+                configuration.current().revision()));
         for (Member member : membership.members()) {
             routers.add(new OperatorAnswer.RouterStatus(
                     member.vm().id(),
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/services/ServiceSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/services/ServiceSystem.java
@@ -119,7 +119,7 @@
                         call.body())
                 .substring(0, 32);
         row.claim = new LedgerClaim(claimId, entryKey, digest, context.selfId(), row.deadlineAtMillis);
-        ledger.claim(row.claim, verdict -> decided(row, verdict));
+        ledger.claim(row.claim, call.traceparent(), verdict -> decided(row, verdict));
     }
 
     private void decided(ServiceRow row, ClaimVerdict verdict) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatSystem.java
@@ -149,7 +149,7 @@
         rows.put(row.request, row);
         context.count("requests.chat");
         budget(row.customer).firstAttempt();
-        directory.lookup(row.chain, matches -> lookedUp(row, matches));
+        directory.lookup(row.chain, row.call.traceparent(), matches -> lookedUp(row, matches));
     }
 
     private void lookedUp(ChatRow row, List<PeerMessage.PrefixMatch> matches) {
@@ -488,6 +488,7 @@
         List<String> lines = new ArrayList<>();
         directory.lookup(
                 chain,
+                call.traceparent(),
                 matches -> chooser.rank(model.get(), chain, matches, Set.of())
                         .forEach(candidate -> lines.add(describe(candidate))));
         if (lines.isEmpty()) {
--- /dev/null
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/RouterProcess.java
@@ -0,0 +1,170 @@
+package org.fuchsiatrail.daemon;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import org.asynchttpclient.AsyncHttpClient;
+import org.fuchsiatrail.Clock;
+import org.fuchsiatrail.Fuchsiatrail;
+import org.fuchsiatrail.Input;
+import org.fuchsiatrail.Output;
+import org.fuchsiatrail.RouterCore;
+import org.fuchsiatrail.daemon.callers.CallerServer;
+import org.fuchsiatrail.daemon.observe.LogLines;
+import org.fuchsiatrail.daemon.observe.RouterMetrics;
+import org.fuchsiatrail.daemon.observe.Traces;
+import org.fuchsiatrail.daemon.operators.OperatorServer;
+import org.fuchsiatrail.daemon.settings.SettingKey;
+import org.fuchsiatrail.daemon.settings.Settings;
+import org.fuchsiatrail.wire.client.HttpClients;
+import org.fuchsiatrail.wire.http.HttpLimits;
+import org.fuchsiatrail.wire.http.HttpListener;
+import org.fuchsiatrail.wire.peer.Addresses;
+import org.fuchsiatrail.wire.peer.PeerTransport;
+
+/** Runs a core: one thread ticks it, the network's threads feed it. */
+public final class RouterProcess implements AutoCloseable {
+
+    private static final int NETWORK_THREADS = 2;
+    private static final int MOST_INPUTS_A_TICK = 4_096;
+
+    /** How long a stop may take before the process ends anyway, in milliseconds. */
+    private static final long STOP_PATIENCE_MILLIS = 120_000;
+
+    private final Clock clock = java.time.Clock.systemUTC()::millis;
+    private final LinkedBlockingQueue<Input> inputs = new LinkedBlockingQueue<>();
+    private final CountDownLatch stopped = new CountDownLatch(1);
+    private final RouterMetrics metrics = new RouterMetrics();
+    private final EventLoopGroup group = new NioEventLoopGroup(NETWORK_THREADS);
+    private final AsyncHttpClient http = HttpClients.create(NETWORK_THREADS);
+    private final Traces traces;
+    private final RouterCore core;
+    private final PeerTransport peers;
+    private final CallerServer callers;
+    private final OperatorServer operators;
+    private final OutputHandler outputs;
+    private final List<HttpListener> listeners = new ArrayList<>();
+    private final Thread ticker;
+    private volatile boolean ready;
+
+    /**
+     * Starts a router.
+     *
+     * @param settings its settings
+     * @throws IOException when a TLS file cannot be read
+     */
+    public RouterProcess(Settings settings) throws IOException {
+        long incarnation = clock.nowMillis();
+        core = Fuchsiatrail.router(settings.routerSettings(incarnation));
+        traces = Traces.to(settings.text(SettingKey.TRACING_EXPORTER), settings.text(SettingKey.ROUTER_ID));
+        peers = new PeerTransport(
+                group,
+                settings.self().id(),
+                Addresses.socket(settings.text(SettingKey.PEERS_LISTEN)),
+                settings.text(SettingKey.ROUTER_SECRET),
+                (from, message) -> {
+                    outputs().tracePeer(message);
+                    inputs.add(new Input.PeerSpoke(from, message));
+                });
+        callers = new CallerServer(settings, incarnation, clock, inputs::add, () -> ready, metrics, traces);
+        operators = new OperatorServer(settings, inputs::add, () -> ready, metrics);
+        outputs = new OutputHandler(
+                clock, http, settings, inputs::add, peers, callers, operators, metrics, traces, stopped::countDown);
+        metrics.gauge("inputs.waiting", inputs::size);
+        metrics.gauge("peers.refused-connections", peers::refusedConnections);
+        metrics.gauge("peers.dropped-messages", peers::droppedMessages);
+        metrics.gauge("peers.sent-bytes", peers::sentBytes);
+        listen(settings);
+        ticker = new Thread(this::tickUntilStopped, "ticker");
+        ticker.start();
+        LogLines.info("router", "Started.", Map.of("id", settings.self().id(), "incarnation", incarnation));
+    }
+
+    private OutputHandler outputs() {
+        return outputs;
+    }
+
+    private void listen(Settings settings) throws IOException {
+        HttpLimits limits = new HttpLimits((int) settings.integer(SettingKey.CALLERS_BODY_BYTES), (int)
+                settings.integer(SettingKey.CALLERS_HEADER_BYTES));
+        TlsFiles callerTls = TlsFiles.of(
+                settings.text(SettingKey.CALLERS_TLS_CERTIFICATE), settings.text(SettingKey.CALLERS_TLS_KEY));
+        TlsFiles operatorTls = TlsFiles.of(
+                settings.text(SettingKey.OPERATORS_TLS_CERTIFICATE), settings.text(SettingKey.OPERATORS_TLS_KEY));
+        listeners.add(HttpListener.listen(
+                group, Addresses.socket(settings.text(SettingKey.CALLERS_LISTEN)), limits, callerTls, callers));
+        listeners.add(HttpListener.listen(
+                group,
+                Addresses.socket(settings.text(SettingKey.OPERATORS_LISTEN)),
+                HttpLimits.internal(),
+                operatorTls,
+                operators));
+    }
+
+    private void tickUntilStopped() {
+        List<Input> batch = new ArrayList<>();
+        while (stopped.getCount() > 0) {
+            try {
+                Input first = inputs.poll(RouterCore.LONGEST_TICK_GAP_MILLIS, TimeUnit.MILLISECONDS);
+                batch.clear();
+                if (first != null) {
+                    batch.add(first);
+                    inputs.drainTo(batch, MOST_INPUTS_A_TICK);
+                }
+                tick(batch);
+            } catch (InterruptedException e) {
+                return;
+            } catch (RuntimeException e) {
+                LogLines.error("router", "A tick failed.", e);
+                metrics.count("ticks.failed", 1);
+            }
+        }
+    }
+
+    private void tick(List<Input> batch) {
+        List<Output> results = core.tick(clock.nowMillis(), batch);
+        ready = core.ready();
+        for (Output output : results) {
+            outputs.handle(output);
+        }
+    }
+
+    /** Stops taking work, lets running work finish, and returns when nothing is left. */
+    public void stop() {
+        inputs.add(new Input.StopAsked());
+        try {
+            if (!stopped.await(STOP_PATIENCE_MILLIS, TimeUnit.MILLISECONDS)) {
+                LogLines.info("router", "Stop took too long.", Map.of("waitedMillis", STOP_PATIENCE_MILLIS));
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        close();
+    }
+
+    @Override
+    public void close() {
+        stopped.countDown();
+        listeners.forEach(HttpListener::close);
+        peers.close();
+        closeQuietly(http);
+        traces.close();
+        group.shutdownGracefully(100, 1_000, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        LogLines.info("router", "Stopped.", Map.of());
+    }
+
+    private static void closeQuietly(AutoCloseable closeable) {
+        try {
+            closeable.close();
+        } catch (Exception e) {
+            LogLines.error("router", "Closing failed.", e);
+        }
+    }
+}
--- /dev/null
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/callers/package-info.java
@@ -0,0 +1,2 @@
+/** Serving callers over HTTP. */
+package org.fuchsiatrail.daemon.callers;
--- /dev/null
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/command/IntentCommand.java
@@ -0,0 +1,124 @@
+package org.fuchsiatrail.daemon.command;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.stream.Collectors;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import org.fuchsiatrail.Intent;
+import org.fuchsiatrail.OperatorAnswer;
+import org.fuchsiatrail.OperatorRequest;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Parameters;
+
+@Command(
+        name = "intent",
+        mixinStandardHelpOptions = true,
+        description = "Plans, confirms and shows intents.",
+        subcommands = {IntentCommand.Plan.class, IntentCommand.Confirm.class, IntentCommand.Show.class})
+final class IntentCommand {
+
+    private static final ObjectMapper YAML = new YAMLMapper(new YAMLFactory());
+
+    /**
+     * A plan as it is kept between planning and confirming.
+     *
+     * @param planId the plan's id
+     * @param intent what was planned
+     */
+    private record PlanFile(String planId, Intent intent) {}
+
+    private static <T> T read(Path file, Class<T> type) throws IOException {
+        try {
+            return YAML.readValue(Files.readAllBytes(file), type);
+        } catch (JsonProcessingException e) {
+            throw new IOException(describe(file, e), e);
+        } catch (IOException e) {
+            throw new IOException(file + " cannot be read.\nCheck the path and its rights.", e);
+        }
+    }
+
+    private static String describe(Path file, JsonProcessingException e) {
+        int line = e.getLocation() == null ? 0 : e.getLocation().getLineNr();
+        String path = e instanceof JsonMappingException mapping
+                ? mapping.getPath().stream()
+                        .map(step -> step.getFieldName() == null ? "[" + step.getIndex() + "]" : step.getFieldName())
+                        .collect(Collectors.joining("."))
+                : "the file";
+        return file + ", line " + line + ", " + path + ": " + e.getOriginalMessage()
+                + "\nNothing was changed. Correct the line; see examples/ for whole intents.";
+    }
+
+    @Command(
+            name = "plan",
+            mixinStandardHelpOptions = true,
+            description = "Shows what an intent would change, and writes FILE.plan for 'intent confirm'.")
+    static final class Plan extends OperatorCall {
+        @Parameters(paramLabel = "FILE", description = "The intent, in YAML.")
+        private Path file;
+
+        private Intent intent;
+
+        @Override
+        OperatorRequest request() throws IOException {
+            intent = read(file, Intent.class);
+            return new OperatorRequest.Plan(intent);
+        }
+
+        @Override
+        void print(OperatorAnswer answer, PrintWriter out) throws IOException {
+            OperatorAnswer.Planned planned = (OperatorAnswer.Planned) answer;
+            Path planFile = Path.of(file + ".plan");
+            Files.write(planFile, YAML.writeValueAsBytes(new PlanFile(planned.planId(), intent)));
+            out.println("Against revision " + planned.baseRevision() + ", this would change:");
+            planned.effects().forEach(effect -> out.println("- " + effect));
+            out.println("Nothing is changed yet. To put it in force: fuchsiatrail intent confirm " + planFile);
+        }
+    }
+
+    @Command(name = "confirm", mixinStandardHelpOptions = true, description = "Puts a plan in force.")
+    static final class Confirm extends OperatorCall {
+        @Parameters(paramLabel = "PLAN", description = "The file that 'intent plan' wrote.")
+        private Path file;
+
+        @Override
+        OperatorRequest request() throws IOException {
+            PlanFile plan = read(file, PlanFile.class);
+            if (plan.planId() == null || plan.intent() == null) {
+                throw new IOException(file + " is no plan.\nMake one with 'fuchsiatrail intent plan'.");
+            }
+            return new OperatorRequest.Confirm(plan.planId(), plan.intent());
+        }
+
+        @Override
+        void print(OperatorAnswer answer, PrintWriter out) {
+            OperatorAnswer.Confirmed confirmed = (OperatorAnswer.Confirmed) answer;
+            out.println("Revision " + confirmed.revision() + " is in force on " + confirmed.inForce() + ".");
+            if (!confirmed.lagging().isEmpty()) {
+                out.println("Not yet reported by " + confirmed.lagging()
+                        + " (code 4005). Run 'fuchsiatrail status' until none lags.");
+            }
+        }
+    }
+
+    @Command(name = "show", mixinStandardHelpOptions = true, description = "Shows the intent in force, as YAML.")
+    static final class Show extends OperatorCall {
+        @Override
+        OperatorRequest request() {
+            return new OperatorRequest.Show();
+        }
+
+        @Override
+        void print(OperatorAnswer answer, PrintWriter out) throws IOException {
+            OperatorAnswer.Shown shown = (OperatorAnswer.Shown) answer;
+            out.println("# revision " + shown.revision());
+            out.print(YAML.writeValueAsString(shown.intent()));
+        }
+    }
+}
--- /dev/null
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/command/RouterCommand.java
@@ -0,0 +1,52 @@
+package org.fuchsiatrail.daemon.command;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+
+import org.fuchsiatrail.daemon.RouterProcess;
+import org.fuchsiatrail.daemon.observe.LogLines;
+import org.fuchsiatrail.daemon.settings.SettingKey;
+import org.fuchsiatrail.daemon.settings.Settings;
+import org.fuchsiatrail.daemon.settings.SettingsReader;
+import org.fuchsiatrail.daemon.settings.SettingsResult;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+@Command(
+        name = "router",
+        mixinStandardHelpOptions = true,
+        description = "Runs a router until SIGTERM; then running requests finish first.")
+final class RouterCommand implements Callable<Integer> {
+
+    @Option(names = "--settings", required = true, description = "The settings file.")
+    private Path settings;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws Exception {
+        return switch (SettingsReader.read(settings)) {
+            case SettingsResult.Valid valid -> run(valid.settings());
+            case SettingsResult.Invalid invalid -> FaultPrinter.print(spec, settings, invalid.faults());
+        };
+    }
+
+    private static int run(Settings settings) throws Exception {
+        LogLines.install(settings.text(SettingKey.LOG_LEVEL));
+        RouterProcess router = new RouterProcess(settings);
+        CountDownLatch stopped = new CountDownLatch(1);
+        Thread stopper = new Thread(
+                () -> {
+                    router.stop();
+                    stopped.countDown();
+                },
+                "stopper");
+        Runtime.getRuntime().addShutdownHook(stopper);
+        stopped.await();
+        return 0;
+    }
+}
--- /dev/null
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/command/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package org.fuchsiatrail.daemon.command;
--- /dev/null
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/observe/package-info.java
@@ -0,0 +1,2 @@
+/** Logs, metrics and traces. */
+package org.fuchsiatrail.daemon.observe;
--- /dev/null
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/operators/OperatorServer.java
@@ -0,0 +1,140 @@
+package org.fuchsiatrail.daemon.operators;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.fuchsiatrail.Input;
+import org.fuchsiatrail.OperatorAnswer;
+import org.fuchsiatrail.OperatorRequest;
+import org.fuchsiatrail.ResultCode;
+import org.fuchsiatrail.daemon.callers.ErrorBody;
+import org.fuchsiatrail.daemon.observe.RouterMetrics;
+import org.fuchsiatrail.daemon.settings.SettingKey;
+import org.fuchsiatrail.daemon.settings.Settings;
+import org.fuchsiatrail.wire.WireMapper;
+import org.fuchsiatrail.wire.http.HttpExchange;
+import org.fuchsiatrail.wire.http.HttpHandler;
+
+/**
+ * Serves operators: one path for every request of {@link OperatorRequest}, and health, readiness and metrics.
+ *
+ * <p>Health and readiness need no token, so that a balancer can ask for them.
+ */
+public final class OperatorServer implements HttpHandler {
+
+    private static final Map<String, String> JSON_HEADERS = Map.of("Content-Type", "application/json");
+
+    private final ObjectMapper json = WireMapper.json();
+    private final Map<Long, HttpExchange> open = new ConcurrentHashMap<>();
+    private final AtomicLong serial = new AtomicLong();
+    private final String token;
+    private final Consumer<Input> inputs;
+    private final BooleanSupplier ready;
+    private final RouterMetrics metrics;
+
+    /**
+     * Creates a server without a port.
+     *
+     * @param settings the settings
+     * @param inputs takes inputs for the core
+     * @param ready whether the router takes work
+     * @param metrics the metrics
+     */
+    public OperatorServer(Settings settings, Consumer<Input> inputs, BooleanSupplier ready, RouterMetrics metrics) {
+        this.token = settings.text(SettingKey.OPERATORS_TOKEN);
+        this.inputs = inputs;
+        this.ready = ready;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) {
+        if (exchange.path().equals("/health")) {
+            sendText(exchange, 200, "text/plain", "alive\n");
+        } else if (exchange.path().equals("/ready")) {
+            boolean takesWork = ready.getAsBoolean();
+            sendText(exchange, takesWork ? 200 : 503, "text/plain", takesWork ? "ready\n" : "not ready\n");
+        } else if (!isAuthorized(exchange)) {
+            refuse(exchange, ResultCode.OPERATOR_UNAUTHORIZED, "");
+        } else {
+            handleAuthorized(exchange);
+        }
+    }
+
+    private boolean isAuthorized(HttpExchange exchange) {
+        String header = exchange.header("Authorization").orElse("");
+        byte[] expected = ("Bearer " + token).getBytes(StandardCharsets.UTF_8);
+        return MessageDigest.isEqual(header.getBytes(StandardCharsets.UTF_8), expected);
+    }
+
+    private void handleAuthorized(HttpExchange exchange) {
+        switch (exchange.path()) {
+            case "/v1/operator" -> ask(exchange);
+            case "/metrics" ->
+                sendText(exchange, 200, "text/plain; version=0.0.4; charset=utf-8", metrics.asPrometheus());
+            case "/metrics.json" -> sendText(exchange, 200, "application/json", metrics.asJson());
+            default -> refuse(exchange, ResultCode.NOT_FOUND, "Path: " + exchange.path() + ".");
+        }
+    }
+
+    private void ask(HttpExchange exchange) {
+        OperatorRequest request;
+        try {
+            request = json.readValue(exchange.body(), OperatorRequest.class);
+        } catch (IOException | RuntimeException e) {
+            refuse(exchange, ResultCode.INVALID_REQUEST, "The body is not an operator request.");
+            return;
+        }
+        if (request == null) {
+            refuse(exchange, ResultCode.INVALID_REQUEST, "The body is empty.");
+            return;
+        }
+        long call = serial.incrementAndGet();
+        open.put(call, exchange);
+        exchange.onClose(() -> open.remove(call));
+        inputs.accept(new Input.OperatorAsked(call, request));
+    }
+
+    /**
+     * Writes an answer to its operator.
+     *
+     * @param call the number of the question
+     * @param answer the answer
+     */
+    public void answer(long call, OperatorAnswer answer) {
+        HttpExchange exchange = open.remove(call);
+        if (exchange == null) {
+            return;
+        }
+        int status = answer instanceof OperatorAnswer.Refused refused
+                ? refused.code().httpStatus()
+                : 200;
+        try {
+            exchange.respond(
+                    status, JSON_HEADERS, json.writerFor(OperatorAnswer.class).writeValueAsBytes(answer));
+        } catch (JsonProcessingException e) {
+            exchange.abort();
+        }
+    }
+
+    private void refuse(HttpExchange exchange, ResultCode code, String detail) {
+        try {
+            byte[] body = json.writeValueAsBytes(ErrorBody.of(code, detail, 0));
+            exchange.respond(code.httpStatus(), JSON_HEADERS, body);
+        } catch (JsonProcessingException e) {
+            exchange.abort();
+        }
+    }
+
+    private static void sendText(HttpExchange exchange, int status, String type, String text) {
+        exchange.respond(status, Map.of("Content-Type", type), text.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/operators/package-info.java
@@ -0,0 +1,2 @@
+/** Serving operators over HTTP. */
+package org.fuchsiatrail.daemon.operators;
--- /dev/null
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The router as a process. */
+package org.fuchsiatrail.daemon;
--- /dev/null
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Reading and checking the settings. */
+package org.fuchsiatrail.daemon.settings;
