--- /dev/null
+++ b/fuchsiatrail-proofs/src/test/java/org/fuchsiatrail/proofs/CacheProofTest.java
@@ -0,0 +1,135 @@
+package org.fuchsiatrail.proofs;
+
+import java.util.List;
+
+import org.fuchsiatrail.CallerAnswer;
+import org.fuchsiatrail.ChatCall;
+import org.fuchsiatrail.Input;
+import org.fuchsiatrail.OperatorAnswer;
+import org.fuchsiatrail.UpstreamId;
+import org.fuchsiatrail.standins.drive.CallerRecord;
+import org.fuchsiatrail.standins.drive.VirtualDeployment;
+import org.fuchsiatrail.standins.model.EngineModel;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Promise 1: no answer relies on cache entries of a dead engine, another customer or older weights. */
+class CacheProofTest {
+
+    private final ChatCall call = Fixture.chat(Fixture.prompt("core", 100), 10);
+
+    private CallerRecord ask(Fixture fixture, int router, String key) {
+        return fixture.deployment.chat(fixture.router(router), key, call);
+    }
+
+    private int cached(CallerRecord caller) {
+        return ((CallerAnswer.End) caller.last()).cachedTokens();
+    }
+
+    private CallerRecord answered(Fixture fixture, int router, String key) {
+        CallerRecord caller = ask(fixture, router, key);
+        fixture.deployment.runUntil(caller::isOver, 20_000);
+        return caller;
+    }
+
+    @Test
+    void should_use_the_customers_own_cache_entries_on_every_router() {
+        Fixture fixture = Fixture.started(1);
+        answered(fixture, 1, Fixture.ALPHA_KEY);
+        for (int router = 1; router <= 3; router++) {
+            assertThat(cached(answered(fixture, router, Fixture.ALPHA_KEY))).isPositive();
+        }
+    }
+
+    @Test
+    void should_never_use_cache_entries_of_another_customer() {
+        Fixture fixture = Fixture.started(2);
+        for (int router = 1; router <= 3; router++) {
+            answered(fixture, router, Fixture.ALPHA_KEY);
+        }
+        for (int number = 1; number <= Fixture.ENGINES; number++) {
+            assertThat(fixture.deployment.engines().get(Fixture.engineId(number)))
+                    .isNotNull();
+        }
+        assertThat(cached(answered(fixture, 1, Fixture.BETA_KEY))).isZero();
+    }
+
+    @Test
+    void should_not_count_on_entries_of_an_engine_that_restarted() {
+        for (int moment = 0; moment < 12; moment++) {
+            Fixture fixture = Fixture.started(10 + moment);
+            answered(fixture, 1, Fixture.ALPHA_KEY);
+            CallerRecord caller = ask(fixture, 2, Fixture.ALPHA_KEY);
+            fixture.deployment.run(moment);
+            for (int engine = 1; engine <= Fixture.ENGINES; engine++) {
+                fixture.deployment.crash(Fixture.engineId(engine), 1);
+            }
+            fixture.deployment.runUntil(caller::isOver, 20_000);
+            assertThat(VirtualDeployment.isWhole(caller)).isTrue();
+            Invariants.checkStream(caller, call, Fixture.TUTOR, 0);
+            CallerRecord later = answered(fixture, 3, Fixture.ALPHA_KEY);
+            assertThat(VirtualDeployment.isWhole(later)).isTrue();
+            Invariants.checkStream(later, call, Fixture.TUTOR, 0);
+        }
+    }
+
+    @Test
+    void should_drop_answers_of_other_weights_when_they_change_at_any_moment() {
+        for (int moment = 0; moment < 160; moment += 8) {
+            Fixture fixture = Fixture.started(100 + moment);
+            CallerRecord caller = ask(fixture, 1, Fixture.ALPHA_KEY);
+            fixture.deployment.run(moment);
+            fixture.deployment.engines().values().stream()
+                    .filter(engine -> !engine.requests().isEmpty())
+                    .findFirst()
+                    .ifPresent(engine -> engine.replaceWeights(Fixture.TUTOR, Fixture.TUTOR_NEXT));
+            fixture.deployment.runUntil(caller::isOver, 20_000);
+            assertThat(VirtualDeployment.isWhole(caller)).isTrue();
+            Invariants.checkStream(caller, call, Fixture.TUTOR, 0);
+        }
+    }
+
+    @Test
+    void should_never_serve_weights_that_an_intent_no_longer_allows() {
+        Fixture fixture = Fixture.started(300);
+        answered(fixture, 1, Fixture.ALPHA_KEY);
+        OperatorAnswer answer = fixture.deployment.putInForce(fixture.router(1), Fixture.intent(Fixture.TUTOR_NEXT));
+        assertThat(answer).isInstanceOf(OperatorAnswer.Confirmed.class);
+        fixture.deployment.runUntil(
+                () -> fixture.deployment.engines().values().stream()
+                        .allMatch(engine -> engine.models().contains(Fixture.TUTOR_NEXT)),
+                60_000);
+        fixture.deployment.run(1_000);
+        CallerRecord caller = answered(fixture, 2, Fixture.ALPHA_KEY);
+
+        assertThat(caller.text()).isEqualTo(Fixture.naiveAnswer(call, Fixture.TUTOR_NEXT, 0));
+        assertThat(cached(caller)).isZero();
+    }
+
+    @Test
+    void should_ignore_late_events_and_reports_of_an_engines_earlier_life() {
+        Fixture fixture = Fixture.started(301);
+        answered(fixture, 1, Fixture.ALPHA_KEY);
+        UpstreamId holder = fixture.deployment.engines().values().stream()
+                .filter(engine -> engine.promptTokens() > 0)
+                .map(engine -> engine.traits().id())
+                .findFirst()
+                .orElseThrow();
+        EngineModel engine = fixture.deployment.engines().get(holder);
+        var lateEvents = engine.cacheEvents(0);
+        var lateLoad = engine.load(fixture.deployment.now());
+        fixture.deployment.crash(holder, 10);
+        fixture.deployment.run(3_000);
+        long dropped = fixture.deployment.counter("engines.old-incarnation-reports");
+        fixture.deployment.inject(
+                fixture.router(1), List.of(new Input.CacheEventsArrived(lateEvents), new Input.LoadArrived(lateLoad)));
+        fixture.deployment.run(100);
+
+        assertThat(fixture.deployment.counter("engines.old-incarnation-reports"))
+                .isGreaterThan(dropped);
+        CallerRecord caller = answered(fixture, 1, Fixture.ALPHA_KEY);
+        assertThat(VirtualDeployment.isWhole(caller)).isTrue();
+        assertThat(cached(caller)).isZero();
+    }
+}
--- /dev/null
+++ b/fuchsiatrail-proofs/src/test/java/org/fuchsiatrail/proofs/StopProofTest.java
@@ -0,0 +1,132 @@
+package org.fuchsiatrail.proofs;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.fuchsiatrail.CallerAnswer;
+import org.fuchsiatrail.ChatCall;
+import org.fuchsiatrail.EntryVm;
+import org.fuchsiatrail.EntryVmId;
+import org.fuchsiatrail.FailureDomain;
+import org.fuchsiatrail.OperatorRequest;
+import org.fuchsiatrail.ResultCode;
+import org.fuchsiatrail.UpstreamId;
+import org.fuchsiatrail.standins.drive.CallerRecord;
+import org.fuchsiatrail.standins.drive.VirtualDeployment;
+import org.fuchsiatrail.standins.drive.VirtualRouter;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Promises 7 and 8: a leaving upstream gets no new work, and a planned stop cuts nothing. */
+class StopProofTest {
+
+    private static final long NO_NEW_WORK_AFTER_MILLIS = 3_000;
+    private static final UpstreamId LEAVING = Fixture.engineId(2);
+
+    private void checkNoNewWork(Fixture fixture, long drainedAt) {
+        for (int number = 0; number < 60; number++) {
+            ChatCall call = Fixture.chat(Fixture.prompt("subject " + number, 20), 3);
+            fixture.deployment.chat(fixture.router(1 + number % 3), Fixture.ALPHA_KEY, call);
+            fixture.deployment.run(150);
+        }
+        assertThat(fixture.deployment.startsAt(LEAVING))
+                .noneMatch(moment -> moment > drainedAt + NO_NEW_WORK_AFTER_MILLIS);
+        assertThat(fixture.deployment.starts()).isGreaterThanOrEqualTo(50);
+    }
+
+    @Test
+    void should_give_no_new_work_to_an_engine_that_an_intent_drains() {
+        Fixture fixture = Fixture.started(1);
+        fixture.deployment.putInForce(fixture.router(1), Fixture.intent(List.of(2), Fixture.TUTOR));
+        checkNoNewWork(fixture, fixture.deployment.now());
+    }
+
+    @Test
+    void should_give_no_new_work_to_an_engine_that_says_it_is_leaving() {
+        Fixture fixture = Fixture.started(2);
+        fixture.deployment.engines().get(LEAVING).drain(true);
+        checkNoNewWork(fixture, fixture.deployment.now());
+    }
+
+    @Test
+    void should_give_no_new_work_to_an_engine_that_an_operator_drains_while_the_store_is_down() {
+        Fixture fixture = Fixture.started(3);
+        fixture.faults.storeDown = true;
+        fixture.deployment.ask(fixture.router(3), new OperatorRequest.Drain(LEAVING));
+        checkNoNewWork(fixture, fixture.deployment.now());
+    }
+
+    @Test
+    void should_give_no_new_work_to_an_engine_on_the_list_of_leaving_machines() {
+        Fixture fixture = Fixture.started(4);
+        List<EntryVm> list = new ArrayList<>(
+                fixture.deployment.routers().stream().map(VirtualRouter::vm).toList());
+        list.add(new EntryVm(new EntryVmId(LEAVING.value()), new FailureDomain("domain-2"), "", true));
+        fixture.deployment.store().list(list);
+        fixture.faults.cutFromStore.add(new FailureDomain("domain-3"));
+        long listLag = 5_000;
+        checkNoNewWork(fixture, fixture.deployment.now() + listLag);
+    }
+
+    @Test
+    void should_remember_a_drain_on_a_router_that_restarts_during_it() {
+        Fixture fixture = Fixture.started(5);
+        fixture.deployment.ask(fixture.router(1), new OperatorRequest.Drain(LEAVING));
+        fixture.deployment.run(200);
+        fixture.deployment.kill(fixture.router(1));
+        fixture.deployment.restart(fixture.router(1));
+        checkNoNewWork(fixture, fixture.deployment.now());
+    }
+
+    @Test
+    void should_finish_streams_and_calls_before_a_planned_stop() {
+        for (int moment = 0; moment < 40; moment += 3) {
+            Fixture fixture = Fixture.started(100 + moment);
+            List<CallerRecord> callers = new ArrayList<>();
+            for (int number = 0; number < 6; number++) {
+                ChatCall call = Fixture.chat(Fixture.prompt("subject " + number, 20), 100);
+                callers.add(fixture.deployment.chat(fixture.router(1), Fixture.ALPHA_KEY, call));
+                callers.add(fixture.deployment.service(
+                        fixture.router(1), Fixture.ALPHA_KEY, Fixture.issue("key-" + number, 3_000)));
+            }
+            fixture.deployment.run(moment);
+            fixture.deployment.stop(fixture.router(1));
+            fixture.deployment.run(20);
+            CallerRecord late = fixture.deployment.chat(fixture.router(1), Fixture.ALPHA_KEY, Fixture.chat("late", 5));
+            fixture.deployment.runUntil(() -> fixture.router(1).isStopped(), 20_000);
+
+            assertThat(fixture.router(1).isStopped()).isTrue();
+            assertThat(callers)
+                    .allMatch(caller ->
+                            caller.last() instanceof CallerAnswer.End || caller.last() instanceof CallerAnswer.Result);
+            assertThat(late.refusal().code()).isEqualTo(ResultCode.STOPPING);
+            Invariants.checkAtMostOnce(fixture.deployment);
+        }
+    }
+
+    @Test
+    void should_finish_everything_when_two_routers_stop_at_once_during_a_partition() {
+        Fixture fixture = Fixture.started(200);
+        fixture.faults.cutFromOthers.add(new FailureDomain("domain-1"));
+        fixture.deployment.run(4_000);
+        List<CallerRecord> callers = new ArrayList<>();
+        for (int number = 0; number < 12; number++) {
+            ChatCall call = Fixture.chat(Fixture.prompt("subject " + number, 20), 100);
+            callers.add(fixture.deployment.chat(fixture.router(1 + number % 2), Fixture.ALPHA_KEY, call));
+            callers.add(fixture.deployment.service(
+                    fixture.router(1 + number % 2), Fixture.ALPHA_KEY, Fixture.issue("key-" + number, 3_000)));
+        }
+        fixture.deployment.run(10);
+        fixture.deployment.stop(fixture.router(1));
+        fixture.deployment.stop(fixture.router(2));
+        fixture.deployment.runUntil(
+                () -> fixture.router(1).isStopped() && fixture.router(2).isStopped(), 30_000);
+
+        assertThat(fixture.router(1).isStopped() && fixture.router(2).isStopped())
+                .isTrue();
+        assertThat(callers)
+                .allMatch(caller -> VirtualDeployment.isWhole(caller) || caller.last() instanceof CallerAnswer.Result);
+        Invariants.checkAtMostOnce(fixture.deployment);
+    }
+}
--- a/fuchsiatrail-standins/src/main/java/org/fuchsiatrail/standins/drive/VirtualDeployment.java
+++ b/fuchsiatrail-standins/src/main/java/org/fuchsiatrail/standins/drive/VirtualDeployment.java
@@ -196,6 +196,16 @@
         return caller;
     }
 
+    /**
+     * Gives a router inputs made up by a test.
+     *
+     * @param router the router
+     * @param inputs the inputs
+     */
+    public void inject(VirtualRouter router, List<Input> inputs) {
+        inputs.forEach(input -> router.give(router.life(), input));
+    }
+
     /**
      * Has a caller close its connection.
      *
