Measure the choice of engines against four baselines and an oracle

Cause: the policy had no measurement. Two proofs are sharper: 'other weights' and 'silent engines' survived without their mechanism, the first because the stand-in went on with the old tokens, the second because the freeze ended.

--- /dev/null
+++ b/fuchsiatrail-bench/src/main/java/org/fuchsiatrail/bench/BenchCommand.java
@@ -0,0 +1,73 @@
+package org.fuchsiatrail.bench;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** The command line of the measurements. */
+@Command(
+        name = "bench",
+        mixinStandardHelpOptions = true,
+        description = "Measures fuchsiatrail on virtual time and prints tables.",
+        subcommands = {BenchCommand.Routing.class})
+public final class BenchCommand {
+
+    private BenchCommand() {}
+
+    /**
+     * Runs the command line.
+     *
+     * @param arguments the arguments
+     */
+    public static void main(String[] arguments) {
+        System.exit(new CommandLine(new BenchCommand()).execute(arguments));
+    }
+
+    @Command(name = "routing", mixinStandardHelpOptions = true, description = "Compares the choice of engines.")
+    static final class Routing implements Callable<Integer> {
+        @Option(names = "--seed", defaultValue = "1", description = "The seed.")
+        private long seed;
+
+        @Option(names = "--seconds", defaultValue = "30", description = "Measured seconds of each run.")
+        private int seconds;
+
+        @Option(names = "--scenario", description = "A scenario; all when none is given.")
+        private List<Scenario> scenarios = List.of(Scenario.values());
+
+        @Option(names = "--plots", description = "A folder for plots.")
+        private Path plots;
+
+        @Override
+        public Integer call() throws Exception {
+            for (Deployment deployment : List.of(Deployment.huaman(), Deployment.bundesstelle())) {
+                RoutingExperiment experiment = new RoutingExperiment(deployment, seed, seconds * 1000, System.out);
+                experiment.run(scenarios);
+                if (plots != null) {
+                    draw(deployment, experiment);
+                }
+            }
+            return 0;
+        }
+
+        private void draw(Deployment deployment, RoutingExperiment experiment) throws Exception {
+            Files.createDirectories(plots);
+            Plots.overLoad(
+                    plots.resolve(deployment.name() + "-hit-rate.png"),
+                    deployment.name() + ": prefix hit rate",
+                    "%",
+                    experiment.calmOutcomes(),
+                    Outcome::hitRate);
+            Plots.overLoad(
+                    plots.resolve(deployment.name() + "-first-token.png"),
+                    deployment.name() + ": 99th percentile of the time to the first token",
+                    "ms",
+                    experiment.calmOutcomes(),
+                    outcome -> outcome.percentile(99));
+        }
+    }
+}
--- a/fuchsiatrail-proofs/src/test/java/org/fuchsiatrail/proofs/StreamProofTest.java
+++ b/fuchsiatrail-proofs/src/test/java/org/fuchsiatrail/proofs/StreamProofTest.java
@@ -73,12 +73,12 @@
             Fixture fixture = Fixture.started(200 + position);
             CallerRecord caller = ask(fixture, 1, call);
             fixture.deployment.runUntil(() -> tokens(caller) >= reached && fixture.deployment.starts() > 0, 5_000);
-            fixture.deployment.freeze(busyEngine(fixture), 6_000);
+            fixture.deployment.freeze(busyEngine(fixture), 40_000);
             finish(fixture, caller);
             assertThat(VirtualDeployment.isWhole(caller))
                     .as("freeze at token %d", position)
                     .isTrue();
-            fixture.deployment.run(8_000);
+            fixture.deployment.run(45_000);
             Invariants.checkStream(caller, call, Fixture.TUTOR, 0);
         }
     }
--- a/fuchsiatrail-standins/src/main/java/org/fuchsiatrail/standins/model/EngineModel.java
+++ b/fuchsiatrail-standins/src/main/java/org/fuchsiatrail/standins/model/EngineModel.java
@@ -67,7 +67,7 @@
         private final Consumer<EngineEvent> listener;
         private EngineEcho echo;
         private final PrefixChain chain;
-        private final long seed;
+        private long seed;
         private long position;
         private long nextTokenMillis;
 
@@ -76,7 +76,7 @@
             this.listener = listener;
             this.echo = new EngineEcho(call.request(), call.customer(), incarnation, call.model());
             this.chain = PrefixChain.of(call.cacheSalt(), call.prompt());
-            this.seed = Hashing.xxh3_64().hashCharsToLong(call.prompt() + call.model() + call.adapter());
+            this.seed = seed(call, call.model());
             this.position = call.resumeFrom();
         }
     }
@@ -89,7 +89,11 @@
      * @return the token
      */
     public static String token(EngineCall call, long position) {
-        return token(Hashing.xxh3_64().hashCharsToLong(call.prompt() + call.model() + call.adapter()), position);
+        return token(seed(call, call.model()), position);
+    }
+
+    private static long seed(EngineCall call, ModelVersion model) {
+        return Hashing.xxh3_64().hashCharsToLong(call.prompt() + model + call.adapter());
     }
 
     private static String token(long seed, long position) {
@@ -357,6 +361,7 @@
         for (Run run : affected) {
             if (run.echo.model().equals(before)) {
                 run.echo = new EngineEcho(run.echo.request(), run.echo.customer(), incarnation, after);
+                run.seed = seed(run.call, after);
             }
         }
     }
