--- /dev/null
+++ b/examples/embedding/src/main/java/org/fuchsiatrail/examples/package-info.java
@@ -0,0 +1,2 @@
+/** How a program embeds a router. */
+package org.fuchsiatrail.examples;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/services/ServiceRow.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/services/ServiceRow.java
@@ -35,6 +35,7 @@
     AttemptId attempt;
     UpstreamRow upstream;
     int attempts;
+    boolean mayHaveRun;
     boolean callerGone;
 
     ServiceRow(RequestId request, CustomerId customer, ServiceCall call, long deadlineAtMillis, boolean repeatable) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/services/ServiceSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/services/ServiceSystem.java
@@ -252,6 +252,7 @@
     }
 
     private void takeUnknown(ServiceRow row, String reason) {
+        row.mayHaveRun = true;
         upstreams.failed(row.upstream);
         row.excluded.add(row.upstream.id());
         boolean timeLeft = context.now() < row.deadlineAtMillis && row.attempts < MOST_ATTEMPTS;
@@ -273,8 +274,7 @@
         if (row.claim != null) {
             ledger.end(ClaimEnd.released(row.claim));
         }
-        boolean neverRan = row.attempts == 0 || row.claim != null || !row.repeatable;
-        ResultCode told = neverRan || code == ResultCode.DEADLINE_PASSED ? code : ResultCode.UPSTREAM_FAILED;
+        ResultCode told = row.mayHaveRun ? ResultCode.OUTCOME_UNKNOWN : code;
         finish(row, new CallerAnswer.Refusal(told, detail, RETRY_AFTER_MILLIS));
     }
 
--- /dev/null
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the public surface. */
+package org.fuchsiatrail;
--- a/fuchsiatrail-proofs/src/test/java/org/fuchsiatrail/proofs/LedgerProofTest.java
+++ b/fuchsiatrail-proofs/src/test/java/org/fuchsiatrail/proofs/LedgerProofTest.java
@@ -221,6 +221,21 @@
         check(fixture);
     }
 
+    @Test
+    void should_never_say_not_run_of_a_repeatable_call_whose_first_attempt_may_have_run() {
+        Fixture fixture = Fixture.started(8);
+        ServiceCall read = new ServiceCall("certificates", "GET", "/list", "", new byte[0], "", 500, "");
+        fixture.faults.serviceAnswersLost = 1;
+        CallerRecord caller = fixture.deployment.service(fixture.router(1), Fixture.ALPHA_KEY, read);
+        fixture.deployment.runUntil(() -> !fixture.deployment.runsByRequest().isEmpty(), 100);
+        fixture.faults.serviceConnectionsRefused = 1;
+        fixture.deployment.run(1_000);
+
+        assertThat(caller.refusal()).isNotNull();
+        assertThat(caller.refusal().code().mayHaveRun()).isTrue();
+        check(fixture);
+    }
+
     @Test
     void should_never_send_a_call_again_whose_connection_broke() {
         Fixture fixture = Fixture.started(7);
