Ask the cache directory again for a request that has waited

Cause of the collapse past saturation: a request keeps the directory's answer from its arrival; after seconds in the queue the engine it names has evicted the prefix. Ruled out: engines refusing (0), lookups timing out (0), silent attempts (7). Change: an answer older than 250 ms is asked for again.

--- a/fuchsiatrail-bench/src/main/java/org/fuchsiatrail/bench/BenchCommand.java
+++ b/fuchsiatrail-bench/src/main/java/org/fuchsiatrail/bench/BenchCommand.java
@@ -14,7 +14,7 @@
         name = "bench",
         mixinStandardHelpOptions = true,
         description = "Measures fuchsiatrail on virtual time and prints tables.",
-        subcommands = {BenchCommand.Routing.class})
+        subcommands = {BenchCommand.Routing.class, BenchCommand.Overload.class})
 public final class BenchCommand {
 
     private BenchCommand() {}
@@ -28,6 +28,22 @@
         System.exit(new CommandLine(new BenchCommand()).execute(arguments));
     }
 
+    @Command(name = "overload", mixinStandardHelpOptions = true, description = "Measures limits past saturation.")
+    static final class Overload implements Callable<Integer> {
+        @Option(names = "--seed", defaultValue = "1", description = "The seed.")
+        private long seed;
+
+        @Option(names = "--seconds", defaultValue = "30", description = "Measured seconds of each run.")
+        private int seconds;
+
+        @Override
+        public Integer call() {
+            new OverloadExperiment(Deployment.huaman(), seed, seconds * 1000, System.out).run();
+            new OverloadExperiment(Deployment.bundesstelle(), seed, seconds * 1000, System.out).run();
+            return 0;
+        }
+    }
+
     @Command(name = "routing", mixinStandardHelpOptions = true, description = "Compares the choice of engines.")
     static final class Routing implements Callable<Integer> {
         @Option(names = "--seed", defaultValue = "1", description = "The seed.")
--- a/fuchsiatrail-bench/src/main/java/org/fuchsiatrail/bench/Outcome.java
+++ b/fuchsiatrail-bench/src/main/java/org/fuchsiatrail/bench/Outcome.java
@@ -15,12 +15,40 @@
     private int asked;
     private int refused;
     private int late;
+    private int cameBack;
+    private int servedAfterComingBack;
+    private final Map<String, Integer> askedByCustomer = new TreeMap<>();
     private long promptTokens;
     private long computedTokens;
     private double seconds;
 
-    void asked() {
+    void asked(String customer) {
         asked++;
+        askedByCustomer.merge(customer, 1, Integer::sum);
+    }
+
+    void cameBack(boolean served) {
+        cameBack++;
+        servedAfterComingBack += served ? 1 : 0;
+    }
+
+    int cameBackCount() {
+        return cameBack;
+    }
+
+    double servedAfterComingBackPercent() {
+        return cameBack == 0 ? 100 : 100.0 * servedAfterComingBack / cameBack;
+    }
+
+    /** Returns the least part of its fair share, or of its demand where that is smaller, that a customer got. */
+    double leastFairPart() {
+        double fair = (double) served() / askedByCustomer.size();
+        double least = 1;
+        for (Map.Entry<String, Integer> demand : askedByCustomer.entrySet()) {
+            int got = servedByCustomer.getOrDefault(demand.getKey(), 0);
+            least = Math.min(least, got / Math.min(fair, demand.getValue()));
+        }
+        return least;
     }
 
     void refused() {
--- a/fuchsiatrail-bench/src/main/java/org/fuchsiatrail/bench/Run.java
+++ b/fuchsiatrail-bench/src/main/java/org/fuchsiatrail/bench/Run.java
@@ -1,6 +1,7 @@
 package org.fuchsiatrail.bench;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,6 +28,7 @@
 final class Run {
 
     static final int WARM_UP_MILLIS = 10_000;
+    private static final int COME_BACK_STEP_MILLIS = 50;
     private static final long DRAIN_MILLIS = 15_000;
     private static final long CRASH_MILLIS = 2_000;
     private static final long CUT_MILLIS = 5_000;
@@ -40,6 +42,10 @@
     private final List<CallerRecord> callers = new ArrayList<>();
     private final Map<RequestId, Direct> direct = new LinkedHashMap<>();
     private final Policy policy;
+    private final Map<CallerRecord, Workload.Request> requests = new HashMap<>();
+    private final Map<CallerRecord, Long> returns = new LinkedHashMap<>();
+    private final List<CallerRecord> again = new ArrayList<>();
+    private boolean comingBack;
     private final int measuredMillis;
     private long promptBefore;
     private long computedBefore;
@@ -93,16 +99,28 @@
             long seed,
             int measuredMillis,
             RouterSettings.Builder settings) {
-        Run run = new Run(shape, scenario, null, seed, measuredMillis);
+        return new Run(shape, scenario, null, seed, measuredMillis)
+                .startRouters(settings)
+                .execute(rate);
+    }
+
+    /** Runs the router's own policy with callers that come back when they are told to. */
+    static Outcome oursComingBack(Deployment shape, double rate, long seed, int measuredMillis) {
+        Run run = new Run(shape, Scenario.CALM, null, seed, measuredMillis);
+        run.comingBack = true;
+        return run.startRouters(RouterSettings.builder()).execute(rate);
+    }
+
+    private Run startRouters(RouterSettings.Builder settings) {
         for (int number = 0; number < Deployment.ROUTERS; number++) {
-            run.deployment.addRouter(
+            deployment.addRouter(
                     "vm-" + number,
                     "domain-" + number % Deployment.DOMAINS,
-                    settings.seed(seed).secret("bench").recomputeWeight(shape.recomputeWeight()));
+                    settings.seed(number).secret("bench").recomputeWeight(shape.recomputeWeight()));
         }
-        run.deployment.putInForce(run.deployment.routers().get(0), run.intent());
-        run.deployment.run(1_000);
-        return run.execute(rate);
+        deployment.putInForce(deployment.routers().get(0), intent());
+        deployment.run(1_000);
+        return this;
     }
 
     /** Runs a policy that the router's is compared with. */
@@ -154,6 +172,9 @@
                 nextAt += workload.gapMillis(rate);
             }
             deployment.run(1);
+            if (elapsed % COME_BACK_STEP_MILLIS == 0) {
+                comeBack();
+            }
         }
         outcome.tokens(sum(true) - promptBefore, sum(false) - computedBefore, measuredMillis / 1000.0);
         deployment.run(DRAIN_MILLIS);
@@ -221,7 +242,7 @@
         Workload.Request request = workload.next();
         if (policy != null) {
             if (measured) {
-                outcome.asked();
+                outcome.asked(request.customer());
             }
             serial++;
             RequestId id = new RequestId((measured ? "measured-" : "warm-") + serial);
@@ -236,11 +257,37 @@
         VirtualRouter router = choices.get(deployment.random().nextInt(choices.size()));
         CallerRecord caller = deployment.chat(router, request.customer() + ".key", request.call());
         if (measured) {
-            outcome.asked();
+            outcome.asked(request.customer());
             callers.add(caller);
+            requests.put(caller, request);
         }
     }
 
+    /** Has callers that were told when to come back do so, once each, at a router chosen by chance. */
+    private void comeBack() {
+        if (!comingBack) {
+            return;
+        }
+        for (CallerRecord caller : callers) {
+            CallerAnswer.Refusal refusal = caller.refusal();
+            boolean told = refusal != null && refusal.retryAfterMillis() > 0 && !returns.containsKey(caller);
+            if (told) {
+                long at = caller.sentMillis() + caller.lastAnswerAfterMillis() + refusal.retryAfterMillis();
+                returns.put(caller, at);
+            }
+        }
+        returns.replaceAll((caller, at) -> at > 0 && at <= deployment.now() ? sendAgain(caller) : at);
+    }
+
+    private long sendAgain(CallerRecord caller) {
+        Workload.Request request = requests.get(caller);
+        VirtualRouter router = deployment
+                .routers()
+                .get(deployment.random().nextInt(deployment.routers().size()));
+        again.add(deployment.chat(router, request.customer() + ".key", request.call()));
+        return 0;
+    }
+
     private void startDirect(RequestId id, Direct sent) {
         String salt = Policy.salt(sent.request.customer(), sent.request.call());
         PrefixChain chain = PrefixChain.of(salt, sent.request.call().prompt());
@@ -285,6 +332,9 @@
     }
 
     private void collectCallers() {
+        for (CallerRecord caller : again) {
+            outcome.cameBack(!caller.answers().isEmpty() && caller.answers().get(0) instanceof CallerAnswer.Token);
+        }
         for (CallerRecord caller : callers) {
             boolean begun = !caller.answers().isEmpty() && caller.answers().get(0) instanceof CallerAnswer.Token;
             if (begun) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatRow.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatRow.java
@@ -40,6 +40,8 @@
     final long firstTokenByMillis;
     final Set<UpstreamId> excluded = new HashSet<>();
     List<PeerMessage.PrefixMatch> matches = List.of();
+    long matchedAtMillis;
+    boolean refreshing;
     State state = State.LOOKING_UP;
     AttemptId attempt;
     UpstreamRow engine;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatSystem.java
@@ -50,6 +50,9 @@
     /** How long a begun answer waits for an engine that can go on with it, in milliseconds. */
     private static final long RESUME_PATIENCE_MILLIS = 20_000;
 
+    /** How long an answer of the cache directory is good for a request that waits, in milliseconds. */
+    private static final long FRESH_MATCH_MILLIS = 250;
+
     /** The wait when retries are used up, in milliseconds. */
     private static final long RETRY_PAUSE_MILLIS = 250;
 
@@ -156,7 +159,7 @@
         if (row.state != ChatRow.State.LOOKING_UP) {
             return;
         }
-        row.matches = matches;
+        takeMatches(row, matches);
         row.state = ChatRow.State.WAITING;
         Intent.Customer customer = access.customer(row.customer).orElse(null);
         if (customer == null) {
@@ -167,6 +170,24 @@
         refusal.ifPresent(answer -> finish(row, answer));
     }
 
+    private void takeMatches(ChatRow row, List<PeerMessage.PrefixMatch> matches) {
+        row.matches = matches;
+        row.matchedAtMillis = context.now();
+        row.refreshing = false;
+    }
+
+    /** Asks the directory again for a request that has waited; returns false while the answer is not there. */
+    private boolean knowsCachesOf(ChatRow row) {
+        if (row.refreshing) {
+            return false;
+        }
+        if (context.now() - row.matchedAtMillis > FRESH_MATCH_MILLIS) {
+            row.refreshing = true;
+            directory.lookup(row.chain, row.call.traceparent(), matches -> takeMatches(row, matches));
+        }
+        return !row.refreshing;
+    }
+
     /**
      * Computes the seed of a prompt's cache keys.
      *
@@ -205,6 +226,9 @@
             finish(row, new CallerAnswer.Refusal(ResultCode.QUARANTINED, "", 0));
             return true;
         }
+        if (!knowsCachesOf(row)) {
+            return false;
+        }
         row.suspect = quarantine.isSuspect(row.fingerprint);
         Set<UpstreamId> excluded = row.suspect ? withOtherSuspects(row) : row.excluded;
         Optional<Candidate> choice = chooser.choose(row.model, row.chain, row.matches, excluded);
