Estimate an engine's queue from what all routers have in flight

Cause of the remaining collapse: traces of the true queues at 75 requests/s show engines with 26112 waiting tokens (3.3 s) beside idle ones, because the estimate left out this router's own older work when it trusted the peers' numbers, so the window of 250 ms was overrun. Ruled out: silent attempts (0 of 1647) and busy refusals (0). Change: the larger of the report with what was sent since, and the sum of all routers' work in flight.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/upstreams/UpstreamRow.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/upstreams/UpstreamRow.java
@@ -141,8 +141,8 @@
     /**
      * Estimates the prompt tokens that wait at the engine.
      *
-     * <p>The last report, less what the engine has computed since, and the peers' reported work are two views of the
-     * same queue; the larger counts. Work that this router sent after the report is added.
+     * <p>There are two views of the same queue, and the larger counts: the last report, less what the engine has computed
+     * since, with what this router sent after it; and the work that all routers say they have in flight.
      *
      * @param now the time
      * @return tokens
@@ -152,8 +152,9 @@
         long computed = elapsed * prefillTokensPerSecond() / 1000;
         long reported = load == null ? 0 : Math.max(0, load.queuedTokens() - computed);
         long sentSince = tokensSentAfter(load == null ? 0 : load.takenAtMillis());
-        long seenByReport = Math.max(reported, peersTokens());
-        return Math.max(ownTokens, seenByReport + Math.min(sentSince, ownTokens));
+        long byReport = reported + Math.min(sentSince, ownTokens);
+        long byRouters = ownTokens + peersTokens();
+        return Math.max(byReport, byRouters);
     }
 
     /**
