Tell peers which requests were told when to come back

Cause: a caller comes back through the balancer to any router, but only the router that refused it knew the promise, so five of six returns were treated as new. Promises (a hash and a time, 16 bytes) now travel in heartbeats.

--- a/fuchsiatrail-bench/src/main/java/org/fuchsiatrail/bench/Run.java
+++ b/fuchsiatrail-bench/src/main/java/org/fuchsiatrail/bench/Run.java
@@ -333,7 +333,11 @@
 
     private void collectCallers() {
         for (CallerRecord caller : again) {
-            outcome.cameBack(!caller.answers().isEmpty() && caller.answers().get(0) instanceof CallerAnswer.Token);
+            boolean served = !caller.answers().isEmpty() && caller.answers().get(0) instanceof CallerAnswer.Token;
+            outcome.cameBack(served);
+            if (served) {
+                outcome.served(caller.customer().value(), caller.firstAnswerAfterMillis() + 1);
+            }
         }
         for (CallerRecord caller : callers) {
             boolean begun = !caller.answers().isEmpty() && caller.answers().get(0) instanceof CallerAnswer.Token;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
@@ -17,6 +17,7 @@
      * @param assignedTokens prompt tokens the sender has in flight
      * @param draining upstreams that the sender knows to be leaving
      * @param suspicions requests that ran on engines that crashed
+     * @param promises times to come back given since the last heartbeat
      */
     record Heartbeat(
             EntryVm vm,
@@ -27,9 +28,18 @@
             List<LoadReport> loads,
             List<AssignedTokens> assignedTokens,
             List<String> draining,
-            List<Suspicion> suspicions)
+            List<Suspicion> suspicions,
+            List<Promise> promises)
             implements PeerMessage {}
 
+    /**
+     * A time to come back that a refused request was given.
+     *
+     * @param fingerprint the hash of the request's fingerprint
+     * @param atMillis when it is to come back
+     */
+    record Promise(long fingerprint, long atMillis) {}
+
     /**
      * Work that a router has in flight on an engine.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/limits/Promises.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/limits/Promises.java
@@ -1,10 +1,14 @@
 package org.fuchsiatrail.internal.limits;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import org.fuchsiatrail.CustomerId;
+import org.fuchsiatrail.PeerMessage;
 
 /**
  * Gives refused requests a time to come back that their customer's part of the capacity can keep.
@@ -23,9 +27,13 @@
     /** How early or late a promised request may come, in milliseconds. */
     private static final long TOLERANCE_MILLIS = 15_000;
 
+    /** The most promises told to peers in one heartbeat; the oldest go first, others are not told. */
+    private static final int MOST_IN_A_HEARTBEAT = 200;
+
     private static final int CAPACITY = 20_000;
 
-    private final Map<String, Long> promised = new LinkedHashMap<>();
+    private final Map<Long, Long> promised = new LinkedHashMap<>();
+    private final List<PeerMessage.Promise> fresh = new ArrayList<>();
     private final Map<CustomerId, Long> lastPromise = new HashMap<>();
 
     /**
@@ -39,7 +47,8 @@
      * @return milliseconds from now, the same for a request that was refused before and comes too early
      */
     public long promise(CustomerId customer, String fingerprint, long now, long drainMillis, long serviceMillis) {
-        Long known = promised.get(fingerprint);
+        long key = key(fingerprint);
+        Long known = promised.get(key);
         if (known != null && known > now) {
             return known - now;
         }
@@ -47,11 +56,41 @@
         long at = Math.max(now + Math.max(drainMillis, SHORTEST_MILLIS), behind);
         at = Math.min(at, now + LONGEST_MILLIS);
         lastPromise.put(customer, at);
-        promised.put(fingerprint, at);
+        fresh.add(new PeerMessage.Promise(key, at));
+        remember(key, at);
+        return at - now;
+    }
+
+    private void remember(long key, long at) {
+        promised.put(key, at);
         while (promised.size() > CAPACITY) {
             promised.remove(promised.keySet().iterator().next());
         }
-        return at - now;
+    }
+
+    private static long key(String fingerprint) {
+        return Hashing.xxh3_64().hashCharsToLong(fingerprint);
+    }
+
+    /**
+     * Returns the promises made since the last call.
+     *
+     * @return promises for the peers, at most what one heartbeat carries
+     */
+    public List<PeerMessage.Promise> takeNew() {
+        int count = Math.min(fresh.size(), MOST_IN_A_HEARTBEAT);
+        List<PeerMessage.Promise> taken = List.copyOf(fresh.subList(0, count));
+        fresh.clear();
+        return taken;
+    }
+
+    /**
+     * Takes a promise that a peer made.
+     *
+     * @param promise the promise
+     */
+    public void hear(PeerMessage.Promise promise) {
+        remember(promise.fingerprint(), promise.atMillis());
     }
 
     /**
@@ -62,11 +101,12 @@
      * @return true when it is to be let in before new requests
      */
     public boolean redeem(String fingerprint, long now) {
-        Long at = promised.get(fingerprint);
+        long key = key(fingerprint);
+        Long at = promised.get(key);
         if (at == null || now < at) {
             return false;
         }
-        promised.remove(fingerprint);
+        promised.remove(key);
         return now <= at + TOLERANCE_MILLIS;
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/router/DefaultRouterCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/router/DefaultRouterCore.java
@@ -28,6 +28,7 @@
 import org.fuchsiatrail.internal.routing.EngineChooser;
 import org.fuchsiatrail.internal.services.ServiceSystem;
 import org.fuchsiatrail.internal.store.StoreCalls;
+import org.fuchsiatrail.internal.streams.ChatExplainer;
 import org.fuchsiatrail.internal.streams.ChatSystem;
 import org.fuchsiatrail.internal.upstreams.UpstreamRow;
 import org.fuchsiatrail.internal.upstreams.UpstreamSystem;
@@ -48,6 +49,7 @@
     private final QuarantineSystem quarantine;
     private final DirectorySystem directory;
     private final ChatSystem chats;
+    private final ChatExplainer explainer;
     private final LedgerSystem ledger;
     private final ServiceSystem services;
     private final OrderSystem orders;
@@ -71,6 +73,7 @@
         directory = new DirectorySystem(context, membership, upstreams);
         EngineChooser chooser = new EngineChooser(context, upstreams);
         chats = new ChatSystem(context, access, directory, chooser, upstreams, quarantine);
+        explainer = new ChatExplainer(context, access, directory, chooser);
         ledger = new LedgerSystem(context, store, membership);
         services = new ServiceSystem(context, access, upstreams, ledger);
         orders = new OrderSystem(context, store, upstreams);
@@ -206,6 +209,7 @@
         upstreams.takePeerWork(from, beat.assignedTokens());
         beat.draining().forEach(name -> upstreams.drain(new UpstreamId(name)));
         quarantine.hear(beat.suspicions());
+        chats.hearPromises(beat.promises());
         configuration.hearRevision(from, beat.revision());
         if (fresh) {
             membership.announceSoon();
@@ -242,7 +246,7 @@
             }
             case OperatorRequest.Explain explain ->
                 context.emit(new Output.AnswerOperator(
-                        call, new OperatorAnswer.Explained(chats.explain(explain.customer(), explain.call()))));
+                        call, new OperatorAnswer.Explained(explainer.explain(explain.customer(), explain.call()))));
         }
     }
 
@@ -271,6 +275,7 @@
                 upstreams.ownReports(),
                 upstreams.ownWork(),
                 upstreams.drainingNames(),
-                quarantine.suspicions());
+                quarantine.suspicions(),
+                chats.takeNewPromises());
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/Admission.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/Admission.java
@@ -61,6 +61,10 @@
         return Optional.empty();
     }
 
+    Promises promises() {
+        return promises;
+    }
+
     void enqueueFirst(ChatRow row, Intent.Customer customer) {
         queue.add(row.customer, customer.share(), customer.priority(), cost(row), true, row);
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatSystem.java
@@ -5,7 +5,6 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -18,10 +17,8 @@
 import org.fuchsiatrail.EngineEcho;
 import org.fuchsiatrail.EngineEvent;
 import org.fuchsiatrail.Intent;
-import org.fuchsiatrail.ModelVersion;
 import org.fuchsiatrail.Output;
 import org.fuchsiatrail.PeerMessage;
-import org.fuchsiatrail.PrefixChain;
 import org.fuchsiatrail.RequestId;
 import org.fuchsiatrail.ResultCode;
 import org.fuchsiatrail.UpstreamId;
@@ -32,7 +29,6 @@
 import org.fuchsiatrail.internal.router.RouterContext;
 import org.fuchsiatrail.internal.routing.Candidate;
 import org.fuchsiatrail.internal.routing.EngineChooser;
-import org.fuchsiatrail.internal.store.Digests;
 import org.fuchsiatrail.internal.upstreams.UpstreamRow;
 import org.fuchsiatrail.internal.upstreams.UpstreamSystem;
 
@@ -67,6 +63,7 @@
     private final QuarantineSystem quarantine;
     private final Admission admission;
     private final ResumeToken resumeTokens;
+    private final ChatIntake intake;
     private final Map<RequestId, ChatRow> rows = new LinkedHashMap<>();
     private final Map<AttemptId, ChatRow> attempts = new HashMap<>();
     private final Map<CustomerId, RetryBudget> budgets = new HashMap<>();
@@ -97,6 +94,7 @@
         this.quarantine = quarantine;
         this.admission = new Admission(context, chooser, upstreams);
         this.resumeTokens = new ResumeToken(context.settings().secret());
+        this.intake = new ChatIntake(context, access, quarantine, resumeTokens);
     }
 
     /**
@@ -107,45 +105,10 @@
      * @param call what it asks
      */
     public void arrive(RequestId request, String apiKey, ChatCall call) {
-        Optional<Intent.Customer> customer = access.authenticate(apiKey);
-        if (customer.isEmpty()) {
-            refuse(request, ResultCode.UNAUTHORIZED, "", 0);
-            return;
-        }
-        if (!call.scope().isEmpty() && !access.mayShare(customer.get(), call.scope())) {
-            refuse(request, ResultCode.SCOPE_NOT_ALLOWED, "Scope: " + call.scope() + ".", 0);
-            return;
-        }
-        String fingerprint = fingerprint(customer.get(), call);
-        if (quarantine.isQuarantined(fingerprint)) {
-            refuse(request, ResultCode.QUARANTINED, "", 0);
-            return;
-        }
-        Optional<ResumeToken.Position> resumed = Optional.empty();
-        if (!call.resumeToken().isEmpty()) {
-            resumed = resumeTokens.read(fingerprint, call.resumeToken());
-            if (resumed.isEmpty()) {
-                refuse(request, ResultCode.RESUME_TOKEN_INVALID, "", 0);
-                return;
-            }
-        }
-        String asked = resumed.map(position -> position.model().toString()).orElse(call.model());
-        Optional<ModelVersion> model = access.model(customer.get(), asked, call.adapter());
-        if (model.isEmpty()) {
-            refuse(request, ResultCode.MODEL_NOT_ALLOWED, "Model: " + asked + ".", 0);
-            return;
+        switch (intake.check(request, apiKey, call)) {
+            case ChatIntake.Checked.Accepted accepted -> begin(accepted.row());
+            case ChatIntake.Checked.Refused refused -> refuse(request, refused.code(), refused.detail());
         }
-        ChatRow row = newRow(request, customer.get(), call, model.get(), fingerprint);
-        resumed.ifPresent(position -> row.nextPosition = position.next());
-        begin(row);
-    }
-
-    private ChatRow newRow(
-            RequestId request, Intent.Customer customer, ChatCall call, ModelVersion model, String fingerprint) {
-        String salt = cacheSalt(context.settings().secret(), customer.id(), call, model);
-        PrefixChain chain = PrefixChain.of(salt, call.prompt());
-        CustomerId id = new CustomerId(customer.id());
-        return new ChatRow(request, id, call, model, salt, chain, fingerprint, context.now());
     }
 
     private void begin(ChatRow row) {
@@ -188,26 +151,6 @@
         return !row.refreshing;
     }
 
-    /**
-     * Computes the seed of a prompt's cache keys.
-     *
-     * @param secret the routers' secret
-     * @param customer the customer
-     * @param call the call
-     * @param model the model that will run
-     * @return hexadecimal digits
-     */
-    static String cacheSalt(String secret, String customer, ChatCall call, ModelVersion model) {
-        String owner = call.scope().isEmpty() ? "customer/" + customer : "scope/" + call.scope();
-        return Digests.sha256(secret, owner, model.toString(), call.adapter()).substring(0, 32);
-    }
-
-    private static String fingerprint(Intent.Customer customer, ChatCall call) {
-        String digest = Digests.sha256(
-                customer.id(), call.adapter(), call.scope(), call.prompt(), Integer.toString(call.maximumTokens()));
-        return customer.id() + "/" + digest.substring(0, 32);
-    }
-
     /** Starts waiting requests on engines with room, and ends attempts that fell silent. */
     public void run() {
         endSilentAttempts();
@@ -496,47 +439,21 @@
     }
 
     /**
-     * Tells where a request would go.
+     * Returns the times to come back given since the last call, for the peers.
+     *
+     * @return promises
+     */
+    public List<PeerMessage.Promise> takeNewPromises() {
+        return admission.promises().takeNew();
+    }
+
+    /**
+     * Takes the times to come back that a peer gave; their callers may come to this router.
      *
-     * @param customer the customer
-     * @param call the call
-     * @return one line a candidate, cheapest first
+     * @param promises the peer's promises
      */
-    public List<String> explain(CustomerId customer, ChatCall call) {
-        Optional<Intent.Customer> known = access.customer(customer);
-        if (known.isEmpty()) {
-            return List.of("Customer " + customer + " is not configured.");
-        }
-        Optional<ModelVersion> model = access.model(known.get(), call.model(), call.adapter());
-        if (model.isEmpty()) {
-            return List.of("Customer " + customer + " may not use " + call.model() + ".");
-        }
-        PrefixChain chain = PrefixChain.of(
-                cacheSalt(context.settings().secret(), customer.value(), call, model.get()), call.prompt());
-        List<String> lines = new ArrayList<>();
-        directory.lookup(
-                chain,
-                call.traceparent(),
-                matches -> chooser.rank(model.get(), chain, matches, Set.of())
-                        .forEach(candidate -> lines.add(describe(candidate))));
-        if (lines.isEmpty()) {
-            lines.add("The directory owner of this prompt is another router, or no engine may run it; by load alone:");
-            chooser.rank(model.get(), chain, List.of(), Set.of()).forEach(candidate -> lines.add(describe(candidate)));
-        }
-        return lines;
-    }
-
-    private static String describe(Candidate candidate) {
-        return String.format(
-                Locale.ROOT,
-                "%s in %s: cost %.1f ms, first token in %d ms, queue %d ms, cached %d tokens, to compute %d tokens",
-                candidate.engine().id(),
-                candidate.engine().domain(),
-                candidate.cost(),
-                candidate.firstTokenMillis(),
-                candidate.queueMillis(),
-                candidate.cachedTokens(),
-                candidate.uncachedTokens());
+    public void hearPromises(List<PeerMessage.Promise> promises) {
+        promises.forEach(admission.promises()::hear);
     }
 
     /**
@@ -582,9 +499,9 @@
         rows.remove(row.request);
     }
 
-    private void refuse(RequestId request, ResultCode code, String detail, long retryAfterMillis) {
+    private void refuse(RequestId request, ResultCode code, String detail) {
         context.count("refusals." + code.number());
-        context.emit(new Output.AnswerCaller(request, new CallerAnswer.Refusal(code, detail, retryAfterMillis)));
+        context.emit(new Output.AnswerCaller(request, new CallerAnswer.Refusal(code, detail, 0)));
     }
 
     private RetryBudget budget(CustomerId customer) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/upstreams/UpstreamRow.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/upstreams/UpstreamRow.java
@@ -141,8 +141,8 @@
     /**
      * Estimates the prompt tokens that wait at the engine.
      *
-     * <p>There are two views of the same queue, and the larger counts: the last report, less what the engine has computed
-     * since, with what this router sent after it; and the work that all routers say they have in flight.
+     * <p>There are two views of the same queue, and the larger counts: the last report, less what the engine has
+     * computed since, with what this router sent after it; and the work that all routers say they have in flight.
      *
      * @param now the time
      * @return tokens
