Space promises by the customer's own part of the capacity

Cause: a request refused at its deadline was promised a time as if its customer had the whole capacity, so returns came too early.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/limits/FairQueue.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/limits/FairQueue.java
@@ -165,6 +165,17 @@
         return lane == null ? 0 : lane.waitingCost;
     }
 
+    /**
+     * Returns the part of the whole that a customer gets while the present customers wait, with its present share.
+     *
+     * @param customer the customer
+     * @return above 0, at most 1
+     */
+    public double portion(CustomerId customer) {
+        Lane<W> lane = lanes.get(customer);
+        return portion(customer, lane == null ? 1 : lane.share);
+    }
+
     /**
      * Returns the part of the whole that a customer gets while the present customers wait.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/Admission.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/Admission.java
@@ -118,8 +118,9 @@
     }
 
     CallerAnswer.Refusal overloaded(ChatRow row) {
-        long service = (long) (cost(row) * 1000 / rate());
-        long drain = (long) (queue.waitingCost(row.customer) * 1000 / rate());
+        double rate = rate() * queue.portion(row.customer);
+        long service = (long) (cost(row) * 1000 / rate);
+        long drain = (long) (queue.waitingCost(row.customer) * 1000 / rate);
         long retryAfter = promises.promise(row.customer, row.fingerprint, context.now(), drain, service);
         return new CallerAnswer.Refusal(ResultCode.OVERLOADED, "", retryAfter);
     }
