--- a/fuchsiatrail-bench/src/main/java/org/fuchsiatrail/bench/BenchCommand.java
+++ b/fuchsiatrail-bench/src/main/java/org/fuchsiatrail/bench/BenchCommand.java
@@ -5,6 +5,10 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 
+import org.openjdk.jmh.profile.GCProfiler;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.options.Options;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -14,7 +18,13 @@
         name = "bench",
         mixinStandardHelpOptions = true,
         description = "Measures fuchsiatrail on virtual time and prints tables.",
-        subcommands = {BenchCommand.Routing.class, BenchCommand.Overload.class})
+        subcommands = {
+            BenchCommand.Routing.class,
+            BenchCommand.Overload.class,
+            BenchCommand.Ledger.class,
+            BenchCommand.Slopes.class,
+            BenchCommand.Jmh.class
+        })
 public final class BenchCommand {
 
     private BenchCommand() {}
@@ -28,6 +38,40 @@
         System.exit(new CommandLine(new BenchCommand()).execute(arguments));
     }
 
+    @Command(name = "ledger", mixinStandardHelpOptions = true, description = "Measures claims against store writes.")
+    static final class Ledger implements Callable<Integer> {
+        @Option(names = "--seed", defaultValue = "1", description = "The seed.")
+        private long seed;
+
+        @Override
+        public Integer call() {
+            new LedgerExperiment(seed, System.out).run();
+            return 0;
+        }
+    }
+
+    @Command(name = "slopes", mixinStandardHelpOptions = true, description = "Measures what control costs a router.")
+    static final class Slopes implements Callable<Integer> {
+        @Override
+        public Integer call() {
+            new SlopeExperiment(System.out).run();
+            return 0;
+        }
+    }
+
+    @Command(name = "jmh", mixinStandardHelpOptions = true, description = "Times decisions and updates with JMH.")
+    static final class Jmh implements Callable<Integer> {
+        @Override
+        public Integer call() throws Exception {
+            Options options = new OptionsBuilder()
+                    .include(RoutingBenchmark.class.getSimpleName())
+                    .addProfiler(GCProfiler.class)
+                    .build();
+            new Runner(options).run();
+            return 0;
+        }
+    }
+
     @Command(name = "overload", mixinStandardHelpOptions = true, description = "Measures limits past saturation.")
     static final class Overload implements Callable<Integer> {
         @Option(names = "--seed", defaultValue = "1", description = "The seed.")
