Hand a new configuration to a few peers and let the others ask

Now the routers that read it from the store hand it to 3 peers, the others hear the number and ask, at most once in 50 ms.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/configuration/ConfigurationSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/configuration/ConfigurationSystem.java
@@ -12,6 +12,7 @@
 import org.fuchsiatrail.StoreRequest;
 import org.fuchsiatrail.StoreResult;
 import org.fuchsiatrail.internal.membership.MembershipSystem;
+import org.fuchsiatrail.internal.membership.Rendezvous;
 import org.fuchsiatrail.internal.router.RouterContext;
 import org.fuchsiatrail.internal.store.Documents;
 import org.fuchsiatrail.internal.store.StoreCalls;
@@ -19,8 +20,8 @@
 /**
  * Adopts configurations, only ever higher revisions, and spreads them.
  *
- * <p>Two routers of each failure domain hold a watch on the store; all others learn of a new revision from peers. A
- * revision is sent to the peers in the tick that adopts it, before any later heartbeat reports it.
+ * <p>Two routers of each failure domain hold a watch on the store. A router that read a revision there hands it to a
+ * few peers in the tick that adopts it, before its heartbeat reports it; others hear the number in heartbeats and ask.
  */
 public final class ConfigurationSystem {
 
@@ -30,6 +31,12 @@
     /** Routers of each failure domain that hold a watch. */
     private static final int WATCH_HOLDERS = 2;
 
+    /** Peers that are given a revision at once by the router that read it from the store. */
+    private static final int FIRST_PEERS = 3;
+
+    /** The least time between two questions to peers for a revision, in milliseconds. */
+    private static final long ASK_INTERVAL_MILLIS = 50;
+
     /** The longest wait of one watch, in milliseconds. */
     private static final long WATCH_MILLIS = 10_000;
 
@@ -54,6 +61,7 @@
     private boolean watchHolder;
     private long holderVersion = -1;
     private long nextWatchMillis;
+    private long nextAskMillis;
 
     /**
      * Creates a system without a configuration.
@@ -83,7 +91,7 @@
         if (!started) {
             started = true;
             nextWatchMillis = now + PEERS_FIRST_MILLIS + context.random().nextInt(READ_SPREAD_MILLIS);
-            membership.sendToAll(new PeerMessage.AskConfiguration(0));
+            membership.sendToSome(FIRST_PEERS, new PeerMessage.AskConfiguration(0));
         }
         boolean wanted = current.revision() == 0 || isWatchHolder();
         if (!watching && wanted && now >= nextWatchMillis) {
@@ -132,13 +140,13 @@
     ConfigurationDocument takeStored(StoreResult.Found found) {
         nextWatchMillis = context.now();
         storeVersion = Math.max(storeVersion, found.version());
-        return take(found.value());
+        return take(found.value(), true);
     }
 
-    private ConfigurationDocument take(byte[] value) {
+    private ConfigurationDocument take(byte[] value, boolean fromStore) {
         try {
             ConfigurationDocument document = Documents.read(value, ConfigurationDocument.class);
-            adopt(document, value);
+            adopt(document, value, fromStore);
             return document;
         } catch (UncheckedIOException e) {
             context.count("configuration.damaged");
@@ -152,19 +160,36 @@
      *
      * @param document the configuration
      * @param value its stored form
+     * @param fromStore whether it was read from the store, so that peers may not have it yet
      */
-    void adopt(ConfigurationDocument document, byte[] value) {
+    private void adopt(ConfigurationDocument document, byte[] value, boolean fromStore) {
         if (document.revision() <= current.revision()) {
             return;
         }
         current = document;
         currentBytes = value;
-        membership.sendToAll(new PeerMessage.TellConfiguration(document.revision(), value));
+        if (fromStore) {
+            firstPeers().forEach(peer -> tell(peer.id()));
+        }
         membership.announceSoon();
         listeners.forEach(listener -> listener.accept(document.intent()));
         context.note("configuration", "Configuration in force.", "revision", document.revision());
     }
 
+    /** Returns the few peers that are given a revision, or asked for one, before others are heard. */
+    private List<EntryVm> firstPeers() {
+        List<EntryVm> peers = new ArrayList<>(membership.owners());
+        peers.remove(context.settings().self());
+        List<EntryVm> ranked = Rendezvous.ranked(
+                "configuration/" + context.selfId(), peers, vm -> vm.id().value());
+        return ranked.subList(0, Math.min(FIRST_PEERS, ranked.size()));
+    }
+
+    private void tell(EntryVmId peer) {
+        context.count("configuration.told");
+        membership.send(peer, new PeerMessage.TellConfiguration(current.revision(), currentBytes));
+    }
+
     /**
      * Takes a configuration from a peer.
      *
@@ -172,7 +197,7 @@
      */
     public void hear(PeerMessage.TellConfiguration message) {
         if (message.revision() > current.revision()) {
-            take(message.document());
+            take(message.document(), false);
         }
     }
 
@@ -184,7 +209,7 @@
      */
     public void hear(EntryVmId from, PeerMessage.AskConfiguration message) {
         if (message.knownRevision() < current.revision()) {
-            membership.send(from, new PeerMessage.TellConfiguration(current.revision(), currentBytes));
+            tell(from);
         }
     }
 
@@ -195,10 +220,9 @@
      * @param revision its revision
      */
     public void hearRevision(EntryVmId from, long revision) {
-        if (revision > current.revision()) {
+        if (revision > current.revision() && context.now() >= nextAskMillis) {
+            nextAskMillis = context.now() + ASK_INTERVAL_MILLIS;
             membership.send(from, new PeerMessage.AskConfiguration(current.revision()));
-        } else if (revision < current.revision()) {
-            membership.send(from, new PeerMessage.TellConfiguration(current.revision(), currentBytes));
         }
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/membership/MembershipSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/membership/MembershipSystem.java
@@ -129,15 +129,17 @@
     }
 
     /**
-     * Sends a message to every peer that is not dead.
+     * Sends a message to a few peers picked by chance among those that are not dead.
      *
+     * @param count how many
      * @param message the message
      */
-    public void sendToAll(PeerMessage message) {
-        for (Member member : members.values()) {
-            if (member.state != Member.State.DEAD) {
-                context.emit(new Output.SendPeer(member.vm.id(), member.vm.address(), message));
-            }
+    public void sendToSome(int count, PeerMessage message) {
+        List<Member> peers = new ArrayList<>(members.values());
+        peers.removeIf(member -> member.state == Member.State.DEAD);
+        for (int sent = 0; sent < count && !peers.isEmpty(); sent++) {
+            Member peer = peers.remove(context.random().nextInt(peers.size()));
+            context.emit(new Output.SendPeer(peer.vm.id(), peer.vm.address(), message));
         }
     }
 
--- a/fuchsiatrail-proofs/src/test/java/org/fuchsiatrail/proofs/ConfigurationProofTest.java
+++ b/fuchsiatrail-proofs/src/test/java/org/fuchsiatrail/proofs/ConfigurationProofTest.java
@@ -207,6 +207,18 @@
         return fixture.deployment.store().reads() - before - listCalls;
     }
 
+    @Test
+    void should_send_the_configuration_a_few_times_for_each_router_however_many_run() {
+        Fixture fixture = Fixture.started(155, 6, settings -> {});
+        long before = fixture.deployment.counter("configuration.told");
+        confirm(fixture, 1, Fixture.intent(List.of(1), Fixture.TUTOR));
+        fixture.deployment.run(IN_FORCE_WITHIN_MILLIS);
+
+        checkEverywhere(fixture, 2);
+        assertThat(fixture.deployment.counter("configuration.told") - before)
+                .isLessThanOrEqualTo(4L * fixture.routers());
+    }
+
     @Test
     void should_refuse_an_intent_with_faults_and_name_each() {
         Fixture fixture = Fixture.started(160);
