Refuse waiting requests whose weights were withdrawn; delete old ledger segments

Cause, found by reading: a request that waited while an intent withdrew its model version was still started where the version was loaded; and segments past their retention left the head but stayed in the store for ever.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/access/CustomerAccess.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/access/CustomerAccess.java
@@ -95,6 +95,20 @@
         return Optional.empty();
     }
 
+    /**
+     * Tells whether a customer may use a model version now.
+     *
+     * @param id the customer
+     * @param model the model version
+     * @return true when the configuration in force says so
+     */
+    public boolean mayUse(CustomerId id, ModelVersion model) {
+        Intent.Customer customer = customers.get(id.value());
+        return customer != null
+                && models.containsKey(model)
+                && customer.models().contains(model.toString());
+    }
+
     /**
      * Tells whether a customer may use a shared cache scope.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/ledger/SegmentSealer.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/ledger/SegmentSealer.java
@@ -23,6 +23,7 @@
     private final StoreCalls store;
     private final SegmentIndex index;
     private final String prefix;
+    private final List<LedgerHead.Segment> dropped = new ArrayList<>();
     private boolean writing;
     private LedgerHead.Segment sealed;
     private List<LedgerEntry> sealedEntries = List.of();
@@ -42,7 +43,13 @@
     /** Takes sealed entries out of a head in the making, names their segment, and drops old segments. */
     void apply(Map<String, LedgerEntry> entries, List<LedgerHead.Segment> segments) {
         long oldest = context.now() - context.settings().ledgerRetentionMillis();
-        segments.removeIf(segment -> segment.newestMillis() < oldest);
+        dropped.clear();
+        for (LedgerHead.Segment segment : segments) {
+            if (segment.newestMillis() < oldest) {
+                dropped.add(segment);
+            }
+        }
+        segments.removeAll(dropped);
         if (sealed == null) {
             return;
         }
@@ -61,6 +68,10 @@
 
     /** Takes note that a head was written; deletes segments it no longer names. */
     void written(LedgerHead written) {
+        for (LedgerHead.Segment segment : dropped) {
+            store.ask(new StoreRequest.Delete(segment.storeKey()), result -> {});
+        }
+        dropped.clear();
         if (sealed != null && written.segments().contains(sealed)) {
             index.remember(sealed.storeKey(), sealedEntries);
             sealed = null;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatSystem.java
@@ -185,6 +185,10 @@
         if (!admission.hasRoom(choice.get())) {
             return false;
         }
+        if (!row.begun() && !access.mayUse(row.customer, row.model)) {
+            finish(row, new CallerAnswer.Refusal(ResultCode.MODEL_NOT_ALLOWED, "Model: " + row.model + ".", 0));
+            return true;
+        }
         start(row, choice.get());
         return true;
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/upstreams/UpstreamSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/upstreams/UpstreamSystem.java
@@ -231,11 +231,6 @@
         return news;
     }
 
-    /** Forgets drain orders for upstreams that a new configuration no longer drains by intent or has removed. */
-    public void forgetDrainsOfRemoved() {
-        drainOrders.retainAll(rows.keySet());
-    }
-
     /**
      * Takes the work that a peer has in flight.
      *
--- a/fuchsiatrail-proofs/src/test/java/org/fuchsiatrail/proofs/CacheProofTest.java
+++ b/fuchsiatrail-proofs/src/test/java/org/fuchsiatrail/proofs/CacheProofTest.java
@@ -6,6 +6,7 @@
 import org.fuchsiatrail.ChatCall;
 import org.fuchsiatrail.Input;
 import org.fuchsiatrail.OperatorAnswer;
+import org.fuchsiatrail.ResultCode;
 import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.standins.drive.CallerRecord;
 import org.fuchsiatrail.standins.drive.VirtualDeployment;
@@ -107,6 +108,27 @@
         assertThat(cached(caller)).isZero();
     }
 
+    @Test
+    void should_not_start_a_request_that_waited_while_its_weights_were_withdrawn() {
+        Fixture fixture = Fixture.started(302);
+        for (int number = 0; number < 120; number++) {
+            ChatCall waiting = Fixture.chat(Fixture.prompt("subject " + number, 300), 5);
+            fixture.deployment.chat(fixture.router(1 + number % 3), Fixture.ALPHA_KEY, waiting);
+        }
+        fixture.deployment.run(100);
+        OperatorAnswer answer = fixture.deployment.putInForce(fixture.router(1), Fixture.intent(Fixture.TUTOR_NEXT));
+        assertThat(answer).isInstanceOf(OperatorAnswer.Confirmed.class);
+        fixture.deployment.run(5);
+        int starts = fixture.deployment.starts();
+        fixture.deployment.runUntil(() -> fixture.allOver(fixture.deployment.callers()), 30_000);
+
+        assertThat(fixture.deployment.starts()).isEqualTo(starts);
+        assertThat(fixture.deployment.callers())
+                .filteredOn(caller -> caller.refusal() != null)
+                .isNotEmpty()
+                .allMatch(caller -> caller.refusal().code() == ResultCode.MODEL_NOT_ALLOWED);
+    }
+
     @Test
     void should_ignore_late_events_and_reports_of_an_engines_earlier_life() {
         Fixture fixture = Fixture.started(301);
--- a/fuchsiatrail-proofs/src/test/java/org/fuchsiatrail/proofs/LedgerProofTest.java
+++ b/fuchsiatrail-proofs/src/test/java/org/fuchsiatrail/proofs/LedgerProofTest.java
@@ -205,6 +205,22 @@
         check(fixture);
     }
 
+    @Test
+    void should_drop_sealed_answers_past_their_retention_from_the_store() {
+        Fixture fixture = Fixture.started(
+                9, 1, settings -> settings.ledgerSealBytes(1_000).ledgerRetentionMillis(2_000));
+        for (int call = 0; call < 300; call++) {
+            issue(fixture, 1, "key-" + call);
+            fixture.deployment.run(60);
+        }
+        fixture.deployment.run(1_000);
+
+        long sealed = fixture.deployment.counter("ledger.segments");
+        assertThat(sealed).isGreaterThan(15);
+        assertThat(fixture.deployment.store().size()).isLessThan((int) sealed / 2);
+        check(fixture);
+    }
+
     @Test
     void should_free_the_key_of_a_call_that_was_refused_as_not_run() {
         Fixture fixture = Fixture.started(6);
--- a/fuchsiatrail-standins/src/main/java/org/fuchsiatrail/standins/model/StoreModel.java
+++ b/fuchsiatrail-standins/src/main/java/org/fuchsiatrail/standins/model/StoreModel.java
@@ -135,6 +135,15 @@
         vms = List.copyOf(list);
     }
 
+    /**
+     * Returns the keys that have a value.
+     *
+     * @return a count
+     */
+    public int size() {
+        return values.size();
+    }
+
     /**
      * Returns the calls that read.
      *
