Let drains end

Cause, found by reading: each heartbeat carried every upstream that drained for whatever reason, and peers kept it as an operator's order for ever, so an upstream that an intent drained and later took back, or an engine that said it was leaving and stayed, never got work again. Orders and words are apart now: an operator's order is kept until an intent ends it; what a router saw itself is told to peers and good for 10 s. Also: an attempt that was given up counted its stream as over twice, and dispatches to an engine that never reports are remembered up to 512.

--- a/fuchsiatrail-bench/src/main/java/org/fuchsiatrail/bench/SlopeExperiment.java
+++ b/fuchsiatrail-bench/src/main/java/org/fuchsiatrail/bench/SlopeExperiment.java
@@ -193,7 +193,7 @@
             List<PeerMessage.AssignedTokens> work =
                     List.of(new PeerMessage.AssignedTokens(new UpstreamId("engine-0"), 500));
             PeerMessage beat = new PeerMessage.Heartbeat(
-                    vm(peer), 1, sequence, 1, false, loads, work, List.of(), List.of(), List.of());
+                    vm(peer), 1, sequence, 1, false, loads, work, List.of(), List.of(), List.of(), List.of());
             return new Input.PeerSpoke(new EntryVmId("vm-" + peer), beat);
         }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
@@ -15,7 +15,8 @@
      * @param stopping whether it is stopping
      * @param loads load reports of the engines that the sender reads
      * @param assignedTokens prompt tokens the sender has in flight
-     * @param draining upstreams that the sender knows to be leaving
+     * @param draining upstreams that an operator ordered to drain
+     * @param leaving upstreams that the sender itself saw leaving, by their report or on the platform's list
      * @param suspicions requests that ran on engines that crashed
      * @param promises times to come back given since the last heartbeat
      */
@@ -28,6 +29,7 @@
             List<LoadReport> loads,
             List<AssignedTokens> assignedTokens,
             List<String> draining,
+            List<String> leaving,
             List<Suspicion> suspicions,
             List<Promise> promises)
             implements PeerMessage {}
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/router/DefaultRouterCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/router/DefaultRouterCore.java
@@ -205,7 +205,10 @@
             quarantine.takeLoad(report);
         });
         upstreams.takePeerWork(from, beat.assignedTokens());
-        beat.draining().forEach(name -> upstreams.drain(new UpstreamId(name)));
+        if (beat.revision() >= configuration.current().revision()) {
+            beat.draining().forEach(name -> upstreams.drain(new UpstreamId(name)));
+        }
+        beat.leaving().forEach(name -> upstreams.saidToLeave(new UpstreamId(name)));
         quarantine.hear(beat.suspicions());
         chats.hearPromises(beat.promises());
         configuration.hearRevision(from, beat.revision());
@@ -262,6 +265,7 @@
                 upstreams.ownReports(),
                 upstreams.ownWork(),
                 upstreams.drainingNames(),
+                upstreams.leavingNames(),
                 quarantine.suspicions(),
                 chats.takeNewPromises());
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatSystem.java
@@ -353,7 +353,7 @@
             row.notBeforeMillis = 0;
         }
         if (refused.reason().equals("draining")) {
-            upstreams.drain(row.engine.id());
+            upstreams.saidToLeave(row.engine.id());
         }
         waitAgain(row);
     }
@@ -389,6 +389,7 @@
     }
 
     private void waitAgain(ChatRow row) {
+        row.state = ChatRow.State.WAITING;
         row.interruptedAtMillis = context.now();
         if (row.attempts >= MOST_ATTEMPTS) {
             finish(row, new CallerAnswer.Refusal(ResultCode.UPSTREAM_FAILED, "", NO_UPSTREAM_RETRY_MILLIS));
@@ -397,7 +398,6 @@
         if (row.excluded.size() >= upstreams.engines().size()) {
             row.excluded.clear();
         }
-        row.state = ChatRow.State.WAITING;
         Intent.Customer customer = access.customer(row.customer).orElse(null);
         if (customer == null) {
             finish(row, new CallerAnswer.Refusal(ResultCode.UNAUTHORIZED, "", 0));
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/upstreams/UpstreamRow.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/upstreams/UpstreamRow.java
@@ -19,6 +19,9 @@
     /** The prefill speed assumed of an engine that has not reported, in tokens a second. */
     private static final long ASSUMED_PREFILL_TOKENS_PER_SECOND = 8_000;
 
+    /** The most dispatches remembered between two load reports. */
+    private static final int MOST_RECENT_DISPATCHES = 512;
+
     private final UpstreamId id;
     Intent.Upstream intent;
     FailureDomain domain;
@@ -29,6 +32,8 @@
     long nextEventSequence;
     boolean readHere;
     boolean drainOrdered;
+    boolean saidToLeave;
+    long saidToLeaveUntilMillis;
     boolean listedLeaving;
     long avoidUntilMillis;
     int failures;
@@ -102,7 +107,12 @@
      * @return true when it gets no new work
      */
     public boolean draining() {
-        return intent.draining() || drainOrdered || listedLeaving || load != null && load.draining();
+        return intent.draining() || drainOrdered || saidToLeave || seenLeaving();
+    }
+
+    /** Tells whether this router itself sees that the upstream is leaving. */
+    boolean seenLeaving() {
+        return listedLeaving || load != null && load.draining();
     }
 
     /**
@@ -188,6 +198,9 @@
         ownStreams++;
         streamsStartedSinceReport++;
         recentDispatches.addLast(new long[] {now, uncachedTokens});
+        while (recentDispatches.size() > MOST_RECENT_DISPATCHES) {
+            recentDispatches.removeFirst();
+        }
     }
 
     /**
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/upstreams/UpstreamSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/upstreams/UpstreamSystem.java
@@ -27,6 +27,9 @@
     /** How long an upstream is avoided after its first failure, in milliseconds; doubled by each further one. */
     private static final long FIRST_AVOIDANCE_MILLIS = 250;
 
+    /** How long a peer's word that an upstream is leaving is good, in milliseconds. */
+    private static final long LEAVING_WORD_MILLIS = 10_000;
+
     /** The longest avoidance after failures, in milliseconds. */
     private static final long LONGEST_AVOIDANCE_MILLIS = 4_000;
 
@@ -67,8 +70,9 @@
             UpstreamId id = new UpstreamId(upstream.id());
             named.add(id);
             UpstreamRow row = rows.computeIfAbsent(id, UpstreamRow::new);
-            row.intent = upstream;
             row.domain = new FailureDomain(upstream.failureDomain());
+            endDrainThatIntentEnds(row, upstream);
+            row.intent = upstream;
             row.drainOrdered = drainOrders.contains(id);
         }
         rows.keySet().retainAll(named);
@@ -78,6 +82,14 @@
         readersVersion = -1;
     }
 
+    /** An operator ends a drain by an intent that no longer drains what the one before drained. */
+    private void endDrainThatIntentEnds(UpstreamRow row, Intent.Upstream wanted) {
+        boolean ends = row.intent != null && row.intent.draining() && !wanted.draining();
+        if (ends) {
+            drainOrders.remove(row.id());
+        }
+    }
+
     /** Shares the reading of engines out again after the routers or the engines changed. */
     private void assignReaders() {
         if (readersVersion == membership.ownersVersion()) {
@@ -95,6 +107,7 @@
         long now = context.now();
         assignReaders();
         takeLeavingFromList();
+        rows.values().forEach(row -> row.saidToLeave = now < row.saidToLeaveUntilMillis);
         for (UpstreamRow row : engines) {
             if (now < row.nextLoadMillis) {
                 continue;
@@ -231,6 +244,19 @@
         return news;
     }
 
+    /**
+     * Takes the word of a peer, or of the upstream itself, that it is leaving; good for some seconds unless repeated.
+     *
+     * @param id the upstream
+     */
+    public void saidToLeave(UpstreamId id) {
+        UpstreamRow row = rows.get(id);
+        if (row != null) {
+            row.saidToLeave = true;
+            row.saidToLeaveUntilMillis = context.now() + LEAVING_WORD_MILLIS;
+        }
+    }
+
     /**
      * Takes the work that a peer has in flight.
      *
@@ -280,13 +306,22 @@
     }
 
     /**
-     * Returns the upstreams that were ordered or listed to drain.
+     * Returns the upstreams that operators ordered to drain.
      *
      * @return names
      */
     public List<String> drainingNames() {
+        return drainOrders.stream().map(UpstreamId::value).sorted().toList();
+    }
+
+    /**
+     * Returns the upstreams that this router itself sees leaving.
+     *
+     * @return names
+     */
+    public List<String> leavingNames() {
         return rows.values().stream()
-                .filter(UpstreamRow::draining)
+                .filter(UpstreamRow::seenLeaving)
                 .map(row -> row.id().value())
                 .toList();
     }
--- a/fuchsiatrail-proofs/src/test/java/org/fuchsiatrail/proofs/StopProofTest.java
+++ b/fuchsiatrail-proofs/src/test/java/org/fuchsiatrail/proofs/StopProofTest.java
@@ -69,6 +69,40 @@
         checkNoNewWork(fixture, fixture.deployment.now() + listLag);
     }
 
+    private boolean getsWork(Fixture fixture) {
+        long since = fixture.deployment.now();
+        for (int number = 0; number < 60; number++) {
+            ChatCall call = Fixture.chat(Fixture.prompt("again " + number, 20), 3);
+            fixture.deployment.chat(fixture.router(1 + number % 3), Fixture.ALPHA_KEY, call);
+            fixture.deployment.run(100);
+        }
+        return fixture.deployment.startsAt(LEAVING).stream().anyMatch(moment -> moment > since);
+    }
+
+    @Test
+    void should_give_work_again_when_an_intent_ends_a_drain_that_also_an_operator_had_ordered() {
+        Fixture fixture = Fixture.started(6);
+        fixture.deployment.ask(fixture.router(1), new OperatorRequest.Drain(LEAVING));
+        fixture.deployment.run(500);
+        fixture.deployment.putInForce(fixture.router(2), Fixture.intent(List.of(2), Fixture.TUTOR));
+        fixture.deployment.run(2_000);
+        fixture.deployment.putInForce(fixture.router(3), Fixture.intent(Fixture.TUTOR));
+        fixture.deployment.run(3_000);
+
+        assertThat(getsWork(fixture)).isTrue();
+    }
+
+    @Test
+    void should_give_work_again_to_an_engine_that_no_longer_says_it_is_leaving() {
+        Fixture fixture = Fixture.started(7);
+        fixture.deployment.engines().get(LEAVING).drain(true);
+        fixture.deployment.run(5_000);
+        fixture.deployment.engines().get(LEAVING).drain(false);
+        fixture.deployment.run(15_000);
+
+        assertThat(getsWork(fixture)).isTrue();
+    }
+
     @Test
     void should_remember_a_drain_on_a_router_that_restarts_during_it() {
         Fixture fixture = Fixture.started(5);
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerCodecTest.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerCodecTest.java
@@ -43,6 +43,7 @@
                         List.of(load),
                         List.of(new PeerMessage.AssignedTokens(ENGINE, 5)),
                         List.of("engine-2"),
+                        List.of("engine-3"),
                         List.of(new PeerMessage.Suspicion("f", List.of("engine-1#3"))),
                         List.of(new PeerMessage.Promise(7, 8))),
                 new PeerMessage.AskConfiguration(4),
