--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/Admission.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/Admission.java
@@ -55,7 +55,8 @@
         long firstToken = best.map(Candidate::firstTokenMillis).orElse(0L);
         boolean late = context.now() + wait + firstToken > row.firstTokenByMillis;
         if (late && !row.begun() && !row.promised) {
-            return Optional.of(overloaded(row, customer, wait + firstToken - row.call.deadlineMillis()));
+            long excess = Math.max(0, wait + firstToken - row.call.deadlineMillis());
+            return Optional.of(overloaded(row, queue.portion(row.customer, customer.share()), excess));
         }
         queue.add(row.customer, customer.share(), priority(row, customer), cost(row), row.promised, row);
         return Optional.empty();
@@ -89,14 +90,6 @@
         return Math.max(drain, promised);
     }
 
-    private CallerAnswer.Refusal overloaded(ChatRow row, Intent.Customer customer, long excessMillis) {
-        double rate = rate() * queue.portion(row.customer, customer.share());
-        long service = (long) (cost(row) * 1000 / rate);
-        long drain = Math.max(excessMillis, 0);
-        long retryAfter = promises.promise(row.customer, row.fingerprint, context.now(), drain, service);
-        return new CallerAnswer.Refusal(ResultCode.OVERLOADED, "", retryAfter);
-    }
-
     void refuseHopeless(BiConsumer<ChatRow, CallerAnswer> finish) {
         if (queue.isEmpty()) {
             return;
@@ -118,10 +111,14 @@
     }
 
     CallerAnswer.Refusal overloaded(ChatRow row) {
-        double rate = rate() * queue.portion(row.customer);
-        long service = (long) (cost(row) * 1000 / rate);
-        long drain = (long) (queue.waitingCost(row.customer) * 1000 / rate);
-        long retryAfter = promises.promise(row.customer, row.fingerprint, context.now(), drain, service);
+        double portion = queue.portion(row.customer);
+        long drain = (long) (queue.waitingCost(row.customer) * 1000 / (rate() * portion));
+        return overloaded(row, portion, drain);
+    }
+
+    private CallerAnswer.Refusal overloaded(ChatRow row, double portion, long drainMillis) {
+        long service = (long) (cost(row) * 1000 / (rate() * portion));
+        long retryAfter = promises.promise(row.customer, row.fingerprint, context.now(), drainMillis, service);
         return new CallerAnswer.Refusal(ResultCode.OVERLOADED, "", retryAfter);
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatSystem.java
@@ -1,6 +1,5 @@
 package org.fuchsiatrail.internal.streams;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -65,7 +64,7 @@
     private final ResumeToken resumeTokens;
     private final ChatIntake intake;
     private final Map<RequestId, ChatRow> rows = new LinkedHashMap<>();
-    private final Map<AttemptId, ChatRow> attempts = new HashMap<>();
+    private final AttemptTable attempts = new AttemptTable();
     private final Map<CustomerId, RetryBudget> budgets = new HashMap<>();
     private long nextAttempt = 1;
 
@@ -173,7 +172,10 @@
             return false;
         }
         row.suspect = quarantine.isSuspect(row.fingerprint);
-        Set<UpstreamId> excluded = row.suspect ? withOtherSuspects(row) : row.excluded;
+        Set<UpstreamId> excluded = new HashSet<>(row.excluded);
+        if (row.suspect) {
+            excluded.addAll(attempts.enginesOfOtherSuspects(row));
+        }
         Optional<Candidate> choice = chooser.choose(row.model, row.chain, row.matches, excluded);
         if (choice.isEmpty()) {
             return giveUpWithoutEngine(row);
@@ -205,16 +207,6 @@
         return true;
     }
 
-    private Set<UpstreamId> withOtherSuspects(ChatRow row) {
-        Set<UpstreamId> excluded = new HashSet<>(row.excluded);
-        for (ChatRow other : attempts.values()) {
-            if (other != row && other.suspect && other.engine != null) {
-                excluded.add(other.engine.id());
-            }
-        }
-        return excluded;
-    }
-
     private void start(ChatRow row, Candidate choice) {
         UpstreamRow engine = choice.engine();
         row.state = ChatRow.State.RUNNING;
@@ -226,7 +218,7 @@
         row.uncachedTokens = choice.uncachedTokens();
         row.prefillOver = false;
         row.lastHeardMillis = context.now();
-        attempts.put(row.attempt, row);
+        attempts.add(row);
         engine.dispatched(context.now(), row.uncachedTokens);
         admission.started(row);
         context.count("attempts.chat");
@@ -362,7 +354,7 @@
         context.count("attempts.lost");
         upstreams.failed(row.engine);
         if (lost.connected()) {
-            quarantine.crashed(row.engine.id(), row.engineIncarnation, runningOn(row.engine));
+            quarantine.crashed(row.engine.id(), row.engineIncarnation, attempts.fingerprintsOn(row.engine));
         }
         row.excluded.add(row.engine.id());
         leaveEngine(row);
@@ -372,16 +364,6 @@
         waitAgain(row);
     }
 
-    private List<String> runningOn(UpstreamRow engine) {
-        List<String> fingerprints = new ArrayList<>();
-        for (ChatRow row : attempts.values()) {
-            if (row.engine == engine && row.state == ChatRow.State.RUNNING) {
-                fingerprints.add(row.fingerprint);
-            }
-        }
-        return fingerprints;
-    }
-
     private void goOnElsewhere(ChatRow row) {
         row.excluded.add(row.engine.id());
         cancelAttempt(row);
@@ -408,17 +390,7 @@
 
     /** Ends attempts whose engine has said nothing for long, such as one that is frozen. */
     private void endSilentAttempts() {
-        long oldest = context.now() - context.settings().silenceMillis();
-        List<ChatRow> silent = new ArrayList<>();
-        for (ChatRow row : attempts.values()) {
-            long allowance = row.prefillOver
-                    ? 0
-                    : row.engine.queuedTokens(context.now()) * 1000 / row.engine.prefillTokensPerSecond();
-            if (row.lastHeardMillis + allowance < oldest) {
-                silent.add(row);
-            }
-        }
-        for (ChatRow row : silent) {
+        for (ChatRow row : attempts.silent(context.now(), context.settings().silenceMillis())) {
             context.count("attempts.silent");
             upstreams.failed(row.engine);
             goOnElsewhere(row);
