Name messages received and reserved retries by their usual terms

Cause, found by reading: hear and promise are no terms of the field. Methods that take a message are receive now, and times to come back are retry reservations.

--- a/fuchsiatrail-bench/src/main/java/org/fuchsiatrail/bench/Run.java
+++ b/fuchsiatrail-bench/src/main/java/org/fuchsiatrail/bench/Run.java
@@ -308,10 +308,10 @@
                 shape.answerTokens(),
                 0,
                 "");
-        deployment.engines().get(sent.engine).start(deployment.now(), call, event -> hear(id, sent, event));
+        deployment.engines().get(sent.engine).start(deployment.now(), call, event -> receive(id, sent, event));
     }
 
-    private void hear(RequestId id, Direct sent, EngineEvent event) {
+    private void receive(RequestId id, Direct sent, EngineEvent event) {
         boolean measured = id.value().startsWith("measured");
         switch (event) {
             case EngineEvent.Token token -> {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
@@ -18,7 +18,7 @@
      * @param draining upstreams that an operator ordered to drain
      * @param leaving upstreams that the sender itself saw leaving, by their report or on the platform's list
      * @param suspicions requests that ran on engines that crashed
-     * @param promises times to come back given since the last heartbeat
+     * @param reservations times to come back given since the last heartbeat
      */
     record Heartbeat(
             EntryVm vm,
@@ -31,7 +31,7 @@
             List<String> draining,
             List<String> leaving,
             List<Suspicion> suspicions,
-            List<Promise> promises)
+            List<RetryReservation> reservations)
             implements PeerMessage {}
 
     /**
@@ -40,7 +40,7 @@
      * @param fingerprint the hash of the request's fingerprint
      * @param atMillis when it is to come back
      */
-    record Promise(long fingerprint, long atMillis) {}
+    record RetryReservation(long fingerprint, long atMillis) {}
 
     /**
      * Work that a router has in flight on an engine.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/configuration/ConfigurationSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/configuration/ConfigurationSystem.java
@@ -195,7 +195,7 @@
      *
      * @param message the message
      */
-    public void hear(PeerMessage.TellConfiguration message) {
+    public void receive(PeerMessage.TellConfiguration message) {
         if (message.revision() > current.revision()) {
             take(message.document(), false);
         }
@@ -207,7 +207,7 @@
      * @param from the peer
      * @param message the message
      */
-    public void hear(EntryVmId from, PeerMessage.AskConfiguration message) {
+    public void receive(EntryVmId from, PeerMessage.AskConfiguration message) {
         if (message.knownRevision() < current.revision()) {
             tell(from);
         }
@@ -219,7 +219,7 @@
      * @param from the peer
      * @param revision its revision
      */
-    public void hearRevision(EntryVmId from, long revision) {
+    public void receiveRevision(EntryVmId from, long revision) {
         if (revision > current.revision() && context.now() >= nextAskMillis) {
             nextAskMillis = context.now() + ASK_INTERVAL_MILLIS;
             membership.send(from, new PeerMessage.AskConfiguration(current.revision()));
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/directory/DirectorySystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/directory/DirectorySystem.java
@@ -109,7 +109,7 @@
      * @param from the peer
      * @param question the question
      */
-    public void hear(EntryVmId from, PeerMessage.AskDirectory question) {
+    public void receive(EntryVmId from, PeerMessage.AskDirectory question) {
         List<PeerMessage.PrefixMatch> matches = directory.lookup(question.checkpoints(), context.now());
         membership.send(from, new PeerMessage.TellDirectory(question.lookup(), matches));
     }
@@ -120,7 +120,7 @@
      * @param from the peer
      * @param answer the answer
      */
-    public void hear(EntryVmId from, PeerMessage.TellDirectory answer) {
+    public void receive(EntryVmId from, PeerMessage.TellDirectory answer) {
         Pending asked = pending.get(answer.lookup());
         if (asked == null || !asked.owner().equals(from)) {
             context.count("directory.late-answers");
@@ -135,7 +135,7 @@
      *
      * @param report the evidence
      */
-    public void hear(PeerMessage.ReportCache report) {
+    public void receive(PeerMessage.ReportCache report) {
         for (CacheRun run : report.runs()) {
             directory.store(report.engine(), report.incarnation(), run.stored(), context.now());
             directory.evict(report.engine(), report.incarnation(), run.evicted());
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/ledger/LedgerSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/ledger/LedgerSystem.java
@@ -117,7 +117,7 @@
      * @param from the peer
      * @param message the claim
      */
-    public void hear(EntryVmId from, PeerMessage.AskClaim message) {
+    public void receive(EntryVmId from, PeerMessage.AskClaim message) {
         LedgerClaim claim = message.claim();
         shard(claim.entryKey())
                 .claim(claim, verdict -> membership.send(from, new PeerMessage.TellClaim(claim.claimId(), verdict)));
@@ -129,7 +129,7 @@
      * @param message the answer
      * @return false when nobody here waits for it any more
      */
-    public boolean hear(PeerMessage.TellClaim message) {
+    public boolean receive(PeerMessage.TellClaim message) {
         RemoteClaim asked = remoteClaims.remove(message.claimId());
         if (asked == null) {
             return false;
@@ -144,7 +144,7 @@
      * @param from the peer
      * @param message the end
      */
-    public void hear(EntryVmId from, PeerMessage.TellEnd message) {
+    public void receive(EntryVmId from, PeerMessage.TellEnd message) {
         ClaimEnd end = message.end();
         shard(end.entryKey()).end(end, () -> membership.send(from, new PeerMessage.EndRecorded(end.claimId())));
     }
@@ -154,7 +154,7 @@
      *
      * @param message the news
      */
-    public void hear(PeerMessage.EndRecorded message) {
+    public void receive(PeerMessage.EndRecorded message) {
         OpenEnd open = openEnds.get(message.claimId());
         if (open != null && !open.local) {
             openEnds.remove(message.claimId());
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/membership/MembershipSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/membership/MembershipSystem.java
@@ -90,7 +90,7 @@
      * @param beat the heartbeat
      * @return true when the peer is new, came back or restarted
      */
-    public boolean hear(PeerMessage.Heartbeat beat) {
+    public boolean receive(PeerMessage.Heartbeat beat) {
         EntryVmId id = beat.vm().id();
         if (id.equals(context.selfId())) {
             return false;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/orders/OrderSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/orders/OrderSystem.java
@@ -200,7 +200,7 @@
      * @param accepted whether it took effect
      * @param reason why not
      */
-    public void hear(String order, boolean accepted, String reason) {
+    public void receive(String order, boolean accepted, String reason) {
         if (accepted) {
             return;
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/quarantine/QuarantineSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/quarantine/QuarantineSystem.java
@@ -167,7 +167,7 @@
      *
      * @param suspicions its suspicions
      */
-    public void hear(List<PeerMessage.Suspicion> suspicions) {
+    public void receive(List<PeerMessage.Suspicion> suspicions) {
         for (PeerMessage.Suspicion suspicion : suspicions) {
             for (String crash : suspicion.crashes()) {
                 suspect(suspicion.fingerprint(), crash);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/router/DefaultRouterCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/router/DefaultRouterCore.java
@@ -148,16 +148,16 @@
                 chats.callerLeft(left.request());
                 services.callerLeft(left.request());
             }
-            case Input.EngineSpoke spoke -> chats.hear(spoke.attempt(), spoke.event());
-            case Input.ServiceEnded ended -> services.hear(ended.attempt(), ended.outcome());
+            case Input.EngineSpoke spoke -> chats.receive(spoke.attempt(), spoke.event());
+            case Input.ServiceEnded ended -> services.receive(ended.attempt(), ended.outcome());
             case Input.LoadArrived load -> {
                 upstreams.takeLoad(load.report());
                 quarantine.takeLoad(load.report());
             }
             case Input.LoadMissing missing -> upstreams.loadMissing(missing.engine());
             case Input.CacheEventsArrived arrived -> directory.takeEvents(arrived.events());
-            case Input.OrderEnded ended -> orders.hear(ended.order(), ended.accepted(), ended.reason());
-            case Input.PeerSpoke spoke -> hear(spoke.from(), spoke.message());
+            case Input.OrderEnded ended -> orders.receive(ended.order(), ended.accepted(), ended.reason());
+            case Input.PeerSpoke spoke -> receive(spoke.from(), spoke.message());
             case Input.StoreAnswered answered -> store.answer(answered.call(), answered.result());
             case Input.OperatorAsked asked -> answer(asked.call(), asked.request());
             case Input.StopAsked stop -> beginStop();
@@ -176,30 +176,30 @@
         return false;
     }
 
-    private void hear(EntryVmId from, PeerMessage message) {
+    private void receive(EntryVmId from, PeerMessage message) {
         switch (message) {
-            case PeerMessage.Heartbeat beat -> hearHeartbeat(from, beat);
-            case PeerMessage.AskDirectory question -> directory.hear(from, question);
-            case PeerMessage.TellDirectory answer -> directory.hear(from, answer);
-            case PeerMessage.ReportCache report -> directory.hear(report);
-            case PeerMessage.TellConfiguration told -> configuration.hear(told);
-            case PeerMessage.AskConfiguration asked -> configuration.hear(from, asked);
-            case PeerMessage.AskClaim claim -> ledger.hear(from, claim);
-            case PeerMessage.TellClaim told -> hearVerdict(told);
-            case PeerMessage.TellEnd end -> ledger.hear(from, end);
-            case PeerMessage.EndRecorded recorded -> ledger.hear(recorded);
+            case PeerMessage.Heartbeat beat -> receiveHeartbeat(from, beat);
+            case PeerMessage.AskDirectory question -> directory.receive(from, question);
+            case PeerMessage.TellDirectory answer -> directory.receive(from, answer);
+            case PeerMessage.ReportCache report -> directory.receive(report);
+            case PeerMessage.TellConfiguration told -> configuration.receive(told);
+            case PeerMessage.AskConfiguration asked -> configuration.receive(from, asked);
+            case PeerMessage.AskClaim claim -> ledger.receive(from, claim);
+            case PeerMessage.TellClaim told -> receiveVerdict(told);
+            case PeerMessage.TellEnd end -> ledger.receive(from, end);
+            case PeerMessage.EndRecorded recorded -> ledger.receive(recorded);
         }
     }
 
-    private void hearVerdict(PeerMessage.TellClaim told) {
-        boolean awaited = ledger.hear(told);
+    private void receiveVerdict(PeerMessage.TellClaim told) {
+        boolean awaited = ledger.receive(told);
         if (!awaited) {
             services.lateGrant(told.claimId());
         }
     }
 
-    private void hearHeartbeat(EntryVmId from, PeerMessage.Heartbeat beat) {
-        boolean fresh = membership.hear(beat);
+    private void receiveHeartbeat(EntryVmId from, PeerMessage.Heartbeat beat) {
+        boolean fresh = membership.receive(beat);
         beat.loads().forEach(report -> {
             upstreams.takeLoad(report);
             quarantine.takeLoad(report);
@@ -209,9 +209,9 @@
             beat.draining().forEach(name -> upstreams.drain(new UpstreamId(name)));
         }
         beat.leaving().forEach(name -> upstreams.saidToLeave(new UpstreamId(name)));
-        quarantine.hear(beat.suspicions());
-        chats.hearPromises(beat.promises());
-        configuration.hearRevision(from, beat.revision());
+        quarantine.receive(beat.suspicions());
+        chats.receiveReservations(beat.reservations());
+        configuration.receiveRevision(from, beat.revision());
         if (fresh) {
             membership.announceSoon();
         }
@@ -267,6 +267,6 @@
                 upstreams.drainingNames(),
                 upstreams.leavingNames(),
                 quarantine.suspicions(),
-                chats.takeNewPromises());
+                chats.takeNewReservations());
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/services/ServiceSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/services/ServiceSystem.java
@@ -205,7 +205,7 @@
      * @param attempt the attempt
      * @param outcome how it ended
      */
-    public void hear(AttemptId attempt, ServiceOutcome outcome) {
+    public void receive(AttemptId attempt, ServiceOutcome outcome) {
         ServiceRow row = attempts.remove(attempt);
         if (row == null || row.state != ServiceRow.State.SENT) {
             context.count("services.late-outcomes");
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/Admission.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/Admission.java
@@ -11,7 +11,7 @@
 import org.fuchsiatrail.PrefixChain;
 import org.fuchsiatrail.ResultCode;
 import org.fuchsiatrail.internal.limits.FairQueue;
-import org.fuchsiatrail.internal.limits.Promises;
+import org.fuchsiatrail.internal.limits.RetryReservations;
 import org.fuchsiatrail.internal.router.RouterContext;
 import org.fuchsiatrail.internal.routing.Candidate;
 import org.fuchsiatrail.internal.routing.EngineChooser;
@@ -21,7 +21,7 @@
 /**
  * Lets requests in, holds those that wait in fair order, and refuses at once those that cannot be served in time.
  *
- * <p>The rate at which waiting work leaves the queue is measured; a customer's part of it and its waiting and promised
+ * <p>The rate at which waiting work leaves the queue is measured; a customer's part of it and its waiting and reserved
  * work tell how long a new request would wait.
  */
 final class Admission {
@@ -36,7 +36,7 @@
     private final EngineChooser chooser;
     private final UpstreamSystem upstreams;
     private final FairQueue<ChatRow> queue = new FairQueue<>();
-    private final Promises promises = new Promises();
+    private final RetryReservations reservations = new RetryReservations();
     private double tokensPerSecond;
     private long startedTokens;
     private long intervalStartMillis;
@@ -49,21 +49,21 @@
     }
 
     Optional<CallerAnswer.Refusal> admit(ChatRow row, Intent.Customer customer) {
-        row.promised = promises.redeem(row.fingerprint, context.now());
+        row.reserved = reservations.redeem(row.fingerprint, context.now());
         long wait = predictedWait(row, customer);
         Optional<Candidate> best = chooser.choose(row.model, row.chain, row.matches, row.excluded);
         long firstToken = best.map(Candidate::firstTokenMillis).orElse(0L);
         boolean late = context.now() + wait + firstToken > row.firstTokenByMillis;
-        if (late && !row.begun() && !row.promised) {
+        if (late && !row.begun() && !row.reserved) {
             long excess = Math.max(0, wait + firstToken - row.call.deadlineMillis());
             return Optional.of(overloaded(row, queue.portion(row.customer, customer.share()), excess));
         }
-        queue.add(row.customer, customer.share(), priority(row, customer), cost(row), row.promised, row);
+        queue.add(row.customer, customer.share(), priority(row, customer), cost(row), row.reserved, row);
         return Optional.empty();
     }
 
-    Promises promises() {
-        return promises;
+    RetryReservations reservations() {
+        return reservations;
     }
 
     void enqueueFirst(ChatRow row, Intent.Customer customer) {
@@ -86,8 +86,8 @@
         long waiting = queue.waitingCost(row.customer);
         double rate = rate() * queue.portion(row.customer, customer.share());
         long drain = waiting == 0 ? 0 : (long) (waiting * 1000 / rate);
-        long promised = waiting == 0 ? 0 : promises.promisedMillis(row.customer, context.now());
-        return Math.max(drain, promised);
+        long reserved = waiting == 0 ? 0 : reservations.reservedMillis(row.customer, context.now());
+        return Math.max(drain, reserved);
     }
 
     void refuseHopeless(BiConsumer<ChatRow, CallerAnswer> finish) {
@@ -118,7 +118,7 @@
 
     private CallerAnswer.Refusal overloaded(ChatRow row, double portion, long drainMillis) {
         long service = (long) (cost(row) * 1000 / (rate() * portion));
-        long retryAfter = promises.promise(row.customer, row.fingerprint, context.now(), drainMillis, service);
+        long retryAfter = reservations.reserve(row.customer, row.fingerprint, context.now(), drainMillis, service);
         return new CallerAnswer.Refusal(ResultCode.OVERLOADED, "", retryAfter);
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatRow.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatRow.java
@@ -51,7 +51,7 @@
     int uncachedTokens;
     boolean prefillOver;
     boolean suspect;
-    boolean promised;
+    boolean reserved;
     long nextPosition;
     int cachedTokens;
     long lastHeardMillis;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatSystem.java
@@ -247,7 +247,7 @@
      * @param attempt the attempt
      * @param event what it said
      */
-    public void hear(AttemptId attempt, EngineEvent event) {
+    public void receive(AttemptId attempt, EngineEvent event) {
         ChatRow row = attempts.get(attempt);
         if (row == null || row.state != ChatRow.State.RUNNING || !attempt.equals(row.attempt)) {
             context.count("streams.late-events");
@@ -417,19 +417,19 @@
     /**
      * Returns the times to come back given since the last call, for the peers.
      *
-     * @return promises
+     * @return reservations
      */
-    public List<PeerMessage.Promise> takeNewPromises() {
-        return admission.promises().takeNew();
+    public List<PeerMessage.RetryReservation> takeNewReservations() {
+        return admission.reservations().takeNew();
     }
 
     /**
      * Takes the times to come back that a peer gave; their callers may come to this router.
      *
-     * @param promises the peer's promises
+     * @param reservations the peer's reservations
      */
-    public void hearPromises(List<PeerMessage.Promise> promises) {
-        promises.forEach(admission.promises()::hear);
+    public void receiveReservations(List<PeerMessage.RetryReservation> reservations) {
+        reservations.forEach(admission.reservations()::receive);
     }
 
     /**
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/limits/RetryBudgetTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/limits/RetryBudgetTest.java
@@ -19,16 +19,16 @@
     }
 
     @Test
-    void should_set_promises_one_behind_the_other_and_keep_the_same_for_a_repeated_request() {
-        Promises promises = new Promises();
+    void should_set_reservations_one_behind_the_other_and_keep_the_same_for_a_repeated_request() {
+        RetryReservations reservations = new RetryReservations();
         CustomerId customer = new CustomerId("customer");
-        long first = promises.promise(customer, "a", 0, 1_000, 200);
-        long second = promises.promise(customer, "b", 0, 1_000, 200);
+        long first = reservations.reserve(customer, "a", 0, 1_000, 200);
+        long second = reservations.reserve(customer, "b", 0, 1_000, 200);
 
         assertThat(second).isEqualTo(first + 200);
-        assertThat(promises.promise(customer, "a", 100, 1_000, 200)).isEqualTo(first - 100);
-        assertThat(promises.redeem("a", first - 1)).isFalse();
-        assertThat(promises.redeem("a", first)).isTrue();
-        assertThat(promises.redeem("a", first)).isFalse();
+        assertThat(reservations.reserve(customer, "a", 100, 1_000, 200)).isEqualTo(first - 100);
+        assertThat(reservations.redeem("a", first - 1)).isFalse();
+        assertThat(reservations.redeem("a", first)).isTrue();
+        assertThat(reservations.redeem("a", first)).isFalse();
     }
 }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerListener.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerListener.java
@@ -13,5 +13,5 @@
      * @param from the peer, which has proved that it holds the shared secret
      * @param message the message
      */
-    void hear(EntryVmId from, PeerMessage message);
+    void receive(EntryVmId from, PeerMessage message);
 }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerTransport.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerTransport.java
@@ -180,7 +180,7 @@
                 return;
             }
             try {
-                listener.hear(peer, PeerCodec.read(bytes));
+                listener.receive(peer, PeerCodec.read(bytes));
             } catch (MalformedPeerMessageException e) {
                 refuse(context);
             }
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerCodecTest.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerCodecTest.java
@@ -45,7 +45,7 @@
                         List.of("engine-2"),
                         List.of("engine-3"),
                         List.of(new PeerMessage.Suspicion("f", List.of("engine-1#3"))),
-                        List.of(new PeerMessage.Promise(7, 8))),
+                        List.of(new PeerMessage.RetryReservation(7, 8))),
                 new PeerMessage.AskConfiguration(4),
                 new PeerMessage.AskClaim(claim, "trace"),
                 new PeerMessage.TellClaim("c", new ClaimVerdict.Granted()),
