Fetch shared prompt parts between engines; switch engines by resetting resumable streams

Orders in wait mode took up to 3.5 s, since long streams had to finish first.

Routers now tell each other which parts engines have read and have engines fetch missing parts from one that holds them. The order holder announces an engine, waits until requests that cannot go on elsewhere are gone (at most 1.2 s), then orders with reset; streams that may resume go on at another engine.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
@@ -150,6 +150,7 @@
      * @param weights versions of weights that the sender has seen on engines
      * @param switching engines that take new weights now
      * @param crashes requests that ran on upstreams that crashed
+     * @param reads prompt parts that engines have read since the last news
      */
     record ForwardingNews(
             EntryVm vm,
@@ -160,7 +161,8 @@
             List<UpstreamWork> work,
             List<SeenWeights> weights,
             List<UpstreamId> switching,
-            List<SeenCrash> crashes)
+            List<SeenCrash> crashes,
+            List<ReadParts> reads)
             implements PeerMessage {}
 
     /**
@@ -178,9 +180,19 @@
      *
      * @param upstream the upstream
      * @param running requests without an end
+     * @param bound those of them that cannot go on elsewhere
      * @param promptTokens prompt tokens that are still to be read
      */
-    record UpstreamWork(UpstreamId upstream, int running, long promptTokens) {}
+    record UpstreamWork(UpstreamId upstream, int running, int bound, long promptTokens) {}
+
+    /**
+     * Prompt parts that an engine has read.
+     *
+     * @param engine the engine
+     * @param keys the parts, each with all parts before it
+     * @param tokens the length of each part
+     */
+    record ReadParts(UpstreamId engine, long[] keys, long[] tokens) {}
 
     /**
      * The version of weights that an engine was seen with.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingOutput.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingOutput.java
@@ -63,7 +63,7 @@
     record CallStore(long call, StoreCall request, long timeoutMillis) implements ForwardingOutput {}
 
     /**
-     * Order an engine to take new weights once its runs have finished.
+     * Order an engine to take new weights at once; streams that still run on it are reset.
      *
      * @param engine the engine, in this life
      * @param address its IP address and port
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ServiceDefinition.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ServiceDefinition.java
@@ -18,8 +18,22 @@
      *
      * @param slots requests that an engine generates for at once
      * @param memoryTokens tokens that fit into an engine's KV memory
+     * @param tokenBytes bytes of KV memory for each token
+     * @param linkMegabits megabits a second of an engine's link
      */
-    public record EngineTraits(int slots, long memoryTokens) {}
+    public record EngineTraits(int slots, long memoryTokens, long tokenBytes, long linkMegabits) {
+
+        private static final double BITS_OF_MEGABIT_IN_MILLI = 1_000;
+
+        /**
+         * Returns how fast an engine fetches cached parts from another.
+         *
+         * @return tokens in a millisecond over an idle link, or 0 when the link is not known
+         */
+        public double fetchTokensPerMilli() {
+            return tokenBytes <= 0 ? 0 : linkMegabits * BITS_OF_MEGABIT_IN_MILLI / 8 / tokenBytes;
+        }
+    }
 
     /**
      * A store of kept KV cache.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -39,6 +39,7 @@
     private final RetryBudgets budgets;
     private final EngineStates engineStates;
     private final CrashRegister crashes;
+    private final PeerNews peers;
     private final Map<RequestId, CallRow> rows = new LinkedHashMap<>();
     private final Map<AttemptId, CallRow> attempts = new HashMap<>();
     private final PriorityQueue<Due> due = new PriorityQueue<>(Comparator.comparingLong(Due::atMillis));
@@ -52,13 +53,15 @@
             ForwardedUpstreams upstreams,
             RetryBudgets budgets,
             EngineStates engineStates,
-            CrashRegister crashes) {
+            CrashRegister crashes,
+            PeerNews peers) {
         this.context = context;
         this.known = known;
         this.upstreams = upstreams;
         this.budgets = budgets;
         this.engineStates = engineStates;
         this.crashes = crashes;
+        this.peers = peers;
         this.placement = new UpstreamPlacement(context.settings().self().failureDomain(), context.random());
     }
 
@@ -118,7 +121,7 @@
         }
         List<ForwardedUpstream> candidates = candidates(row);
         Optional<UpstreamPlacement.Choice> choice = row.route.prompted()
-                ? placement.placePrompt(row.call, candidates, chains(row), context.now())
+                ? placement.placePrompt(row.call, candidates, chains(row), conditions(row))
                 : placement.placeCall(candidates, context.now());
         if (choice.isEmpty()) {
             waitOrRefuse(row);
@@ -142,6 +145,16 @@
         send(row, choice.get(), remaining);
     }
 
+    private UpstreamPlacement.Conditions conditions(CallRow row) {
+        long named =
+                known.named(row.call.model()).map(weights -> weights.version()).orElse(0L);
+        long age = context.now() - known.namedAtMillis(row.call.model());
+        double fetchRate = known.traits(row.service)
+                .map(traits -> traits.fetchTokensPerMilli())
+                .orElse(0.0);
+        return new UpstreamPlacement.Conditions(context.now(), named, timing.oldWeightsCost(age), fetchRate);
+    }
+
     private void waitOrRefuse(CallRow row) {
         if (context.now() < row.waitUntilMillis) {
             row.state = CallRow.State.WAITING;
@@ -156,7 +169,7 @@
         List<ForwardedUpstream> suspects = new ArrayList<>();
         for (ForwardedUpstream upstream : upstreams.staying(row.service)) {
             boolean refuses = context.now() < upstream.fullUntilMillis
-                    || (row.route.prompted() && context.now() < upstream.switchingUntilMillis);
+                    || (row.route.prompted() && upstream.switching(context.now()));
             if (refuses || row.excluded.contains(upstream.id()) || weightsOutdated(row, upstream)) {
                 continue;
             }
@@ -194,7 +207,12 @@
                 ? context.now() + timing.patienceMillis(row.route, choice.predictedMillis())
                 : Long.MAX_VALUE;
         attempts.put(row.attempt, row);
-        upstream.inFlight.put(row.attempt, new ForwardedUpstream.AttemptRow(context.now(), choice.uncachedTokens()));
+        upstream.inFlight.put(
+                row.attempt,
+                new ForwardedUpstream.AttemptRow(
+                        context.now(),
+                        !row.route.repeatable() || row.runs + 1 >= row.route.maximumAttempts(),
+                        choice.uncachedTokens()));
         if (row.patienceAtMillis < row.deadlineAtMillis) {
             schedule(row, row.patienceAtMillis);
         }
@@ -238,7 +256,7 @@
                 version == null ? "" : CacheSalt.of(row.customer, version),
                 row.route.prompted() ? OptionalInt.of(Math.clamp(row.priority(), 0, 9)) : OptionalInt.empty(),
                 row.lastEvent,
-                Optional.empty(),
+                row.choice.fetchFrom().map(source -> source.entry.address()),
                 Optional.empty());
     }
 
@@ -317,13 +335,10 @@
             context.emit(new ForwardingOutput.Measure("first-event", context.now() - running.sentAtMillis));
             running.promptTokens = 0;
         }
-        if (row.choice != null) {
-            long capacity = known.routing()
-                    .flatMap(routing -> routing.service(row.service))
-                    .flatMap(service -> service.engine())
-                    .map(engine -> engine.memoryTokens())
-                    .orElse(CallTiming.DEFAULT_MEMORY_TOKENS);
-            row.upstream.cache.read(row.choice.chain().links(), capacity);
+        if (row.choice != null && row.route.prompted()) {
+            long capacity = known.memoryTokens(row.service);
+            PromptChain chain = row.choice.chain();
+            peers.partsRead(row.upstream.id(), row.upstream.cache.read(chain.shared(), capacity));
         }
         upstreams.succeeded(row.upstream);
         row.state = CallRow.State.DELIVERING;
@@ -383,13 +398,18 @@
                 lost.reason(),
                 "delivering",
                 delivering);
-        upstreams.failed(row.upstream, lost.reason());
+        boolean expected = lost.sent() && row.upstream.switching(context.now());
+        if (!expected) {
+            upstreams.failed(row.upstream, lost.reason());
+        }
         row.excluded.add(row.upstream.id());
         context.emit(new ForwardingOutput.Cancel(row.attempt));
         if (lost.sent()) {
             row.runs++;
+        }
+        if (lost.sent() && !expected) {
             crashes.lost(row.call.fingerprint(), row.upstream.life());
-        } else {
+        } else if (!lost.sent()) {
             crashes.unreachable(row.upstream.life());
         }
         if (!lost.lastEvent().isEmpty()) {
@@ -542,7 +562,11 @@
 
     private void leave(CallRow row) {
         attempts.remove(row.attempt);
-        row.upstream.inFlight.remove(row.attempt);
+        ForwardedUpstream.AttemptRow left = row.upstream.inFlight.remove(row.attempt);
+        boolean last = left != null && left.bound && row.upstream.ownBound() == 0;
+        if (last && row.upstream.switching(context.now())) {
+            peers.announceSoon();
+        }
     }
 
     private void forget(CallRow row) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTiming.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTiming.java
@@ -39,12 +39,21 @@
     /** The most upstreams that a request is offered to. */
     static final int MOST_SENDS = 4;
 
-    /** KV memory of an engine whose service does not tell it, in tokens. */
-    static final long DEFAULT_MEMORY_TOKENS = 90_000;
-
     /** The HTTP status of an upstream that is another than expected or has other weights. */
     static final int MISDIRECTED = 421;
 
+    /** How long replaced weights still earn everything, in milliseconds; the users charge from 1.5 s on. */
+    private static final long OLD_WEIGHTS_FREE_MILLIS = 1_300;
+
+    /** When a longer wait is better than replaced weights, in milliseconds; they earn nothing from 8 s on. */
+    private static final long OLD_WEIGHTS_LATE_MILLIS = 4_500;
+
+    /** Cost of a fifth of the credit, in milliseconds of a first event's wait. */
+    private static final double OLD_WEIGHTS_COST_MILLIS = 100;
+
+    /** Cost once replaced weights are about to earn nothing, in milliseconds. */
+    private static final double OLD_WEIGHTS_LATE_COST_MILLIS = 400;
+
     /** A refusal within this part of the objective costs callers nothing. */
     private static final double FREE_WAIT_PART = 0.12;
 
@@ -62,6 +71,14 @@
 
     private static final long LONGEST_RETRY_MILLIS = 1_000;
 
+    /** Cost of weights that newer ones have replaced, in milliseconds, by the time since these were named. */
+    double oldWeightsCost(long namedMillisAgo) {
+        if (namedMillisAgo < OLD_WEIGHTS_FREE_MILLIS) {
+            return 0;
+        }
+        return namedMillisAgo < OLD_WEIGHTS_LATE_MILLIS ? OLD_WEIGHTS_COST_MILLIS : OLD_WEIGHTS_LATE_COST_MILLIS;
+    }
+
     /** How long a request may wait for a usable upstream before it is refused. */
     long waitMillis(Route route) {
         return (long) (route.objectiveMillis() * FREE_WAIT_PART);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -49,9 +49,9 @@
         crashes = new CrashRegister(context);
         EngineStates engineStates = new EngineStates(context);
         RetryBudgets budgets = new RetryBudgets(context, known);
-        calls = new CallSystem(context, known, upstreams, budgets, engineStates, crashes);
         right = new OrderRight(context, store, known);
         peers = new PeerNews(context, known, upstreams, crashes);
+        calls = new CallSystem(context, known, upstreams, budgets, engineStates, crashes, peers);
         rollout = new WeightsRollout(context, known, upstreams, right, engineStates, peers::announceSoon);
         peers.use(rollout);
         known.onChange(this::itemChanged);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstream.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstream.java
@@ -40,10 +40,14 @@
     /** A request of this router on this upstream. */
     static final class AttemptRow {
         final long sentAtMillis;
+        /** Whether the request cannot go on elsewhere. */
+        final boolean bound;
+
         long promptTokens;
 
-        AttemptRow(long sentAtMillis, long promptTokens) {
+        AttemptRow(long sentAtMillis, boolean bound, long promptTokens) {
             this.sentAtMillis = sentAtMillis;
+            this.bound = bound;
             this.promptTokens = promptTokens;
         }
     }
@@ -83,6 +87,11 @@
         newer.weights().forEach(this::sawWeights);
     }
 
+    /** Forgets the work of a peer whose news no longer names this upstream. */
+    void forgetPeerWork(EntryVmId peer) {
+        peerWork.remove(peer);
+    }
+
     /** Remembers the version of a model's weights; versions only increase within a life. */
     boolean sawWeights(String model, long version) {
         Long before = weights.get(model);
@@ -110,6 +119,26 @@
         return running;
     }
 
+    /** Own requests in flight that cannot go on elsewhere. */
+    int ownBound() {
+        return (int) inFlight.values().stream().filter(attempt -> attempt.bound).count();
+    }
+
+    /** Requests in flight from all routers that cannot go on elsewhere, as far as known. */
+    int bound(long nowMillis) {
+        int bound = ownBound();
+        for (PeerWork peer : peerWork.values()) {
+            if (peer.atMillis() >= nowMillis - PEER_WORK_MILLIS) {
+                bound += peer.work().bound();
+            }
+        }
+        return bound;
+    }
+
+    boolean switching(long nowMillis) {
+        return nowMillis < switchingUntilMillis;
+    }
+
     /** Prompt tokens that are still to be read for requests of all routers, as far as known. */
     long pendingPromptTokens(long nowMillis) {
         long tokens = 0;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/KnownItems.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/KnownItems.java
@@ -10,6 +10,7 @@
 import java.util.function.BiConsumer;
 
 import org.fuchsiatrail.forwarding.RoutingTable;
+import org.fuchsiatrail.forwarding.ServiceDefinition;
 import org.fuchsiatrail.forwarding.StoreFact;
 import org.fuchsiatrail.forwarding.StoreItem;
 
@@ -21,6 +22,9 @@
  */
 final class KnownItems {
 
+    /** KV memory of an engine whose service does not tell it, in tokens. */
+    private static final long DEFAULT_MEMORY_TOKENS = 90_000;
+
     private final ForwardingContext context;
     private final Map<String, StoreItem> items = new HashMap<>();
     private final Map<String, Long> namedAtMillis = new HashMap<>();
@@ -124,6 +128,15 @@
         return Optional.ofNullable(routing);
     }
 
+    /** The KV memory of a service's engines in tokens, or a usual size when it is not configured. */
+    long memoryTokens(String service) {
+        return traits(service).map(ServiceDefinition.EngineTraits::memoryTokens).orElse(DEFAULT_MEMORY_TOKENS);
+    }
+
+    Optional<ServiceDefinition.EngineTraits> traits(String service) {
+        return routing().flatMap(table -> table.service(service)).flatMap(ServiceDefinition::engine);
+    }
+
     /** The weights that the operators named last for a model, if any. */
     Optional<StoreFact.NamedWeights> named(String model) {
         StoreFact.NamedWeights newest = null;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerNews.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerNews.java
@@ -17,11 +17,11 @@
  */
 final class PeerNews {
 
-    /** Pause between heartbeats in a small deployment, in milliseconds. */
-    private static final long HEARTBEAT_MILLIS = 500;
+    /** The shortest pause between heartbeats, in milliseconds; about the time of one long prompt on an engine. */
+    private static final long SHORTEST_HEARTBEAT_MILLIS = 200;
 
-    /** Pause added for each router, in milliseconds, so that the messages a second of one router stay bounded. */
-    private static final long HEARTBEAT_PER_ROUTER_MILLIS = 25;
+    /** Pause for each peer, in milliseconds: 25 messages a second take a small VM about 1 % of a core. */
+    private static final long HEARTBEAT_PER_PEER_MILLIS = 40;
 
     /** How long news is gathered before it is pushed, in milliseconds. */
     private static final long PUSH_MILLIS = 5;
@@ -39,6 +39,7 @@
     private final KnownItems known;
     private final ForwardedUpstreams upstreams;
     private final CrashRegister crashes;
+    private final List<PeerMessage.ReadParts> reads = new ArrayList<>();
     private WeightsRollout rollout;
     private long nextHeartbeatAtMillis;
     private long pushAtMillis = Long.MAX_VALUE;
@@ -51,6 +52,17 @@
         this.crashes = crashes;
     }
 
+    /** Remembers parts that an engine has read, to be told soon. */
+    void partsRead(UpstreamId engine, List<PromptChain.Link> links) {
+        if (!links.isEmpty()) {
+            reads.add(new PeerMessage.ReadParts(
+                    engine,
+                    links.stream().mapToLong(PromptChain.Link::key).toArray(),
+                    links.stream().mapToLong(PromptChain.Link::tokens).toArray()));
+            announceSoon();
+        }
+    }
+
     void use(WeightsRollout weightsRollout) {
         rollout = weightsRollout;
     }
@@ -72,7 +84,8 @@
         }
         pushAtMillis = Long.MAX_VALUE;
         List<EntryVm> peers = peers();
-        nextHeartbeatAtMillis = context.now() + HEARTBEAT_MILLIS + HEARTBEAT_PER_ROUTER_MILLIS * peers.size();
+        nextHeartbeatAtMillis =
+                context.now() + Math.max(SHORTEST_HEARTBEAT_MILLIS, HEARTBEAT_PER_PEER_MILLIS * peers.size());
         context.wakeAt(nextHeartbeatAtMillis);
         PeerMessage.ForwardingNews news = news();
         for (EntryVm peer : peers) {
@@ -97,7 +110,8 @@
                 long tokens = upstream.inFlight.values().stream()
                         .mapToLong(attempt -> attempt.promptTokens)
                         .sum();
-                work.add(new PeerMessage.UpstreamWork(upstream.id(), upstream.inFlight.size(), tokens));
+                work.add(new PeerMessage.UpstreamWork(
+                        upstream.id(), upstream.inFlight.size(), upstream.ownBound(), tokens));
             }
         }
         return new PeerMessage.ForwardingNews(
@@ -109,7 +123,14 @@
                 work,
                 newWeights(),
                 rollout.switching(),
-                crashes.takeUntold());
+                crashes.takeUntold(),
+                takeReads());
+    }
+
+    private List<PeerMessage.ReadParts> takeReads() {
+        List<PeerMessage.ReadParts> taken = List.copyOf(reads);
+        reads.clear();
+        return taken;
     }
 
     /** Versions that the engines' own entries do not tell yet. */
@@ -135,19 +156,37 @@
             known.coveredUpTo(news.coversUpTo());
             context.note("peers", "Items taken from a peer.", "peer", from, "revision", news.coversUpTo());
         }
+        upstreams.all().forEach(row -> row.forgetPeerWork(from));
         for (PeerMessage.UpstreamWork work : news.work()) {
             upstreams.find(work.upstream()).ifPresent(row -> row.takePeerWork(from, work, context.now()));
         }
+        news.reads().forEach(this::takeReads);
         for (PeerMessage.SeenWeights seen : news.weights()) {
             upstreams.find(seen.engine()).ifPresent(row -> row.sawWeights(seen.model(), seen.version()));
         }
         for (UpstreamId engine : news.switching()) {
-            upstreams.find(engine).ifPresent(row -> row.switchingUntilMillis = context.now() + SWITCHING_MILLIS);
+            upstreams.find(engine).ifPresent(this::takeSwitching);
         }
         news.crashes().forEach(crashes::learn);
         askIfBehind(from, news);
     }
 
+    private void takeReads(PeerMessage.ReadParts read) {
+        List<PromptChain.Link> links = new ArrayList<>();
+        for (int index = 0; index < Math.min(read.keys().length, read.tokens().length); index++) {
+            links.add(new PromptChain.Link(read.keys()[index], read.tokens()[index]));
+        }
+        upstreams.find(read.engine()).ifPresent(row -> row.cache.read(links, known.memoryTokens(row.entry.service())));
+    }
+
+    private void takeSwitching(ForwardedUpstream engine) {
+        boolean started = !engine.switching(context.now());
+        engine.switchingUntilMillis = context.now() + SWITCHING_MILLIS;
+        if (started) {
+            announceSoon();
+        }
+    }
+
     private void askIfBehind(EntryVmId from, PeerMessage.ForwardingNews news) {
         if (news.revision() <= known.revision()) {
             behindSinceMillis = Long.MAX_VALUE;
@@ -168,6 +207,7 @@
                 List.of(),
                 List.of(),
                 List.of(),
+                List.of(),
                 List.of());
         context.emit(new ForwardingOutput.TellPeer(from, news.vm().address(), question));
     }
@@ -196,6 +236,7 @@
                 List.of(),
                 List.of(),
                 List.of(),
+                List.of(),
                 List.of());
         context.emit(new ForwardingOutput.TellPeer(from, question.vm().address(), reply));
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PromptCacheView.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PromptCacheView.java
@@ -1,12 +1,13 @@
 package org.fuchsiatrail.internal.forwarding;
 
+import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
 /**
- * The prompt parts that this router expects in one engine's cache, from the requests that it sent there.
+ * The prompt parts that are expected in one engine's cache, from the requests that routers have sent there.
  *
  * <p>Load pattern: sessions of long shared prompts return to the engine that read them; the least recently used parts
  * yield when the engine's memory is full.
@@ -28,11 +29,13 @@
         return cached;
     }
 
-    /** Remembers that the engine has read a prompt. */
-    void read(List<PromptChain.Link> links, long capacityTokens) {
+    /** Remembers that the engine has read parts, and returns those that were not known. */
+    List<PromptChain.Link> read(List<PromptChain.Link> links, long capacityTokens) {
+        List<PromptChain.Link> unknown = new ArrayList<>();
         for (PromptChain.Link link : links) {
             if (tokensByPart.put(link.key(), link.tokens()) == null) {
                 heldTokens += link.tokens();
+                unknown.add(link);
             }
         }
         Iterator<Map.Entry<Long, Long>> eldest = tokensByPart.entrySet().iterator();
@@ -40,6 +43,7 @@
             heldTokens -= eldest.next().getValue();
             eldest.remove();
         }
+        return unknown;
     }
 
     void clear() {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
@@ -26,8 +26,14 @@
     /** Cost of another failure domain in milliseconds: a round trip of 1 to 3 ms, and the price of its bytes. */
     private static final double FAR_MILLIS = 4;
 
-    /** Cost of weights that newer ones have replaced, in milliseconds; outweighs reading a long prompt. */
-    private static final double OLD_WEIGHTS_MILLIS = 250;
+    /** The part of a link's speed that a fetch gets beside others and between failure domains. */
+    private static final double FETCH_PART = 0.3;
+
+    /** Shared tokens below which parts are read rather than fetched; a failed fetch costs a millisecond. */
+    private static final long FEWEST_FETCHED_TOKENS = 64;
+
+    /** Part of the cost of reading shared parts that a home saves: other sessions keep their own homes. */
+    private static final double HOME_PART = 0.5;
 
     /** Cost of an engine whose slots are all taken, in milliseconds; a short generation. */
     private static final double FULL_MILLIS = 300;
@@ -54,8 +60,24 @@
      * @param chain the prompt as that upstream's cache finds it
      * @param predictedMillis the expected time to the first event or the answer
      * @param uncachedTokens prompt tokens that are expected to be read
+     * @param fetchFrom the engine that is expected to hold shared parts that the upstream lacks
+     */
+    record Choice(
+            ForwardedUpstream upstream,
+            PromptChain chain,
+            double predictedMillis,
+            long uncachedTokens,
+            Optional<ForwardedUpstream> fetchFrom) {}
+
+    /**
+     * What a placement goes by besides the upstreams.
+     *
+     * @param nowMillis the time
+     * @param namedVersion the weights that the operators named last
+     * @param oldWeightsCost the cost of older weights, in milliseconds
+     * @param fetchTokensPerMilli how fast engines fetch cached parts, or 0 when they do not
      */
-    record Choice(ForwardedUpstream upstream, PromptChain chain, double predictedMillis, long uncachedTokens) {}
+    record Conditions(long nowMillis, long namedVersion, double oldWeightsCost, double fetchTokensPerMilli) {}
 
     /** Tells how a request's prompt is found in the cache of engines with certain weights. */
     @FunctionalInterface
@@ -73,13 +95,13 @@
         Choice best = null;
         double bestCost = Double.MAX_VALUE;
         for (ForwardedUpstream upstream : candidates) {
-            int slots = Math.max(1, upstream.entry.slots());
+            int slots = slots(upstream);
             int busy = busy(upstream, nowMillis);
             double queue = Math.max(0, busy + 1 - slots) * CALL_MILLIS / slots;
             double cost = queue + far(upstream) + BUSY_MILLIS * busy / slots + random.nextDouble(TIE_MILLIS);
             if (cost < bestCost) {
                 bestCost = cost;
-                best = new Choice(upstream, new PromptChain(List.of()), queue + CALL_MILLIS, 0);
+                best = new Choice(upstream, new PromptChain(List.of()), queue + CALL_MILLIS, 0, Optional.empty());
             }
         }
         return Optional.ofNullable(best);
@@ -87,7 +109,7 @@
 
     /** Places a request with a prompt. */
     Optional<Choice> placePrompt(
-            ForwardedCall call, List<ForwardedUpstream> candidates, Chains chains, long nowMillis) {
+            ForwardedCall call, List<ForwardedUpstream> candidates, Chains chains, Conditions conditions) {
         long newest = candidates.stream()
                 .mapToLong(upstream -> version(upstream, call))
                 .max()
@@ -96,29 +118,56 @@
         Choice best = null;
         double bestCost = Double.MAX_VALUE;
         for (ForwardedUpstream upstream : candidates) {
-            long version = version(upstream, call);
-            PromptChain chain = chains.forWeights(version);
-            boolean isHome = home.isPresent() && home.get() == upstream;
-            long cached = Math.max(
-                    upstream.cache.cachedTokens(chain.links()), isHome && version == newest ? chain.sharedTokens() : 0);
-            long uncached = Math.max(0, Math.max(chain.tokens(), call.inputTokens()) - cached);
-            double wait = upstream.pendingPromptTokens(nowMillis) / READ_TOKENS_PER_MILLI;
-            int slots = Math.max(1, upstream.entry.slots());
-            double full = busy(upstream, nowMillis) >= slots ? FULL_MILLIS : 0;
-            double predicted = wait + full + uncached / READ_TOKENS_PER_MILLI;
-            double cost = predicted
+            Choice choice = choice(call, upstream, candidates, chains, conditions);
+            long shared = choice.chain().sharedTokens();
+            double homeGain =
+                    home.isPresent() && home.get() == upstream ? HOME_PART * shared / READ_TOKENS_PER_MILLI : 0;
+            double cost = choice.predictedMillis()
+                    - homeGain
                     + far(upstream)
-                    + (version < newest ? OLD_WEIGHTS_MILLIS : 0)
-                    + BUSY_MILLIS * busy(upstream, nowMillis) / slots
+                    + (version(upstream, call) < conditions.namedVersion() ? conditions.oldWeightsCost() : 0)
+                    + BUSY_MILLIS * busy(upstream, conditions.nowMillis()) / slots(upstream)
                     + random.nextDouble(TIE_MILLIS);
             if (cost < bestCost) {
                 bestCost = cost;
-                best = new Choice(upstream, chain, predicted, uncached);
+                best = choice;
             }
         }
         return Optional.ofNullable(best);
     }
 
+    /** Predicts how a request would fare on one engine, with the parts that it would fetch from another. */
+    private static Choice choice(
+            ForwardedCall call,
+            ForwardedUpstream upstream,
+            List<ForwardedUpstream> candidates,
+            Chains chains,
+            Conditions conditions) {
+        long version = version(upstream, call);
+        PromptChain chain = chains.forWeights(version);
+        long cached = upstream.cache.cachedTokens(chain.shared());
+        Optional<ForwardedUpstream> source = Optional.empty();
+        long fetched = 0;
+        for (ForwardedUpstream other : candidates) {
+            boolean usable = other != upstream && version(other, call) == version;
+            long more = usable ? other.cache.cachedTokens(chain.shared()) - cached : 0;
+            if (conditions.fetchTokensPerMilli() > 0 && more > Math.max(fetched, FEWEST_FETCHED_TOKENS)) {
+                fetched = more;
+                source = Optional.of(other);
+            }
+        }
+        long uncached = Math.max(0, Math.max(chain.tokens(), call.inputTokens()) - cached - fetched);
+        double fetch = fetched == 0 ? 0 : fetched / (conditions.fetchTokensPerMilli() * FETCH_PART);
+        double wait = upstream.pendingPromptTokens(conditions.nowMillis()) / READ_TOKENS_PER_MILLI;
+        double full = busy(upstream, conditions.nowMillis()) >= slots(upstream) ? FULL_MILLIS : 0;
+        double predicted = wait + full + fetch + uncached / READ_TOKENS_PER_MILLI;
+        return new Choice(upstream, chain, predicted, uncached, source);
+    }
+
+    private static int slots(ForwardedUpstream upstream) {
+        return Math.max(1, upstream.entry.slots());
+    }
+
     private Optional<ForwardedUpstream> home(
             ForwardedCall call, List<ForwardedUpstream> candidates, Chains chains, long newest) {
         PromptChain chain = chains.forWeights(newest);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WeightsRollout.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WeightsRollout.java
@@ -15,7 +15,8 @@
  * Brings engines to the weights that the operators named, a few at a time.
  *
  * <p>Load pattern: new weights every few seconds under traffic. Engines in a wave finish their runs and load; the
- * others serve meanwhile, and routers move their work to engines that have switched.
+ * others serve meanwhile, and routers move their work to engines that have switched. Requests that cannot go on
+ * elsewhere finish before the order; streams that can are reset by it and go on at another engine.
  */
 final class WeightsRollout {
 
@@ -26,7 +27,13 @@
     private static final long ORDER_MILLIS = 6_000;
 
     /** Pause between looks at a wave, in milliseconds. */
-    private static final long LOOK_MILLIS = 100;
+    private static final long LOOK_MILLIS = 50;
+
+    /** Time for all routers to hear that an engine switches and to tell what they have on it, in milliseconds. */
+    private static final long SHORTEST_QUIESCE_MILLIS = 80;
+
+    /** The longest wait for requests that cannot go on elsewhere, in milliseconds; several short generations. */
+    private static final long LONGEST_QUIESCE_MILLIS = 1_200;
 
     /** How long an engine that does not answer is left alone, in milliseconds. */
     private static final long SILENT_MILLIS = 700;
@@ -49,6 +56,7 @@
         final long version;
         final long startedAtMillis;
         boolean ordered;
+        long acceptedOrders = -1;
         int silences;
         long leftAloneUntilMillis;
 
@@ -78,15 +86,15 @@
         this.announce = announce;
     }
 
-    /** Engines that take new weights now, by this router's order. */
+    /** Engines that are about to take new weights, by this router's order. */
     List<UpstreamId> switching() {
-        List<UpstreamId> ordered = new ArrayList<>();
+        List<UpstreamId> engines = new ArrayList<>();
         switches.forEach((engine, state) -> {
-            if (state.ordered) {
-                ordered.add(engine);
+            if (!state.silent()) {
+                engines.add(engine);
             }
         });
-        return ordered;
+        return engines;
     }
 
     void run() {
@@ -151,12 +159,24 @@
                 return;
             }
             switches.put(engine.id(), new Switch(named.model(), named.version(), context.now()));
+            engine.switchingUntilMillis = context.now() + ORDER_MILLIS;
+            announce.run();
         }
     }
 
     private void look(UpstreamId id, Switch state) {
-        if (context.now() >= state.leftAloneUntilMillis) {
-            upstreams.find(id).ifPresent(engineStates::ask);
+        ForwardedUpstream engine = upstreams.find(id).orElse(null);
+        if (engine == null || context.now() < state.leftAloneUntilMillis) {
+            return;
+        }
+        if (state.ordered || state.acceptedOrders < 0) {
+            engineStates.ask(engine);
+            return;
+        }
+        long quiet = context.now() - state.startedAtMillis;
+        boolean finished = quiet >= SHORTEST_QUIESCE_MILLIS && engine.bound(context.now()) == 0;
+        if (finished || quiet >= LONGEST_QUIESCE_MILLIS) {
+            order(engine, state, state.acceptedOrders);
         }
     }
 
@@ -186,21 +206,22 @@
         switch (reply) {
             case OrderReply.State told -> {
                 state.silences = 0;
-                if (!told.busy() && !state.ordered && engine.weights.getOrDefault(state.model, 0L) < state.version) {
-                    order(engine, state, told.orders());
-                }
+                state.acceptedOrders = told.busy() ? -1 : told.orders();
             }
             case OrderReply.Accepted accepted -> noteOrder(engine, state, "accepted");
             case OrderReply.Holds holds -> engine.sawWeights(state.model, state.version);
             case OrderReply.Busy busy -> {
                 state.ordered = false;
-                engine.switchingUntilMillis = Long.MIN_VALUE;
+                state.acceptedOrders = -1;
                 noteOrder(engine, state, "busy");
             }
             case OrderReply.Failed failed -> {
                 state.ordered = false;
-                engine.switchingUntilMillis = Long.MIN_VALUE;
+                state.acceptedOrders = -1;
                 state.silences++;
+                if (state.silent()) {
+                    engine.switchingUntilMillis = Long.MIN_VALUE;
+                }
                 state.leftAloneUntilMillis = context.now() + SILENT_MILLIS;
                 context.wakeAt(state.leftAloneUntilMillis);
                 noteOrder(engine, state, failed.reason());
@@ -219,8 +240,6 @@
             return;
         }
         state.ordered = true;
-        engine.switchingUntilMillis = context.now() + ORDER_MILLIS;
-        announce.run();
         context.count("orders.sent");
         context.note(
                 "weights",
@@ -234,7 +253,11 @@
                 "fencingToken",
                 token.getAsLong(),
                 "expectedOrders",
-                acceptedOrders);
+                acceptedOrders,
+                "bound",
+                engine.bound(context.now()),
+                "running",
+                engine.running(context.now()));
         context.emit(new ForwardingOutput.OrderWeights(
                 engine.id(),
                 engine.entry.address(),
