--- /dev/null
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
@@ -0,0 +1,244 @@
+package org.fuchsiatrail.internal.forwarding;
+
+import java.util.List;
+import java.util.Map;
+
+import org.fuchsiatrail.RequestId;
+import org.fuchsiatrail.ResultCode;
+import org.fuchsiatrail.forwarding.AttemptEvent;
+import org.fuchsiatrail.forwarding.ForwardingInput;
+import org.fuchsiatrail.forwarding.ForwardingOutput;
+import org.fuchsiatrail.forwarding.StoreFact;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class CallSystemTest {
+
+    private final ForwardingFixture fixture = new ForwardingFixture();
+
+    private void withRecords() {
+        fixture.configured()
+                .list(fixture.records("one"))
+                .list(fixture.records("two"))
+                .start();
+    }
+
+    private void withTutors() {
+        fixture.configured()
+                .list(fixture.tutor("one", 1))
+                .list(fixture.tutor("two", 1))
+                .start();
+    }
+
+    @Test
+    void should_refuse_as_not_run_before_a_configuration_is_known() {
+        fixture.storeAnswers = false;
+        fixture.start();
+        RequestId request = fixture.call("/read/1");
+        assertThat(fixture.refusal(request))
+                .get()
+                .extracting(ForwardingOutput.Refuse::code)
+                .isEqualTo(ResultCode.NOT_CONFIGURED);
+        assertThat(fixture.core.ready()).isFalse();
+    }
+
+    @Test
+    void should_refuse_an_unknown_path_and_an_unknown_key() {
+        withRecords();
+        RequestId lost = fixture.call("/nowhere/1");
+        RequestId stranger = fixture.call("/read/1", "forged", List.of());
+        assertThat(fixture.refusal(lost).orElseThrow().code()).isEqualTo(ResultCode.NOT_FOUND);
+        assertThat(fixture.refusal(stranger).orElseThrow().code()).isEqualTo(ResultCode.UNAUTHORIZED);
+        assertThat(fixture.all(ForwardingOutput.Send.class)).isEmpty();
+    }
+
+    @Test
+    void should_never_send_a_call_again_that_may_have_run() {
+        withRecords();
+        RequestId request = fixture.call("/issue/1");
+        fixture.lost(fixture.send(request), true, "");
+        assertThat(fixture.sends(request)).hasSize(1);
+        assertThat(fixture.refusal(request).orElseThrow().code()).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    void should_send_a_call_elsewhere_that_its_upstream_did_not_run() {
+        withRecords();
+        RequestId request = fixture.call("/issue/1");
+        ForwardingOutput.Send first = fixture.send(request);
+        fixture.notRun(first);
+        ForwardingOutput.Send second = fixture.send(request);
+        assertThat(second.terms().upstream()).isNotEqualTo(first.terms().upstream());
+        fixture.answered(second, 200);
+        assertThat(fixture.delivered(request)).isTrue();
+    }
+
+    @Test
+    void should_send_a_call_elsewhere_that_never_left() {
+        withRecords();
+        RequestId request = fixture.call("/issue/1");
+        fixture.spoke(fixture.send(request), new AttemptEvent.Lost(false, false, "", "refused"));
+        assertThat(fixture.sends(request)).hasSize(2);
+    }
+
+    @Test
+    void should_never_tell_a_call_as_not_run_after_one_upstream_may_have_run_it() {
+        withRecords();
+        RequestId request = fixture.call("/read/1");
+        fixture.lost(fixture.send(request), true, "");
+        fixture.notRun(fixture.send(request));
+        fixture.pass(1_000);
+        assertThat(fixture.refusal(request).orElseThrow().code().mayHaveRun()).isTrue();
+    }
+
+    @Test
+    void should_repeat_an_idempotent_call_that_its_upstream_failed() {
+        withRecords();
+        RequestId request = fixture.call("/read/1");
+        fixture.answered(fixture.send(request), 500);
+        assertThat(fixture.sends(request)).hasSize(2);
+        fixture.answered(fixture.send(request), 500);
+        assertThat(fixture.sends(request)).hasSize(2);
+        assertThat(fixture.delivered(request)).isTrue();
+    }
+
+    @Test
+    void should_deliver_the_failure_of_a_call_that_must_not_repeat() {
+        withRecords();
+        RequestId request = fixture.call("/issue/1");
+        fixture.answered(fixture.send(request), 500);
+        assertThat(fixture.sends(request)).hasSize(1);
+        assertThat(fixture.delivered(request)).isTrue();
+    }
+
+    @Test
+    void should_deliver_nothing_of_an_answer_that_is_not_the_requests_own() {
+        withRecords();
+        RequestId request = fixture.call("/issue/1");
+        fixture.spoke(fixture.send(request), new AttemptEvent.Answered(ForwardingFixture.head(200, false, false)));
+        assertThat(fixture.delivered(request)).isFalse();
+        assertThat(fixture.refusal(request).orElseThrow().code()).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    void should_repeat_an_idempotent_call_that_hangs() {
+        withRecords();
+        RequestId request = fixture.call("/read/1");
+        fixture.pass(250);
+        assertThat(fixture.sends(request)).hasSize(2);
+        assertThat(fixture.all(ForwardingOutput.Cancel.class)).hasSize(1);
+    }
+
+    @Test
+    void should_answer_at_the_routes_timeout_when_the_upstream_hangs() {
+        withRecords();
+        RequestId request = fixture.call("/issue/1");
+        fixture.pass(799);
+        assertThat(fixture.refusal(request)).isEmpty();
+        fixture.pass(50);
+        assertThat(fixture.refusal(request).orElseThrow().code()).isEqualTo(ResultCode.TIMED_OUT);
+    }
+
+    @Test
+    void should_resume_a_broken_stream_elsewhere_after_its_last_event() {
+        withTutors();
+        RequestId request = fixture.call("/ask/1", ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s", "o"));
+        ForwardingOutput.Send first = fixture.send(request);
+        fixture.started(first);
+        fixture.lost(first, true, "17");
+        ForwardingOutput.Send second = fixture.send(request);
+        assertThat(second.terms().upstream()).isNotEqualTo(first.terms().upstream());
+        assertThat(second.terms().resumeAfter()).isEqualTo("17");
+        fixture.started(second);
+        fixture.spoke(second, new AttemptEvent.Finished());
+        assertThat(fixture.brokenOff(request)).isFalse();
+    }
+
+    @Test
+    void should_break_off_a_stream_that_may_not_resume() {
+        withTutors();
+        RequestId request = fixture.call("/mark/1", ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s", "o"));
+        ForwardingOutput.Send only = fixture.send(request);
+        fixture.started(only);
+        fixture.lost(only, true, "3");
+        assertThat(fixture.sends(request)).hasSize(1);
+        assertThat(fixture.brokenOff(request)).isTrue();
+    }
+
+    @Test
+    void should_give_no_new_work_to_an_upstream_that_drains() {
+        withRecords();
+        fixture.list(ForwardingFixture.entry("one", "records", 6, Map.of(), true, 1));
+        for (int each = 0; each < 10; each++) {
+            assertThat(fixture.send(fixture.call("/read/1")).terms().upstream().value())
+                    .isEqualTo("two");
+        }
+    }
+
+    @Test
+    void should_cancel_a_stream_whose_caller_left_and_let_a_call_finish_that_must_not_repeat() {
+        withRecords();
+        fixture.list(fixture.tutor("engine", 1));
+        RequestId stream = fixture.call("/ask/1", ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s", "o"));
+        RequestId once = fixture.call("/issue/1");
+        fixture.tick(new ForwardingInput.CallerLeft(stream), new ForwardingInput.CallerLeft(once));
+        assertThat(fixture.all(ForwardingOutput.Cancel.class))
+                .containsExactly(
+                        new ForwardingOutput.Cancel(fixture.send(stream).attempt()));
+    }
+
+    @Test
+    void should_refuse_within_an_eighth_of_the_objective_when_no_upstream_is_usable() {
+        fixture.configured().start();
+        RequestId request = fixture.call("/issue/1");
+        fixture.pass(300 / 8);
+        ForwardingOutput.Refuse refusal = fixture.refusal(request).orElseThrow();
+        assertThat(refusal.code()).isEqualTo(ResultCode.NO_UPSTREAM);
+        assertThat(refusal.retryAfterMillis()).isPositive();
+    }
+
+    @Test
+    void should_serve_on_after_a_stop_was_asked_until_the_balancer_noticed() {
+        withRecords();
+        fixture.tick(new ForwardingInput.StopAsked());
+        assertThat(fixture.core.ready()).isFalse();
+        RequestId late = fixture.call("/read/1");
+        fixture.answered(fixture.send(late), 200);
+        fixture.pass(2_000);
+        assertThat(fixture.all(ForwardingOutput.Stopped.class)).isEmpty();
+        fixture.pass(2_000);
+        assertThat(fixture.all(ForwardingOutput.Stopped.class)).hasSize(1);
+    }
+
+    @Test
+    void should_never_go_back_to_an_older_configuration() {
+        withRecords();
+        fixture.relay("op/config", 90, new StoreFact.Routing(ForwardingFixture.table(9)));
+        fixture.relay("op/config", 50, new StoreFact.Routing(ForwardingFixture.table(5)));
+        assertThat(fixture.core.routing().orElseThrow().version()).isEqualTo(9);
+    }
+
+    @Test
+    void should_keep_upstreams_whose_entries_lapsed_with_the_store_for_two_seconds() {
+        withRecords();
+        fixture.storeAnswers = false;
+        fixture.pass(22_000);
+        fixture.storeAnswers = true;
+        fixture.relay("servers/one", 80, new StoreFact.Removed());
+        fixture.relay("servers/two", 81, new StoreFact.Removed());
+        assertThat(fixture.sends(fixture.call("/issue/1"))).hasSize(1);
+        fixture.pass(2_300);
+        assertThat(fixture.sends(fixture.call("/issue/2"))).isEmpty();
+    }
+
+    @Test
+    void should_separate_cached_parts_by_weights_and_by_isolated_customer() {
+        withTutors();
+        RequestId shared = fixture.call("/ask/1", ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s", "o"));
+        RequestId apart = fixture.call("/ask/1", "key-2", ForwardingFixture.prompt("c", "s", "o"));
+        assertThat(fixture.send(shared).terms().cacheSalt()).isEqualTo("w1");
+        assertThat(fixture.send(apart).terms().cacheSalt()).isEqualTo("w1/apart");
+        assertThat(fixture.send(shared).terms().weightsVersion()).hasValue(1);
+    }
+}
--- /dev/null
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -0,0 +1,293 @@
+package org.fuchsiatrail.internal.forwarding;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+
+import org.fuchsiatrail.AttemptId;
+import org.fuchsiatrail.CustomerId;
+import org.fuchsiatrail.EntryVm;
+import org.fuchsiatrail.EntryVmId;
+import org.fuchsiatrail.FailureDomain;
+import org.fuchsiatrail.RequestId;
+import org.fuchsiatrail.UpstreamId;
+import org.fuchsiatrail.forwarding.AttemptEvent;
+import org.fuchsiatrail.forwarding.CallerLimits;
+import org.fuchsiatrail.forwarding.CustomerEntry;
+import org.fuchsiatrail.forwarding.ForwardedCall;
+import org.fuchsiatrail.forwarding.ForwardingInput;
+import org.fuchsiatrail.forwarding.ForwardingOutput;
+import org.fuchsiatrail.forwarding.ForwardingSettings;
+import org.fuchsiatrail.forwarding.RequestKind;
+import org.fuchsiatrail.forwarding.Route;
+import org.fuchsiatrail.forwarding.RoutingTable;
+import org.fuchsiatrail.forwarding.ServiceDefinition;
+import org.fuchsiatrail.forwarding.StoreCall;
+import org.fuchsiatrail.forwarding.StoreFact;
+import org.fuchsiatrail.forwarding.StoreItem;
+import org.fuchsiatrail.forwarding.StoreReply;
+import org.fuchsiatrail.forwarding.UpstreamEntry;
+import org.fuchsiatrail.forwarding.UpstreamLoad;
+
+/** One forwarding core on virtual time, and a store that answers it at once unless it is told not to. */
+final class ForwardingFixture {
+
+    static final String HOST = "courses.example";
+    static final String KEY = "key-1";
+    static final String MODEL = "tutor";
+
+    final DefaultForwardingCore core;
+    final List<ForwardingOutput> outputs = new ArrayList<>();
+    final List<StoreItem> items = new ArrayList<>();
+    boolean storeAnswers = true;
+    boolean rightIsTaken = true;
+    long now = 1_000_000;
+    private long revision;
+    private long nextRequest = 1;
+    private Long openWatch;
+
+    ForwardingFixture() {
+        this("vm-1");
+    }
+
+    ForwardingFixture(String name) {
+        EntryVm self = new EntryVm(new EntryVmId(name), new FailureDomain("lima-a"), "10.0.0.1:7000", false);
+        core = new DefaultForwardingCore(
+                ForwardingSettings.builder().self(self).seed(7).build());
+    }
+
+    static Route route(String prefix, RequestKind kind, boolean resumable, int attempts, String service) {
+        boolean prompted = kind == RequestKind.STREAM;
+        return new Route(
+                "route " + prefix,
+                HOST,
+                prefix,
+                kind,
+                resumable,
+                false,
+                prompted,
+                attempts,
+                kind == RequestKind.STREAM ? 15_000 : 800,
+                kind == RequestKind.STREAM ? 400 : 300,
+                0,
+                List.of(new Route.Target(service, 1)));
+    }
+
+    static RoutingTable table(long version) {
+        return new RoutingTable(
+                version,
+                List.of(
+                        route("/read/", RequestKind.IDEMPOTENT, false, 2, "records"),
+                        route("/issue/", RequestKind.NOT_IDEMPOTENT, false, 1, "records"),
+                        route("/ask/", RequestKind.STREAM, true, 2, "tutors"),
+                        route("/mark/", RequestKind.STREAM, false, 1, "tutors")),
+                List.of(
+                        new ServiceDefinition("records", 100, Optional.empty(), Optional.empty()),
+                        new ServiceDefinition(
+                                "tutors",
+                                300,
+                                Optional.of(new ServiceDefinition.EngineTraits(64, 100_000, 163_840, 550_000)),
+                                Optional.empty())),
+                List.of(
+                        new CustomerEntry(new CustomerId("huaman"), List.of(KEY), OptionalInt.empty(), false),
+                        new CustomerEntry(new CustomerId("apart"), List.of("key-2"), OptionalInt.empty(), true)),
+                CallerLimits.DEFAULTS);
+    }
+
+    ForwardingFixture configured() {
+        put("op/config", new StoreFact.Routing(table(1)));
+        put("op/version/" + MODEL, new StoreFact.NamedWeights(MODEL, 1));
+        return this;
+    }
+
+    UpstreamEntry records(String id) {
+        return entry(id, "records", 6, Map.of(), false, 1);
+    }
+
+    UpstreamEntry tutor(String id, long version) {
+        return entry(id, "tutors", 64, Map.of(MODEL, version), false, 1);
+    }
+
+    static UpstreamEntry entry(
+            String id, String service, int slots, Map<String, Long> weights, boolean draining, long born) {
+        return new UpstreamEntry(
+                new UpstreamId(id),
+                born,
+                service,
+                "10.1.0." + Math.abs(id.hashCode() % 200) + ":80",
+                new FailureDomain("lima-a"),
+                slots,
+                draining,
+                weights);
+    }
+
+    ForwardingFixture list(UpstreamEntry entry) {
+        put("servers/" + entry.id(), new StoreFact.Upstream(entry));
+        return this;
+    }
+
+    void put(String key, StoreFact fact) {
+        items.removeIf(item -> item.key().equals(key));
+        items.add(new StoreItem(key, ++revision, new byte[] {1}, fact));
+        answerWatch();
+    }
+
+    void remove(String key) {
+        put(key, new StoreFact.Removed());
+    }
+
+    /** Gives an item by way of a peer. */
+    void relay(String key, long itemRevision, StoreFact fact) {
+        tick(new ForwardingInput.ItemRelayed(new StoreItem(key, itemRevision, new byte[] {1}, fact)));
+    }
+
+    ForwardingFixture start() {
+        tick();
+        return this;
+    }
+
+    void tick(ForwardingInput... inputs) {
+        take(core.tick(now, List.of(inputs)));
+    }
+
+    /** Lets time pass, with the ticks that the core asks for. */
+    void pass(long millis) {
+        long end = now + millis;
+        while (core.nextDueMillis() <= end) {
+            now = Math.max(now + 1, core.nextDueMillis());
+            tick();
+        }
+        now = Math.max(now, end);
+        tick();
+    }
+
+    private void take(List<ForwardingOutput> results) {
+        outputs.addAll(results);
+        for (ForwardingOutput output : results) {
+            if (output instanceof ForwardingOutput.CallStore call && storeAnswers) {
+                answer(call);
+            }
+        }
+    }
+
+    private void answer(ForwardingOutput.CallStore call) {
+        StoreReply reply =
+                switch (call.request()) {
+                    case StoreCall.ReadAll read -> new StoreReply.Page(List.copyOf(items), false, revision);
+                    case StoreCall.Watch watch -> {
+                        openWatch = call.call();
+                        yield watch.afterRevision() < revision ? changes() : null;
+                    }
+                    case StoreCall.GrantLease grant -> new StoreReply.LeaseGranted(9, grant.lifetimeMillis());
+                    case StoreCall.KeepLease keep -> new StoreReply.LeaseKept();
+                    case StoreCall.EndLease end -> new StoreReply.LeaseGone();
+                    case StoreCall.AnnounceMember member -> new StoreReply.Written(1);
+                    case StoreCall.TakeOrderRight take ->
+                        rightIsTaken ? new StoreReply.Conflict() : new StoreReply.Written(41);
+                };
+        if (reply != null) {
+            tick(new ForwardingInput.StoreAnswered(call.call(), reply));
+        }
+    }
+
+    private StoreReply changes() {
+        return new StoreReply.Changes(List.copyOf(items), revision);
+    }
+
+    private void answerWatch() {
+        if (openWatch != null && storeAnswers) {
+            long call = openWatch;
+            openWatch = null;
+            tick(new ForwardingInput.StoreAnswered(call, changes()));
+        }
+    }
+
+    /** Has a caller send a request; returns its id. */
+    RequestId call(String path) {
+        return call(path, KEY, List.of());
+    }
+
+    RequestId call(String path, String key, List<ForwardedCall.PromptPart> prompt) {
+        RequestId request = new RequestId("r" + nextRequest++);
+        long tokens =
+                prompt.stream().mapToLong(ForwardedCall.PromptPart::tokens).sum();
+        tick(new ForwardingInput.CallArrived(
+                request,
+                new ForwardedCall(
+                        "a-" + request, HOST, path, key, 10_000, MODEL, tokens, 50, prompt, "", path.hashCode())));
+        return request;
+    }
+
+    static List<ForwardedCall.PromptPart> prompt(String course, String session, String own) {
+        return List.of(
+                new ForwardedCall.PromptPart(course, 2_500),
+                new ForwardedCall.PromptPart(session, 3_800),
+                new ForwardedCall.PromptPart(own, 2_900));
+    }
+
+    List<ForwardingOutput.Send> sends(RequestId request) {
+        return outputs.stream()
+                .filter(output -> output instanceof ForwardingOutput.Send send
+                        && send.request().equals(request))
+                .map(ForwardingOutput.Send.class::cast)
+                .toList();
+    }
+
+    ForwardingOutput.Send send(RequestId request) {
+        return sends(request).getLast();
+    }
+
+    Optional<ForwardingOutput.Refuse> refusal(RequestId request) {
+        return outputs.stream()
+                .filter(output -> output instanceof ForwardingOutput.Refuse refuse
+                        && refuse.request().equals(request))
+                .map(ForwardingOutput.Refuse.class::cast)
+                .findFirst();
+    }
+
+    boolean delivered(RequestId request) {
+        return outputs.stream()
+                .anyMatch(output -> output instanceof ForwardingOutput.Deliver deliver
+                        && deliver.request().equals(request));
+    }
+
+    boolean brokenOff(RequestId request) {
+        return outputs.contains(new ForwardingOutput.BreakOff(request));
+    }
+
+    <O extends ForwardingOutput> List<O> all(Class<O> kind) {
+        return outputs.stream().filter(kind::isInstance).map(kind::cast).toList();
+    }
+
+    void spoke(ForwardingOutput.Send send, AttemptEvent event) {
+        spoke(send.attempt(), event);
+    }
+
+    void spoke(AttemptId attempt, AttemptEvent event) {
+        tick(new ForwardingInput.AttemptSpoke(attempt, event));
+    }
+
+    void answered(ForwardingOutput.Send send, int status) {
+        spoke(send, new AttemptEvent.Answered(head(status, true, false)));
+    }
+
+    void started(ForwardingOutput.Send send) {
+        spoke(send, new AttemptEvent.Started(head(200, true, false)));
+    }
+
+    void lost(ForwardingOutput.Send send, boolean sent, String lastEvent) {
+        spoke(send, new AttemptEvent.Lost(sent, true, lastEvent, "reset"));
+    }
+
+    void notRun(ForwardingOutput.Send send) {
+        spoke(send, new AttemptEvent.Answered(head(503, false, true)));
+    }
+
+    static AttemptEvent.Head head(int status, boolean genuine, boolean notRun) {
+        return new AttemptEvent.Head(
+                status, genuine, notRun, Optional.of(new UpstreamLoad(1, 0, 6)), OptionalLong.empty());
+    }
+}
--- /dev/null
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the forwarding decisions, each on the load pattern that it answers. */
+package org.fuchsiatrail.internal.forwarding;
