--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/OrderRight.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/OrderRight.java
@@ -112,6 +112,7 @@
                 fencingToken = written.revision();
                 keptAtMillis = sentAtMillis;
                 mayOrderFromMillis = context.now() + context.settings().orderLeaseMillis();
+                context.wakeAt(mayOrderFromMillis);
                 context.note("orders", "Right to order taken.", "fencingToken", fencingToken, "lease", lease);
                 again(KEEP_MILLIS);
             } else {
--- /dev/null
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashRegisterTest.java
@@ -0,0 +1,74 @@
+package org.fuchsiatrail.internal.forwarding;
+
+import java.util.List;
+
+import org.fuchsiatrail.PeerMessage;
+import org.fuchsiatrail.RequestId;
+import org.fuchsiatrail.ResultCode;
+import org.fuchsiatrail.UpstreamId;
+import org.fuchsiatrail.forwarding.AttemptEvent;
+import org.fuchsiatrail.forwarding.ForwardingOutput;
+import org.fuchsiatrail.forwarding.ForwardingSettings;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class CrashRegisterTest {
+
+    private final ForwardingFixture fixture = new ForwardingFixture();
+
+    @BeforeEach
+    void list_upstreams() {
+        fixture.configured();
+        for (int each = 1; each <= 8; each++) {
+            fixture.list(fixture.records("u" + each));
+        }
+        fixture.start();
+    }
+
+    private void crash(String path) {
+        RequestId request = fixture.call(path);
+        ForwardingOutput.Send send = fixture.send(request);
+        fixture.lost(send, true, "");
+        RequestId next = fixture.call("/issue/probe");
+        while (!fixture.send(next).terms().upstream().equals(send.terms().upstream())) {
+            next = fixture.call("/issue/probe");
+            if (fixture.sends(next).isEmpty()) {
+                return;
+            }
+            fixture.pass(50);
+        }
+        fixture.spoke(fixture.send(next), new AttemptEvent.Lost(false, false, "", "connection refused"));
+    }
+
+    @Test
+    void should_refuse_a_request_that_ended_three_lives_of_upstreams() {
+        for (int each = 0; each < 3; each++) {
+            crash("/issue/poison");
+        }
+        RequestId again = fixture.call("/issue/poison");
+        assertThat(fixture.sends(again)).isEmpty();
+        assertThat(fixture.refusal(again).orElseThrow().code()).isEqualTo(ResultCode.UPSTREAM_FAILED);
+        assertThat(fixture.sends(fixture.call("/issue/harmless"))).hasSize(1);
+    }
+
+    @Test
+    void should_not_put_broken_connections_alone_down_to_the_request() {
+        for (int each = 0; each < 5; each++) {
+            RequestId request = fixture.call("/issue/unlucky");
+            fixture.lost(fixture.send(request), true, "");
+            fixture.pass(3_500);
+        }
+        assertThat(fixture.sends(fixture.call("/issue/unlucky"))).hasSize(1);
+    }
+
+    @Test
+    void should_count_each_life_of_an_upstream_once() {
+        CrashRegister register = new CrashRegister(new ForwardingContext(
+                ForwardingSettings.builder().self(fixture.self()).build()));
+        PeerMessage.SeenCrash crash = new PeerMessage.SeenCrash(5, new UpstreamId("u1@1"));
+        List.of(crash, crash, crash, crash).forEach(register::learn);
+        assertThat(register.quarantined(5)).isFalse();
+    }
+}
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -45,6 +45,7 @@
     boolean storeAnswers = true;
     boolean rightIsTaken = true;
     long now = 1_000_000;
+    private final EntryVm self;
     private long revision;
     private long nextRequest = 1;
     private Long openWatch;
@@ -54,11 +55,15 @@
     }
 
     ForwardingFixture(String name) {
-        EntryVm self = new EntryVm(new EntryVmId(name), new FailureDomain("lima-a"), "10.0.0.1:7000", false);
+        self = new EntryVm(new EntryVmId(name), new FailureDomain("lima-a"), "10.0.0.1:7000", false);
         core = new DefaultForwardingCore(
                 ForwardingSettings.builder().self(self).seed(7).build());
     }
 
+    EntryVm self() {
+        return self;
+    }
+
     static Route route(String prefix, RequestKind kind, boolean resumable, int attempts, String service) {
         boolean prompted = kind == RequestKind.STREAM;
         return new Route(
@@ -278,6 +283,12 @@
         spoke(send, new AttemptEvent.Started(head(200, true, false)));
     }
 
+    /** Has an engine answer a stream whole. */
+    void finish(ForwardingOutput.Send send) {
+        started(send);
+        spoke(send, new AttemptEvent.Finished());
+    }
+
     void lost(ForwardingOutput.Send send, boolean sent, String lastEvent) {
         spoke(send, new AttemptEvent.Lost(sent, true, lastEvent, "reset"));
     }
