Refuse what comes too late to end before a stop

From 2.9 s after the signal, requests are refused as not run, to come back at once; before, they are served as ever. Ruled out: the exit itself, which waited for open requests. Test on virtual time, failed first.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -68,6 +68,10 @@
     /** Takes a new request. */
     void arrive(RequestId request, ForwardedCall call) {
         context.count("requests");
+        if (context.stoppingMillis() > CallTiming.LATEST_AFTER_STOP_MILLIS) {
+            refuse(request, call, ResultCode.STOPPING, CallTiming.STOPPING_RETRY_MILLIS);
+            return;
+        }
         Optional<RoutingTable> routing = known.routing();
         if (routing.isEmpty()) {
             refuse(request, call, ResultCode.NOT_CONFIGURED, CallTiming.NOT_CONFIGURED_RETRY_MILLIS);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTiming.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTiming.java
@@ -9,6 +9,12 @@
     /** When to come back to a router without a configuration, in milliseconds; a start takes about as long. */
     static final long NOT_CONFIGURED_RETRY_MILLIS = 300;
 
+    /** How long after a stop was asked requests are taken, in milliseconds; later ones might not end in time. */
+    static final long LATEST_AFTER_STOP_MILLIS = 2_900;
+
+    /** When to come back, to another router, when this one is about to end, in milliseconds. */
+    static final long STOPPING_RETRY_MILLIS = 20;
+
     /** When to come back when no upstream is usable, in milliseconds; new weights take an engine 0.6 s. */
     static final long NO_UPSTREAM_RETRY_MILLIS = 300;
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardingContext.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardingContext.java
@@ -19,6 +19,7 @@
     private List<ForwardingOutput> outputs = new ArrayList<>();
     private long nowMillis;
     private boolean stopping;
+    private long stopAskedAtMillis = Long.MAX_VALUE;
 
     ForwardingContext(ForwardingSettings settings) {
         this.settings = settings;
@@ -55,6 +56,12 @@
 
     void stop() {
         stopping = true;
+        stopAskedAtMillis = nowMillis;
+    }
+
+    /** The time since a stop was asked, or 0 when none was. */
+    long stoppingMillis() {
+        return stopping ? nowMillis - stopAskedAtMillis : 0;
     }
 
     /** Has a tick run at a time, at the latest. */
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
@@ -223,6 +223,21 @@
         assertThat(fixture.all(ForwardingOutput.Stopped.class)).hasSize(1);
     }
 
+    @Test
+    void should_refuse_as_not_run_what_comes_too_late_to_end_before_a_stop() {
+        withRecords();
+        fixture.list(fixture.tutor("engine", 1));
+        RequestId running = fixture.call("/ask/1", ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s", "o"));
+        fixture.tick(new ForwardingInput.StopAsked());
+        fixture.pass(3_100);
+        RequestId late = fixture.call("/issue/1");
+        assertThat(fixture.refusal(late).orElseThrow().code()).isEqualTo(ResultCode.STOPPING);
+        assertThat(fixture.all(ForwardingOutput.Stopped.class)).isEmpty();
+        fixture.finish(fixture.send(running));
+        fixture.pass(500);
+        assertThat(fixture.all(ForwardingOutput.Stopped.class)).hasSize(1);
+    }
+
     @Test
     void should_never_go_back_to_an_older_configuration() {
         withRecords();
