--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -1,10 +1,8 @@
 package org.fuchsiatrail.internal.forwarding;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -34,7 +32,7 @@
     private final ForwardingContext context;
     private final KnownItems known;
     private final ForwardedUpstreams upstreams;
-    private final UpstreamPlacement placement;
+    private final CallSelection selection;
     private final CallTiming timing = new CallTiming();
     private final RetryBudgets budgets;
     private final EngineStates engineStates;
@@ -62,7 +60,7 @@
         this.engineStates = engineStates;
         this.crashes = crashes;
         this.peers = peers;
-        this.placement = new UpstreamPlacement(context.settings().self().failureDomain(), context.random());
+        this.selection = new CallSelection(context, known, upstreams, timing);
     }
 
     /** Takes a new request. */
@@ -123,10 +121,7 @@
             expire(row);
             return;
         }
-        List<ForwardedUpstream> candidates = candidates(row);
-        Optional<UpstreamPlacement.Choice> choice = row.route.prompted()
-                ? placement.placePrompt(row.call, candidates, chains(row), conditions(row))
-                : placement.placeCall(candidates, context.now());
+        Optional<UpstreamPlacement.Choice> choice = selection.choose(row);
         if (choice.isEmpty()) {
             waitOrRefuse(row);
             return;
@@ -149,21 +144,6 @@
         send(row, choice.get(), remaining);
     }
 
-    private UpstreamPlacement.Conditions conditions(CallRow row) {
-        long named =
-                known.named(row.call.model()).map(weights -> weights.version()).orElse(0L);
-        double fetchRate = known.traits(row.service)
-                .map(traits -> traits.fetchTokensPerMilli())
-                .orElse(0.0);
-        return new UpstreamPlacement.Conditions(
-                context.now(),
-                version -> version < named
-                        ? timing.oldWeightsCost(context.now() - known.replacedAtMillis(row.call.model(), version))
-                        : 0,
-                fetchRate,
-                known.memoryTokens(row.service));
-    }
-
     private void waitOrRefuse(CallRow row) {
         if (context.now() < row.waitUntilMillis) {
             row.state = CallRow.State.WAITING;
@@ -173,39 +153,6 @@
         giveUp(row, ResultCode.NO_UPSTREAM, CallTiming.NO_UPSTREAM_RETRY_MILLIS, "no upstream is usable");
     }
 
-    private List<ForwardedUpstream> candidates(CallRow row) {
-        List<ForwardedUpstream> usable = new ArrayList<>();
-        List<ForwardedUpstream> suspects = new ArrayList<>();
-        for (ForwardedUpstream upstream : upstreams.staying(row.service)) {
-            boolean refuses = context.now() < upstream.fullUntilMillis
-                    || (row.route.prompted() && upstream.switching(context.now()));
-            if (refuses || row.excluded.contains(upstream.id()) || weightsOutdated(row, upstream)) {
-                continue;
-            }
-            boolean suspect = context.now() < upstream.suspectUntilMillis
-                    || upstream.silentMillis(context.now()) > CallTiming.SILENCE_MILLIS;
-            (suspect ? suspects : usable).add(upstream);
-        }
-        return usable.isEmpty() ? suspects : usable;
-    }
-
-    private boolean weightsOutdated(CallRow row, ForwardedUpstream upstream) {
-        if (!row.route.prompted()) {
-            return false;
-        }
-        long named =
-                known.named(row.call.model()).map(weights -> weights.version()).orElse(0L);
-        long version = upstream.weights.getOrDefault(row.call.model(), 0L);
-        return version < named
-                && context.now() - known.replacedAtMillis(row.call.model(), version) > CallTiming.OLD_WEIGHTS_MILLIS;
-    }
-
-    private UpstreamPlacement.Chains chains(CallRow row) {
-        Map<Long, PromptChain> byVersion = new HashMap<>();
-        return version ->
-                byVersion.computeIfAbsent(version, key -> PromptChain.of(CacheSalt.of(row.customer, key), row.call));
-    }
-
     private void send(CallRow row, UpstreamPlacement.Choice choice, long remaining) {
         ForwardedUpstream upstream = choice.upstream();
         row.state = CallRow.State.SENT;
@@ -317,7 +264,7 @@
         boolean failed = head.status() >= 500;
         row.excluded.add(row.upstream.id());
         boolean again = failed && row.mayRepeat() && budgets.mayRepeat(row.service);
-        if (again && !candidates(row).isEmpty()) {
+        if (again && selection.anyFor(row)) {
             context.note(
                     "calls",
                     "Upstream failed it.",
@@ -481,19 +428,13 @@
             place(row);
         } else if (context.now() >= row.patienceAtMillis) {
             row.patienceAtMillis = Long.MAX_VALUE;
-            if (budgets.mayRepeat(row.service) && !candidatesBeside(row).isEmpty()) {
+            if (budgets.mayRepeat(row.service) && selection.anyBeside(row)) {
                 context.count("attempts.given-up");
                 takeLoss(row, new AttemptEvent.Lost(true, true, "", "no progress"));
             }
         }
     }
 
-    private List<ForwardedUpstream> candidatesBeside(CallRow row) {
-        List<ForwardedUpstream> others = new ArrayList<>(candidates(row));
-        others.remove(row.upstream);
-        return others;
-    }
-
     private void expire(CallRow row) {
         boolean onUpstream = row.state == CallRow.State.SENT || row.state == CallRow.State.DELIVERING;
         if (onUpstream) {
