--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
@@ -241,8 +241,8 @@
     @Test
     void should_never_go_back_to_an_older_configuration() {
         withRecords();
-        fixture.relay("op/config", 90, new StoreFact.Routing(ForwardingFixture.table(9)));
-        fixture.relay("op/config", 50, new StoreFact.Routing(ForwardingFixture.table(5)));
+        fixture.relay("configuration", 90, new StoreFact.Routing(ForwardingFixture.table(9)));
+        fixture.relay("configuration", 50, new StoreFact.Routing(ForwardingFixture.table(5)));
         assertThat(fixture.core.routing().orElseThrow().version()).isEqualTo(9);
     }
 
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -103,8 +103,8 @@
     }
 
     ForwardingFixture configured() {
-        put("op/config", new StoreFact.Routing(table(1)));
-        put("op/version/" + MODEL, new StoreFact.NamedWeights(MODEL, 1));
+        put("configuration", new StoreFact.Routing(table(1)));
+        put("weights/" + MODEL, new StoreFact.NamedWeights(MODEL, 1));
         return this;
     }
 
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/PeerNewsTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/PeerNewsTest.java
@@ -57,7 +57,7 @@
     void should_put_a_configuration_in_force_that_came_by_way_of_a_peer() {
         fixture.storeAnswers = false;
         fixture.start();
-        fixture.relay("op/config", 5, new StoreFact.Routing(ForwardingFixture.table(3)));
+        fixture.relay("configuration", 5, new StoreFact.Routing(ForwardingFixture.table(3)));
         assertThat(fixture.core.ready()).isTrue();
     }
 
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/WeightsRolloutTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/WeightsRolloutTest.java
@@ -32,8 +32,7 @@
     }
 
     private void name(long version) {
-        fixture.put(
-                "op/version/" + ForwardingFixture.MODEL, new StoreFact.NamedWeights(ForwardingFixture.MODEL, version));
+        fixture.put("weights/" + ForwardingFixture.MODEL, new StoreFact.NamedWeights(ForwardingFixture.MODEL, version));
     }
 
     private void answerQuestions() {
@@ -115,8 +114,7 @@
         fixture.pass(4_000);
         fixture.storeAnswers = false;
         fixture.pass(1_600);
-        fixture.relay(
-                "op/version/" + ForwardingFixture.MODEL, 99, new StoreFact.NamedWeights(ForwardingFixture.MODEL, 2));
+        fixture.relay("weights/" + ForwardingFixture.MODEL, 99, new StoreFact.NamedWeights(ForwardingFixture.MODEL, 2));
         fixture.pass(500);
         assertThat(fixture.all(ForwardingOutput.AskState.class)).isEmpty();
     }
@@ -127,8 +125,7 @@
         fixture.pass(4_000);
         fixture.storeAnswers = false;
         fixture.tick(new ForwardingInput.TimeJumped());
-        fixture.relay(
-                "op/version/" + ForwardingFixture.MODEL, 99, new StoreFact.NamedWeights(ForwardingFixture.MODEL, 2));
+        fixture.relay("weights/" + ForwardingFixture.MODEL, 99, new StoreFact.NamedWeights(ForwardingFixture.MODEL, 2));
         fixture.pass(200);
         assertThat(fixture.all(ForwardingOutput.AskState.class)).isEmpty();
     }
