Blame no upstream for the router's own delay; keep shared parts in the store; put short prompts first

A late look at a request, or a router younger than 4 s, waits longer. Engines save shared parts to the store of kept KV cache, which is the source when no engine is known to hold them. A 421 that tells the weights is sent again at once. The priority told to engines puts short prompts first within a rank, and predictions count only what goes before. Waves of new weights count engines that answer. Tests on virtual time for each.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
@@ -182,9 +182,16 @@
      * @param running requests without an end
      * @param bound those of them that cannot go on elsewhere
      * @param promptTokens prompt tokens that are still to be read
+     * @param shortPromptTokens those of them that belong to short prompts
      * @param memoryTokens KV memory that they need besides cached parts, in tokens
      */
-    record UpstreamWork(UpstreamId upstream, int running, int bound, long promptTokens, long memoryTokens) {}
+    record UpstreamWork(
+            UpstreamId upstream,
+            int running,
+            int bound,
+            long promptTokens,
+            long shortPromptTokens,
+            long memoryTokens) {}
 
     /**
      * Prompt parts that an engine has read.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSelection.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSelection.java
@@ -6,6 +6,9 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.fuchsiatrail.forwarding.RoutingTable;
+import org.fuchsiatrail.forwarding.ServiceDefinition;
+
 /** Selects the upstream for a request among those that may run it now. */
 final class CallSelection {
 
@@ -53,7 +56,8 @@
                         ? timing.oldWeightsCost(context.now() - known.replacedAtMillis(row.call.model(), version))
                         : 0,
                 fetchRate,
-                known.memoryTokens(row.service));
+                known.memoryTokens(row.service),
+                known.routing().flatMap(RoutingTable::keptCache).map(ServiceDefinition.KeptCache::address));
     }
 
     private List<ForwardedUpstream> candidates(CallRow row) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -127,7 +127,7 @@
             return;
         }
         boolean first = row.sends == 0;
-        if (first && choice.get().predictedMillis() > timing.longestWait(row.route, remaining)) {
+        if (first && choice.get().predictedMillis() > timing.longestWait(row, remaining)) {
             long retryAfter = timing.overloadRetryMillis(row.route, choice.get().predictedMillis());
             giveUp(
                     row,
@@ -169,6 +169,7 @@
                 new ForwardedUpstream.AttemptRow(
                         context.now(),
                         !row.route.repeatable() || row.runs + 1 >= row.route.maximumAttempts(),
+                        UpstreamPlacement.isShort(row.call.inputTokens()),
                         choice.uncachedTokens(),
                         choice.predictedMillis(),
                         choice.ownTokens() + row.call.outputTokens()));
@@ -213,10 +214,10 @@
                 row.customer.map(CustomerEntry::id),
                 version == null ? OptionalLong.empty() : OptionalLong.of(version),
                 version == null ? "" : CacheSalt.of(row.customer, version),
-                row.route.prompted() ? OptionalInt.of(Math.clamp(row.priority(), 0, 9)) : OptionalInt.empty(),
+                row.route.prompted() ? OptionalInt.of(EnginePriority.of(row)) : OptionalInt.empty(),
                 row.lastEvent,
-                row.choice.fetchFrom().map(source -> source.entry.address()),
-                Optional.empty());
+                row.choice.fetchFrom(),
+                row.choice.saveTo());
     }
 
     /** Takes what an upstream did with an attempt. */
@@ -330,10 +331,10 @@
                 "send",
                 row.sends);
         context.emit(new ForwardingOutput.Cancel(row.attempt));
-        row.excluded.add(row.upstream.id());
         if (head.status() == CallTiming.MISDIRECTED) {
-            engineStates.ask(row.upstream);
+            takeMisdirected(row, head);
         } else {
+            row.excluded.add(row.upstream.id());
             row.upstream.fullUntilMillis = context.now() + CallTiming.FULL_MILLIS;
         }
         if (row.sends >= CallTiming.MOST_SENDS) {
@@ -343,6 +344,23 @@
         }
     }
 
+    /** An engine has other weights, or is another than expected; other engines may have changed too. */
+    private void takeMisdirected(CallRow row, AttemptEvent.Head head) {
+        boolean weightsTold = row.route.prompted() && head.weightsVersion().isPresent();
+        if (!weightsTold) {
+            row.excluded.add(row.upstream.id());
+        }
+        if (row.route.prompted()) {
+            long newest = row.upstream.weights.getOrDefault(row.call.model(), 0L);
+            for (ForwardedUpstream other : upstreams.staying(row.service)) {
+                if (other.weights.getOrDefault(row.call.model(), 0L) < newest
+                        || (!weightsTold && other == row.upstream)) {
+                    engineStates.ask(other);
+                }
+            }
+        }
+    }
+
     private void takeLoss(CallRow row, AttemptEvent.Lost lost) {
         boolean delivering = row.state == CallRow.State.DELIVERING;
         leave(row);
@@ -427,7 +445,13 @@
         } else if (row.state == CallRow.State.WAITING) {
             place(row);
         } else if (context.now() >= row.patienceAtMillis) {
+            boolean late = context.now() - row.patienceAtMillis > CallTiming.LATE_LOOK_MILLIS;
             row.patienceAtMillis = Long.MAX_VALUE;
+            if (late || context.ageMillis() < CallTiming.WARM_UP_MILLIS) {
+                row.patienceAtMillis = context.now() + CallTiming.LATE_PATIENCE_MILLIS;
+                schedule(row, row.patienceAtMillis);
+                return;
+            }
             if (budgets.mayRepeat(row.service) && selection.anyBeside(row)) {
                 context.count("attempts.given-up");
                 takeLoss(row, new AttemptEvent.Lost(true, true, "", "no progress"));
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTiming.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTiming.java
@@ -42,6 +42,15 @@
     /** How long after newer weights are named older ones may still run, in milliseconds; the users allow 8 s. */
     static final long OLD_WEIGHTS_MILLIS = 6_500;
 
+    /** A look at a request later than this after it was due shows that this router is behind, in milliseconds. */
+    static final long LATE_LOOK_MILLIS = 25;
+
+    /** How much longer an attempt is waited for after a late look, in milliseconds: its answer may be unread here. */
+    static final long LATE_PATIENCE_MILLIS = 120;
+
+    /** How long after its start a router is slow itself and blames no upstream, in milliseconds. */
+    static final long WARM_UP_MILLIS = 4_000;
+
     /** The most upstreams that a request is offered to. */
     static final int MOST_SENDS = 4;
 
@@ -66,6 +75,9 @@
     /** Time to an answer beyond which a request is refused at once, as a part of its objective. */
     private static final double LONGEST_WAIT_PART = 1.5;
 
+    /** The same for short prompts, which take little from others even when they come late. */
+    private static final double LONGEST_SHORT_WAIT_PART = 4;
+
     /** The part of the objective after which an idempotent call is sent again. */
     private static final double CALL_PATIENCE_PART = 0.6;
 
@@ -91,8 +103,9 @@
     }
 
     /** The longest predicted time to an answer for which a request is taken. */
-    long longestWait(Route route, long remainingMillis) {
-        return Math.min(remainingMillis, (long) (route.objectiveMillis() * LONGEST_WAIT_PART));
+    long longestWait(CallRow row, long remainingMillis) {
+        double part = UpstreamPlacement.isShort(row.call.inputTokens()) ? LONGEST_SHORT_WAIT_PART : LONGEST_WAIT_PART;
+        return Math.min(remainingMillis, (long) (row.route.objectiveMillis() * part));
     }
 
     /** When to come back to upstreams that are expected to take too long. */
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstream.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstream.java
@@ -43,6 +43,8 @@
         /** Whether the request cannot go on elsewhere. */
         final boolean bound;
 
+        final boolean shortPrompt;
+
         /** Expected time to its first event, in milliseconds. */
         final double predictedMillis;
         /** KV memory that it needs besides cached parts, in tokens. */
@@ -50,9 +52,16 @@
 
         long promptTokens;
 
-        AttemptRow(long sentAtMillis, boolean bound, long promptTokens, double predictedMillis, long memoryTokens) {
+        AttemptRow(
+                long sentAtMillis,
+                boolean bound,
+                boolean shortPrompt,
+                long promptTokens,
+                double predictedMillis,
+                long memoryTokens) {
             this.sentAtMillis = sentAtMillis;
             this.bound = bound;
+            this.shortPrompt = shortPrompt;
             this.promptTokens = promptTokens;
             this.predictedMillis = predictedMillis;
             this.memoryTokens = memoryTokens;
@@ -147,14 +156,16 @@
     }
 
     /** Prompt tokens that are still to be read for requests of all routers, as far as known. */
-    long pendingPromptTokens(long nowMillis) {
+    long pendingPromptTokens(long nowMillis, boolean shortPromptsOnly) {
         long tokens = 0;
         for (AttemptRow attempt : inFlight.values()) {
-            tokens += attempt.promptTokens;
+            tokens += attempt.shortPrompt || !shortPromptsOnly ? attempt.promptTokens : 0;
         }
         for (PeerWork peer : peerWork.values()) {
             if (peer.atMillis() >= nowMillis - PEER_WORK_MILLIS) {
-                tokens += peer.work().promptTokens();
+                tokens += shortPromptsOnly
+                        ? peer.work().shortPromptTokens()
+                        : peer.work().promptTokens();
             }
         }
         return tokens;
@@ -175,10 +186,10 @@
     }
 
     /** How far the slowest request without a first event is beyond its prediction, in milliseconds. */
-    double stallMillis(long nowMillis) {
+    double stallMillis(long nowMillis, boolean shortPromptsOnly) {
         double stall = 0;
         for (AttemptRow attempt : inFlight.values()) {
-            if (attempt.promptTokens > 0) {
+            if (attempt.promptTokens > 0 && (attempt.shortPrompt || !shortPromptsOnly)) {
                 stall = Math.max(stall, nowMillis - attempt.sentAtMillis - attempt.predictedMillis);
             }
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardingContext.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardingContext.java
@@ -18,6 +18,7 @@
     private final PriorityQueue<Long> wakeUps = new PriorityQueue<>();
     private List<ForwardingOutput> outputs = new ArrayList<>();
     private long nowMillis;
+    private long startedAtMillis = Long.MIN_VALUE;
     private boolean stopping;
     private long stopAskedAtMillis = Long.MAX_VALUE;
 
@@ -28,6 +29,9 @@
 
     void begin(long now) {
         nowMillis = Math.max(nowMillis, now);
+        if (startedAtMillis == Long.MIN_VALUE) {
+            startedAtMillis = nowMillis;
+        }
         outputs = new ArrayList<>();
         while (!wakeUps.isEmpty() && wakeUps.peek() <= nowMillis) {
             wakeUps.poll();
@@ -42,6 +46,11 @@
         return nowMillis;
     }
 
+    /** The time since this router started. */
+    long ageMillis() {
+        return nowMillis - startedAtMillis;
+    }
+
     ForwardingSettings settings() {
         return settings;
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerNews.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerNews.java
@@ -108,13 +108,15 @@
         for (ForwardedUpstream upstream : upstreams.all()) {
             if (!upstream.inFlight.isEmpty()) {
                 long tokens = 0;
+                long shortTokens = 0;
                 long memory = 0;
                 for (ForwardedUpstream.AttemptRow attempt : upstream.inFlight.values()) {
                     tokens += attempt.promptTokens;
+                    shortTokens += attempt.shortPrompt ? attempt.promptTokens : 0;
                     memory += attempt.memoryTokens;
                 }
                 work.add(new PeerMessage.UpstreamWork(
-                        upstream.id(), upstream.inFlight.size(), upstream.ownBound(), tokens, memory));
+                        upstream.id(), upstream.inFlight.size(), upstream.ownBound(), tokens, shortTokens, memory));
             }
         }
         return new PeerMessage.ForwardingNews(
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
@@ -45,6 +45,9 @@
     /** Cost of each request in an engine's own queue, in milliseconds; reading a short prompt. */
     private static final double QUEUED_MILLIS = 30;
 
+    /** The longest prompt that counts as short, in tokens; engines read about as many between two steps. */
+    private static final long SHORT_PROMPT_TOKENS = 4_000;
+
     /** Cost of each slot taken, as a part of one call's work, in milliseconds for all slots. */
     private static final double BUSY_MILLIS = 20;
 
@@ -68,7 +71,8 @@
      * @param predictedMillis the expected time to the first event or the answer
      * @param uncachedTokens prompt tokens that are expected to be read
      * @param ownTokens prompt tokens that belong to the request alone or are not cached
-     * @param fetchFrom the engine that is expected to hold shared parts that the upstream lacks
+     * @param fetchFrom the address of the engine or store that may hold shared parts that the upstream lacks
+     * @param saveTo the address of the store that is to keep shared parts that the upstream reads
      */
     record Choice(
             ForwardedUpstream upstream,
@@ -76,7 +80,8 @@
             double predictedMillis,
             long uncachedTokens,
             long ownTokens,
-            Optional<ForwardedUpstream> fetchFrom) {}
+            Optional<String> fetchFrom,
+            Optional<String> saveTo) {}
 
     /**
      * What a placement goes by besides the upstreams.
@@ -85,9 +90,14 @@
      * @param weightsCost the cost of a version of the weights, in milliseconds
      * @param fetchTokensPerMilli how fast engines fetch cached parts, or 0 when they do not
      * @param engineMemoryTokens KV memory of an engine, in tokens
+     * @param keptCache the address of the store of kept KV cache, when there is one
      */
     record Conditions(
-            long nowMillis, LongToDoubleFunction weightsCost, double fetchTokensPerMilli, long engineMemoryTokens) {}
+            long nowMillis,
+            LongToDoubleFunction weightsCost,
+            double fetchTokensPerMilli,
+            long engineMemoryTokens,
+            Optional<String> keptCache) {}
 
     /** Tells how a request's prompt is found in the cache of engines with certain weights. */
     @FunctionalInterface
@@ -111,7 +121,14 @@
             double cost = queue + far(upstream) + BUSY_MILLIS * busy / slots + random.nextDouble(TIE_MILLIS);
             if (cost < bestCost) {
                 bestCost = cost;
-                best = new Choice(upstream, new PromptChain(List.of()), queue + CALL_MILLIS, 0, 0, Optional.empty());
+                best = new Choice(
+                        upstream,
+                        new PromptChain(List.of()),
+                        queue + CALL_MILLIS,
+                        0,
+                        0,
+                        Optional.empty(),
+                        Optional.empty());
             }
         }
         return Optional.ofNullable(best);
@@ -156,30 +173,36 @@
         long version = version(upstream, call);
         PromptChain chain = chains.forWeights(version);
         long cached = upstream.cache.cachedTokens(chain.shared());
-        Optional<ForwardedUpstream> source = Optional.empty();
+        Optional<String> source = Optional.empty();
         long fetched = 0;
         for (ForwardedUpstream other : candidates) {
             boolean usable = other != upstream && version(other, call) == version;
             long more = usable ? other.cache.cachedTokens(chain.shared()) - cached : 0;
             if (conditions.fetchTokensPerMilli() > 0 && more > Math.max(fetched, FEWEST_FETCHED_TOKENS)) {
                 fetched = more;
-                source = Optional.of(other);
+                source = Optional.of(other.entry.address());
             }
         }
+        boolean lacksMore = chain.sharedTokens() - cached - fetched > FEWEST_FETCHED_TOKENS;
+        if (source.isEmpty() && lacksMore) {
+            source = conditions.keptCache();
+        }
+        Optional<String> saveTo = lacksMore ? conditions.keptCache() : Optional.empty();
         long uncached = Math.max(0, Math.max(chain.tokens(), call.inputTokens()) - cached - fetched);
         double fetch = fetched == 0 ? 0 : fetched / (conditions.fetchTokensPerMilli() * FETCH_PART);
-        double wait = upstream.pendingPromptTokens(conditions.nowMillis()) / READ_TOKENS_PER_MILLI;
+        boolean isShort = isShort(call.inputTokens());
+        double wait = upstream.pendingPromptTokens(conditions.nowMillis(), isShort) / READ_TOKENS_PER_MILLI;
         long own = Math.max(0, chain.tokens() - chain.sharedTokens()) + Math.max(0, chain.sharedTokens() - cached);
         boolean slotsTaken = busy(upstream, conditions.nowMillis()) >= slots(upstream);
         double memory = upstream.memoryTokens(conditions.nowMillis()) + own;
         boolean memoryTaken = memory > conditions.engineMemoryTokens() * RUNNING_MEMORY_PART;
         double predicted = wait
-                + upstream.stallMillis(conditions.nowMillis())
+                + upstream.stallMillis(conditions.nowMillis(), isShort)
                 + queued(upstream, conditions.nowMillis())
                 + (slotsTaken || memoryTaken ? FULL_MILLIS : 0)
                 + fetch
                 + uncached / READ_TOKENS_PER_MILLI;
-        return new Choice(upstream, chain, predicted, uncached, own, source);
+        return new Choice(upstream, chain, predicted, uncached, own, source, saveTo);
     }
 
     private static double queued(ForwardedUpstream upstream, long nowMillis) {
@@ -187,6 +210,11 @@
         return fresh ? upstream.load.waiting() * QUEUED_MILLIS : 0;
     }
 
+    /** Tells prompts that engines read in one piece from long ones. */
+    static boolean isShort(long inputTokens) {
+        return inputTokens <= SHORT_PROMPT_TOKENS;
+    }
+
     private static int slots(ForwardedUpstream upstream) {
         return Math.max(1, upstream.entry.slots());
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WeightsRollout.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WeightsRollout.java
@@ -143,8 +143,9 @@
             boolean serves = engine.weights.containsKey(named.model())
                     && !engine.entry.draining()
                     && context.now() < engine.goneAtMillis;
+            boolean suspect = context.now() < engine.suspectUntilMillis;
             if (serves) {
-                engines++;
+                engines += suspect ? 0 : 1;
                 if (engine.weights.get(named.model()) < named.version() && !switches.containsKey(engine.id())) {
                     behind.add(engine);
                 }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.fuchsiatrail.RequestId;
 import org.fuchsiatrail.ResultCode;
@@ -124,12 +126,45 @@
     @Test
     void should_repeat_an_idempotent_call_that_hangs() {
         withRecords();
+        fixture.pass(CallTiming.WARM_UP_MILLIS);
         RequestId request = fixture.call("/read/1");
         fixture.pass(250);
         assertThat(fixture.sends(request)).hasSize(2);
         assertThat(fixture.all(ForwardingOutput.Cancel.class)).hasSize(1);
     }
 
+    @Test
+    void should_blame_no_upstream_while_the_router_itself_has_just_started() {
+        withRecords();
+        RequestId request = fixture.call("/read/1");
+        fixture.pass(250);
+        assertThat(fixture.sends(request)).hasSize(1);
+    }
+
+    @Test
+    void should_wait_longer_for_an_attempt_when_the_router_itself_is_behind() {
+        withRecords();
+        fixture.pass(CallTiming.WARM_UP_MILLIS);
+        RequestId request = fixture.call("/read/1");
+        fixture.now += 250;
+        fixture.tick();
+        assertThat(fixture.sends(request)).hasSize(1);
+        fixture.pass(130);
+        assertThat(fixture.sends(request)).hasSize(2);
+    }
+
+    @Test
+    void should_learn_other_weights_from_a_refusal_and_send_again_at_once() {
+        withTutors();
+        RequestId request = fixture.call("/ask/1", ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s", "o"));
+        fixture.spoke(
+                fixture.send(request),
+                new AttemptEvent.Answered(
+                        new AttemptEvent.Head(421, false, true, Optional.empty(), OptionalLong.of(2))));
+        assertThat(fixture.sends(request)).hasSize(2);
+        assertThat(fixture.send(request).terms().weightsVersion()).hasValue(2);
+    }
+
     @Test
     void should_answer_at_the_routes_timeout_when_the_upstream_hangs() {
         withRecords();
@@ -158,6 +193,7 @@
     @Test
     void should_resume_a_stream_that_stands_still_after_its_last_event() {
         withTutors();
+        fixture.pass(CallTiming.WARM_UP_MILLIS);
         RequestId request = fixture.call("/ask/1", ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s", "o"));
         ForwardingOutput.Send first = fixture.send(request);
         fixture.started(first);
