Ask a lost engine for a sign before it gets work again; weigh what reading shared parts again costs

A lost engine now gets nothing before it has answered a question, 0.35 s of silence towards several requests keeps new ones away, and reading a shared token again weighs 0.2 ms.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSelection.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSelection.java
@@ -69,9 +69,7 @@
             if (refuses || row.excluded.contains(upstream.id()) || weightsOutdated(row, upstream)) {
                 continue;
             }
-            boolean suspect = context.now() < upstream.suspectUntilMillis
-                    || upstream.silentMillis(context.now()) > CallTiming.SILENCE_MILLIS;
-            (suspect ? suspects : usable).add(upstream);
+            (upstream.suspect(context.now()) ? suspects : usable).add(upstream);
         }
         return usable.isEmpty() ? suspects : usable;
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -45,9 +45,9 @@
         store = new StoreCallTable(context);
         follower = new StoreFollower(context, store, known);
         announcement = new MemberAnnouncement(context, store);
-        upstreams = new ForwardedUpstreams(context, store);
-        crashes = new CrashRegister(context);
         EngineStates engineStates = new EngineStates(context);
+        upstreams = new ForwardedUpstreams(context, store, engineStates);
+        crashes = new CrashRegister(context);
         RetryBudgets budgets = new RetryBudgets(context, known);
         right = new OrderRight(context, store, known);
         peers = new PeerNews(context, known, upstreams, crashes);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstream.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstream.java
@@ -18,6 +18,12 @@
     /** How long a peer's report of its work counts, in milliseconds; three heartbeats. */
     private static final long PEER_WORK_MILLIS = 1_600;
 
+    /** A silence towards several requests that shows a lost upstream, in milliseconds; steps take up to 60 ms. */
+    private static final long LONGEST_SILENCE_MILLIS = 350;
+
+    /** The same towards a single request, whose work alone may take as long. */
+    private static final long LONGEST_SINGLE_SILENCE_MILLIS = 900;
+
     UpstreamEntry entry;
     /** When the upstream is to be taken as gone, unless it is listed again before. */
     long goneAtMillis = Long.MAX_VALUE;
@@ -30,6 +36,10 @@
 
     long lastHeardAtMillis = Long.MIN_VALUE;
     int failuresInARow;
+    /** Whether it gets no new work until it has answered a question for its state. */
+    boolean owesSign;
+
+    long nextQuestionAtMillis = Long.MIN_VALUE;
     final Map<AttemptId, AttemptRow> inFlight = new LinkedHashMap<>();
     final Map<String, Long> weights = new HashMap<>();
     final PromptCacheView cache = new PromptCacheView();
@@ -98,6 +108,7 @@
             cache.clear();
             load = null;
             suspectUntilMillis = Long.MIN_VALUE;
+            owesSign = false;
             failuresInARow = 0;
         }
         newer.weights().forEach(this::sawWeights);
@@ -205,6 +216,12 @@
         return nowMillis - Math.max(oldest, lastHeardAtMillis);
     }
 
+    /** Tells whether it is better given no new work: it failed lately, or owes answers and says nothing. */
+    boolean suspect(long nowMillis) {
+        long longestSilence = inFlight.size() > 1 ? LONGEST_SILENCE_MILLIS : LONGEST_SINGLE_SILENCE_MILLIS;
+        return owesSign || nowMillis < suspectUntilMillis || silentMillis(nowMillis) > longestSilence;
+    }
+
     void heard(long nowMillis) {
         lastHeardAtMillis = nowMillis;
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstreams.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstreams.java
@@ -27,15 +27,20 @@
     /** How long an upstream gets no new work after its first failure, in milliseconds; doubled by each further one. */
     private static final long SHORTEST_SUSPICION_MILLIS = 300;
 
+    /** Pause between questions to an engine that owes a sign, in milliseconds; each is paid. */
+    private static final long QUESTION_MILLIS = 400;
+
     /** The longest such time, in milliseconds; two heartbeats of an upstream. */
     private static final long LONGEST_SUSPICION_MILLIS = 2_400;
 
     private final ForwardingContext context;
     private final StoreCallTable store;
+    private final EngineStates engineStates;
     private final Map<UpstreamId, ForwardedUpstream> rows = new LinkedHashMap<>();
 
-    ForwardedUpstreams(ForwardingContext context, StoreCallTable store) {
+    ForwardedUpstreams(ForwardingContext context, StoreCallTable store, EngineStates engineStates) {
         this.context = context;
+        this.engineStates = engineStates;
         this.store = store;
     }
 
@@ -98,8 +103,16 @@
                 row.goneAtMillis - context.now());
     }
 
-    /** Forgets upstreams that are gone and have no request of this router. */
+    /** Asks engines that owe a sign, and forgets upstreams that are gone and have no request of this router. */
     void run() {
+        for (ForwardedUpstream row : rows.values()) {
+            boolean listed = !row.entry.draining() && context.now() < row.goneAtMillis;
+            if (row.owesSign && listed && context.now() >= row.nextQuestionAtMillis) {
+                row.nextQuestionAtMillis = context.now() + QUESTION_MILLIS;
+                context.wakeAt(row.nextQuestionAtMillis);
+                engineStates.ask(row);
+            }
+        }
         rows.values().removeIf(row -> context.now() >= row.goneAtMillis && row.inFlight.isEmpty());
     }
 
@@ -126,6 +139,12 @@
     void succeeded(ForwardedUpstream row) {
         row.failuresInARow = 0;
         row.suspectUntilMillis = Long.MIN_VALUE;
+        row.owesSign = false;
+    }
+
+    /** Takes an engine's answer to a question as the sign that it owed. */
+    void gaveSign(ForwardedUpstream row) {
+        row.owesSign = false;
     }
 
     /** Gives an upstream that failed or fell silent no new work for a while. */
@@ -133,6 +152,7 @@
         row.failuresInARow++;
         long millis = SHORTEST_SUSPICION_MILLIS << Math.min(row.failuresInARow - 1, 8);
         row.suspectUntilMillis = context.now() + Math.min(millis, LONGEST_SUSPICION_MILLIS);
+        row.owesSign = !row.weights.isEmpty();
         context.note(
                 "upstreams",
                 "Upstream suspected.",
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/MemberAnnouncement.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/MemberAnnouncement.java
@@ -16,10 +16,10 @@
     private static final long KEEP_MILLIS = 1_500;
 
     /** Pause after a failed call, in milliseconds. */
-    private static final long TRY_AGAIN_MILLIS = 700;
+    private static final long TRY_AGAIN_MILLIS = 300;
 
     /** How long a call may take, in milliseconds; a slow store takes 0.3 s. */
-    private static final long CALL_MILLIS = 1_000;
+    private static final long CALL_MILLIS = 800;
 
     private final ForwardingContext context;
     private final StoreCallTable store;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
@@ -33,8 +33,14 @@
     /** Shared tokens below which parts are read rather than fetched; a failed fetch costs a millisecond. */
     private static final long FEWEST_FETCHED_TOKENS = 64;
 
-    /** Part of the cost of reading shared parts that a home saves: other sessions keep their own homes. */
-    private static final double HOME_PART = 0.5;
+    /**
+     * Cost of reading a shared token again, in milliseconds of a caller's wait: the users charge 1,000 of them like
+     * half of a short prompt's worth, which is lost by coming 400 ms late.
+     */
+    private static final double READ_AGAIN_MILLIS = 0.2;
+
+    /** The part of a session's shared tokens that its home is expected to hold when nothing is known. */
+    private static final double HOME_PART = 0.8;
 
     /** Cost of an engine whose slots are all taken, in milliseconds; a short generation. */
     private static final double FULL_MILLIS = 300;
@@ -70,6 +76,7 @@
      * @param chain the prompt as that upstream's cache finds it
      * @param predictedMillis the expected time to the first event or the answer
      * @param uncachedTokens prompt tokens that are expected to be read
+     * @param readSharedTokens shared tokens among them
      * @param ownTokens prompt tokens that belong to the request alone or are not cached
      * @param fetchFrom the address of the engine or store that may hold shared parts that the upstream lacks
      * @param saveTo the address of the store that is to keep shared parts that the upstream reads
@@ -79,6 +86,7 @@
             PromptChain chain,
             double predictedMillis,
             long uncachedTokens,
+            long readSharedTokens,
             long ownTokens,
             Optional<String> fetchFrom,
             Optional<String> saveTo) {}
@@ -127,6 +135,7 @@
                         queue + CALL_MILLIS,
                         0,
                         0,
+                        0,
                         Optional.empty(),
                         Optional.empty());
             }
@@ -146,11 +155,12 @@
         double bestCost = Double.MAX_VALUE;
         for (ForwardedUpstream upstream : candidates) {
             Choice choice = choice(call, upstream, candidates, chains, conditions);
-            long shared = choice.chain().sharedTokens();
-            double homeGain =
-                    home.isPresent() && home.get() == upstream ? HOME_PART * shared / READ_TOKENS_PER_MILLI : 0;
+            boolean isHome = home.isPresent() && home.get() == upstream;
+            double readShared = choice.readSharedTokens() * (isHome ? 1 - HOME_PART : 1);
+            double homeGain = isHome ? HOME_PART * choice.readSharedTokens() / READ_TOKENS_PER_MILLI : 0;
             double cost = choice.predictedMillis()
                     - homeGain
+                    + READ_AGAIN_MILLIS * readShared
                     + far(upstream)
                     + conditions.weightsCost().applyAsDouble(version(upstream, call))
                     + BUSY_MILLIS * busy(upstream, conditions.nowMillis()) / slots(upstream)
@@ -202,7 +212,8 @@
                 + (slotsTaken || memoryTaken ? FULL_MILLIS : 0)
                 + fetch
                 + uncached / READ_TOKENS_PER_MILLI;
-        return new Choice(upstream, chain, predicted, uncached, own, source, saveTo);
+        long readShared = Math.max(0, chain.sharedTokens() - cached - fetched);
+        return new Choice(upstream, chain, predicted, uncached, readShared, own, source, saveTo);
     }
 
     private static double queued(ForwardedUpstream upstream, long nowMillis) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WeightsRollout.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WeightsRollout.java
@@ -143,7 +143,7 @@
             boolean serves = engine.weights.containsKey(named.model())
                     && !engine.entry.draining()
                     && context.now() < engine.goneAtMillis;
-            boolean suspect = context.now() < engine.suspectUntilMillis;
+            boolean suspect = engine.suspect(context.now());
             if (serves) {
                 engines += suspect ? 0 : 1;
                 if (engine.weights.get(named.model()) < named.version() && !switches.containsKey(engine.id())) {
@@ -188,6 +188,7 @@
             return;
         }
         if (reply instanceof OrderReply.State told) {
+            upstreams.gaveSign(engine);
             boolean news = false;
             for (Map.Entry<String, Long> each : told.weights().entrySet()) {
                 news |= engine.sawWeights(each.getKey(), each.getValue());
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
@@ -7,9 +7,11 @@
 
 import org.fuchsiatrail.RequestId;
 import org.fuchsiatrail.ResultCode;
+import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.AttemptEvent;
 import org.fuchsiatrail.forwarding.ForwardingInput;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
+import org.fuchsiatrail.forwarding.OrderReply;
 import org.fuchsiatrail.forwarding.StoreFact;
 import org.junit.jupiter.api.Test;
 
@@ -165,6 +167,27 @@
         assertThat(fixture.send(request).terms().weightsVersion()).hasValue(2);
     }
 
+    @Test
+    void should_give_a_lost_engine_no_new_work_before_it_has_answered_a_question() {
+        withTutors();
+        RequestId request = fixture.call("/mark/1", ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s", "o"));
+        UpstreamId lost = fixture.send(request).terms().upstream();
+        fixture.lost(fixture.send(request), true, "");
+        for (int round = 0; round < 10; round++) {
+            fixture.pass(1_000);
+            RequestId next = fixture.call("/ask/1", ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s", "o"));
+            assertThat(fixture.send(next).terms().upstream()).isNotEqualTo(lost);
+            fixture.finish(fixture.send(next));
+        }
+        assertThat(fixture.all(ForwardingOutput.AskState.class)).hasSizeGreaterThan(5);
+        fixture.tick(new ForwardingInput.OrderAnswered(
+                lost, new OrderReply.State(false, 0, Map.of(ForwardingFixture.MODEL, 1L))));
+        RequestId again = fixture.call("/mark/1", ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s", "o"));
+        fixture.lost(fixture.send(again), true, "");
+        RequestId last = fixture.call("/mark/1", ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s", "o"));
+        assertThat(fixture.send(last).terms().upstream()).isEqualTo(lost);
+    }
+
     @Test
     void should_answer_at_the_routes_timeout_when_the_upstream_hangs() {
         withRecords();
