--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingSettings.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingSettings.java
@@ -13,6 +13,7 @@
     private final double retryReserve;
     private final long retryWindowMillis;
     private final long orderLeaseMillis;
+    private final long replacedWeightsMillis;
 
     private ForwardingSettings(Builder builder) {
         self = Objects.requireNonNull(builder.self, "self");
@@ -21,6 +22,7 @@
         retryReserve = builder.retryReserve;
         retryWindowMillis = builder.retryWindowMillis;
         orderLeaseMillis = builder.orderLeaseMillis;
+        replacedWeightsMillis = builder.replacedWeightsMillis;
     }
 
     /**
@@ -86,6 +88,15 @@
         return orderLeaseMillis;
     }
 
+    /**
+     * Returns how long after newer weights were named a request may still begin on older ones.
+     *
+     * @return milliseconds
+     */
+    public long replacedWeightsMillis() {
+        return replacedWeightsMillis;
+    }
+
     /** Builds settings. */
     public static final class Builder {
         private EntryVm self;
@@ -94,6 +105,7 @@
         private double retryReserve = 50;
         private long retryWindowMillis = 10_000;
         private long orderLeaseMillis = 3_000;
+        private long replacedWeightsMillis = 8_000;
 
         private Builder() {}
 
@@ -145,6 +157,17 @@
             return this;
         }
 
+        /**
+         * Sets how long after newer weights were named a request may still begin on older ones.
+         *
+         * @param millis milliseconds
+         * @return this
+         */
+        public Builder replacedWeightsMillis(long millis) {
+            replacedWeightsMillis = millis;
+            return this;
+        }
+
         /**
          * Builds the settings.
          *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSelection.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSelection.java
@@ -82,7 +82,8 @@
                 known.named(row.call.model()).map(weights -> weights.version()).orElse(0L);
         long version = upstream.weights.getOrDefault(row.call.model(), 0L);
         return version < named
-                && context.now() - known.replacedAtMillis(row.call.model(), version) > CallTiming.OLD_WEIGHTS_MILLIS;
+                && context.now() - known.replacedAtMillis(row.call.model(), version)
+                        > timing.replacedWeightsMillis(context.settings().replacedWeightsMillis());
     }
 
     private static UpstreamPlacement.Chains chains(CallRow row) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTiming.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTiming.java
@@ -39,8 +39,8 @@
     /** How long an upstream counts as full after it refused, in milliseconds; half a short call. */
     static final long FULL_MILLIS = 40;
 
-    /** How long after newer weights are named older ones may still run, in milliseconds; the users allow 8 s. */
-    static final long OLD_WEIGHTS_MILLIS = 6_500;
+    /** The part of the time for replaced weights in which requests are sent; the rest covers news and queues. */
+    private static final double REPLACED_WEIGHTS_PART = 0.7;
 
     /** A look at a request later than this after it was due shows that this router is behind, in milliseconds. */
     static final long LATE_LOOK_MILLIS = 25;
@@ -89,6 +89,11 @@
 
     private static final long LONGEST_RETRY_MILLIS = 1_000;
 
+    /** How long after newer weights became known requests are sent to older ones. */
+    long replacedWeightsMillis(long allowedMillis) {
+        return Math.round(allowedMillis * REPLACED_WEIGHTS_PART);
+    }
+
     /** Cost of weights that newer ones have replaced, in milliseconds, by the time since these were named. */
     double oldWeightsCost(long namedMillisAgo) {
         if (namedMillisAgo < OLD_WEIGHTS_FREE_MILLIS) {
