Split intake and log from the handling of calls; steer away from upstreams that fail part of their requests

An engine that fails part of its requests while its health is good kept its full share, since each success cleared its suspicion; the rate of its latest failures now weighs up to 150 ms. A request is looked at once for all events of its stream rather than once for each.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallRow.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallRow.java
@@ -40,6 +40,8 @@
     UpstreamPlacement.Choice choice;
     /** When the present attempt is given up, if the request may be repeated. */
     long patienceAtMillis = Long.MAX_VALUE;
+    /** When it is looked at next. */
+    long nextLookAtMillis = Long.MAX_VALUE;
     /** Until when it waits for an upstream. */
     long waitUntilMillis;
     /** Attempts that were sent, whether or not they ran. */
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -18,8 +18,6 @@
 import org.fuchsiatrail.forwarding.ForwardedCall;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
 import org.fuchsiatrail.forwarding.RequestKind;
-import org.fuchsiatrail.forwarding.Route;
-import org.fuchsiatrail.forwarding.RoutingTable;
 
 /**
  * Takes callers' requests to upstreams and their answers back.
@@ -32,7 +30,9 @@
     private final ForwardingContext context;
     private final KnownItems known;
     private final ForwardedUpstreams upstreams;
+    private final CallIntake intake;
     private final CallSelection selection;
+    private final CallLog log;
     private final CallTiming timing = new CallTiming();
     private final RetryBudgets budgets;
     private final EngineStates engineStates;
@@ -61,57 +61,27 @@
         this.crashes = crashes;
         this.peers = peers;
         this.selection = new CallSelection(context, known, upstreams, timing);
+        this.intake = new CallIntake(context, known, crashes);
+        this.log = new CallLog(context, known);
     }
 
     /** Takes a new request. */
     void arrive(RequestId request, ForwardedCall call) {
         context.count("requests");
-        if (context.stoppingMillis() > CallTiming.LATEST_AFTER_STOP_MILLIS) {
-            refuse(request, call, ResultCode.STOPPING, CallTiming.STOPPING_RETRY_MILLIS);
-            return;
-        }
-        Optional<RoutingTable> routing = known.routing();
-        if (routing.isEmpty()) {
-            refuse(request, call, ResultCode.NOT_CONFIGURED, CallTiming.NOT_CONFIGURED_RETRY_MILLIS);
-            return;
-        }
-        Optional<Route> route = routing.get().route(call.host(), call.path());
-        if (route.isEmpty()) {
-            refuse(request, call, ResultCode.NOT_FOUND, 0);
-            return;
-        }
-        Optional<CustomerEntry> customer = routing.get().customer(call.apiKey());
-        boolean keyNeeded = routing.get().keysRequired() && !route.get().open();
-        if (keyNeeded && customer.isEmpty()) {
-            refuse(request, call, ResultCode.UNAUTHORIZED, 0);
-            return;
-        }
-        if (call.callerAttempt().isEmpty()) {
-            refuse(request, call, ResultCode.INVALID_REQUEST, 0);
-            return;
-        }
-        if (crashes.quarantined(call.fingerprint())) {
-            refuse(request, call, ResultCode.UPSTREAM_FAILED, 0);
-            return;
-        }
-        CallRow row = new CallRow(request, call, route.get(), customer, service(route.get()), context.now());
-        row.waitUntilMillis = row.arrivedAtMillis + timing.waitMillis(row.route);
-        rows.put(request, row);
-        budgets.request(row.service);
-        schedule(row, row.deadlineAtMillis);
-        place(row);
-    }
-
-    private String service(Route route) {
-        int total = route.targets().stream().mapToInt(Route.Target::weight).sum();
-        int drawn = total > 0 ? context.random().nextInt(total) : 0;
-        for (Route.Target target : route.targets()) {
-            drawn -= target.weight();
-            if (drawn < 0) {
-                return target.service();
+        switch (intake.take(request, call)) {
+            case CallIntake.Refused refused -> {
+                log.refused(call, refused.code());
+                context.emit(new ForwardingOutput.Refuse(request, refused.code(), refused.retryAfterMillis()));
+            }
+            case CallIntake.Taken taken -> {
+                CallRow row = taken.row();
+                row.waitUntilMillis = row.arrivedAtMillis + timing.waitMillis(row.route);
+                rows.put(request, row);
+                budgets.request(row.service);
+                schedule(row, row.deadlineAtMillis);
+                place(row);
             }
         }
-        return route.targets().getFirst().service();
     }
 
     /** Sends a request to the best upstream, or has it wait, or refuses it. */
@@ -176,31 +146,8 @@
         if (row.patienceAtMillis < row.deadlineAtMillis) {
             schedule(row, row.patienceAtMillis);
         }
-        context.count(row.sends == 1 ? "attempts.first" : "attempts.repeated");
         Dispatch terms = terms(row, upstream, remaining);
-        context.note(
-                "calls",
-                "Sent.",
-                "request",
-                row.call.callerAttempt(),
-                "route",
-                row.route.name(),
-                "upstream",
-                upstream.id(),
-                "send",
-                row.sends,
-                "predictedMillis",
-                Math.round(choice.predictedMillis()),
-                "uncachedTokens",
-                choice.uncachedTokens(),
-                "running",
-                upstream.running(context.now()),
-                "remainingMillis",
-                remaining,
-                "weights",
-                terms.weightsVersion().orElse(0),
-                "configuration",
-                known.routing().map(RoutingTable::version).orElse(0L));
+        log.sent(row, terms, remaining);
         context.emit(
                 new ForwardingOutput.Send(row.attempt, row.request, row.route.kind() == RequestKind.STREAM, terms));
     }
@@ -266,20 +213,17 @@
         row.excluded.add(row.upstream.id());
         boolean again = failed && row.mayRepeat() && budgets.mayRepeat(row.service);
         if (again && selection.anyFor(row)) {
-            context.note(
-                    "calls",
-                    "Upstream failed it.",
-                    "request",
-                    row.call.callerAttempt(),
-                    "upstream",
-                    row.upstream.id(),
-                    "status",
-                    head.status());
+            log.failedByUpstream(row, head);
+            row.upstream.observeOutcome(true);
             context.emit(new ForwardingOutput.Cancel(row.attempt));
             place(row);
             return;
         }
-        upstreams.succeeded(row.upstream);
+        if (failed) {
+            row.upstream.observeOutcome(true);
+        } else {
+            upstreams.succeeded(row.upstream);
+        }
         context.emit(new ForwardingOutput.Deliver(row.request, row.attempt));
         end(row, "Answered.", head.status());
     }
@@ -318,18 +262,7 @@
 
     private void takeNotRun(CallRow row, AttemptEvent.Head head) {
         leave(row);
-        context.count("attempts.not-run");
-        context.note(
-                "calls",
-                "Not run by upstream.",
-                "request",
-                row.call.callerAttempt(),
-                "upstream",
-                row.upstream.id(),
-                "status",
-                head.status(),
-                "send",
-                row.sends);
+        log.notRun(row, head);
         context.emit(new ForwardingOutput.Cancel(row.attempt));
         if (head.status() == CallTiming.MISDIRECTED) {
             takeMisdirected(row, head);
@@ -364,20 +297,7 @@
     private void takeLoss(CallRow row, AttemptEvent.Lost lost) {
         boolean delivering = row.state == CallRow.State.DELIVERING;
         leave(row);
-        context.count(lost.sent() ? "attempts.lost" : "attempts.not-sent");
-        context.note(
-                "calls",
-                "Attempt lost.",
-                "request",
-                row.call.callerAttempt(),
-                "upstream",
-                row.upstream.id(),
-                "sent",
-                lost.sent(),
-                "reason",
-                lost.reason(),
-                "delivering",
-                delivering);
+        log.lost(row, lost, delivering);
         boolean expected = lost.sent() && row.upstream.switching(context.now());
         if (!expected) {
             upstreams.failed(row.upstream, lost.reason());
@@ -434,7 +354,9 @@
         while (!due.isEmpty() && due.peek().atMillis() <= context.now()) {
             CallRow row = due.poll().row();
             if (row.state != CallRow.State.OVER) {
+                row.nextLookAtMillis = Long.MAX_VALUE;
                 look(row);
+                scheduleNextLook(row);
             }
         }
     }
@@ -476,26 +398,7 @@
     private void giveUp(CallRow row, ResultCode code, long retryAfterMillis, String reason) {
         boolean truthful = code.mayHaveRun() || !row.mayHaveRun();
         ResultCode told = truthful ? code : ResultCode.OUTCOME_UNKNOWN;
-        context.count("refusals." + told.number());
-        context.note(
-                "calls",
-                "Refused.",
-                "request",
-                row.call.callerAttempt(),
-                "route",
-                row.route.name(),
-                "code",
-                told.number(),
-                "reason",
-                reason,
-                "sends",
-                row.sends,
-                "runs",
-                row.runs,
-                "heldMillis",
-                context.now() - row.arrivedAtMillis,
-                "retryAfterMillis",
-                retryAfterMillis);
+        log.refused(row, told, retryAfterMillis, reason);
         boolean begun = !row.lastEvent.equals(row.call.resumeAfter()) || row.state == CallRow.State.DELIVERING;
         if (begun) {
             context.emit(new ForwardingOutput.BreakOff(row.request));
@@ -505,38 +408,8 @@
         forget(row);
     }
 
-    private void refuse(RequestId request, ForwardedCall call, ResultCode code, long retryAfterMillis) {
-        context.count("refusals." + code.number());
-        context.note(
-                "calls",
-                "Refused.",
-                "request",
-                call.callerAttempt(),
-                "host",
-                call.host(),
-                "path",
-                call.path(),
-                "code",
-                code.number(),
-                "configuration",
-                known.routing().map(RoutingTable::version).orElse(0L));
-        context.emit(new ForwardingOutput.Refuse(request, code, retryAfterMillis));
-    }
-
     private void end(CallRow row, String sentence, int status) {
-        long millis = context.now() - row.arrivedAtMillis;
-        context.emit(new ForwardingOutput.Measure("requests." + row.route.kind(), millis));
-        context.note(
-                "calls",
-                sentence,
-                "request",
-                row.call.callerAttempt(),
-                "status",
-                status,
-                "millis",
-                millis,
-                "sends",
-                row.sends);
+        log.ended(row, sentence, status);
         forget(row);
     }
 
@@ -557,9 +430,19 @@
         }
     }
 
+    private void scheduleNextLook(CallRow row) {
+        if (row.state != CallRow.State.OVER) {
+            schedule(row, Math.max(context.now() + 1, Math.min(row.patienceAtMillis, row.deadlineAtMillis)));
+        }
+    }
+
+    /** Has a request looked at; an earlier look that is already due covers a later one. */
     private void schedule(CallRow row, long atMillis) {
-        due.add(new Due(atMillis, row));
-        context.wakeAt(atMillis);
+        if (atMillis < row.nextLookAtMillis) {
+            row.nextLookAtMillis = atMillis;
+            due.add(new Due(atMillis, row));
+            context.wakeAt(atMillis);
+        }
     }
 
     int open() {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstream.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstream.java
@@ -24,6 +24,9 @@
     /** The same towards a single request, whose work alone may take as long. */
     private static final long LONGEST_SINGLE_SILENCE_MILLIS = 900;
 
+    /** What one outcome adds to the rate of failures; the last ten count most. */
+    private static final double FAILURE_WEIGHT = 0.1;
+
     UpstreamEntry entry;
     /** When the upstream is to be taken as gone, unless it is listed again before. */
     long goneAtMillis = Long.MAX_VALUE;
@@ -36,6 +39,8 @@
 
     long lastHeardAtMillis = Long.MIN_VALUE;
     int failuresInARow;
+    /** The part of its latest answers that were failures, 0 to 1. */
+    double failureRate;
     /** Whether it gets no new work until it has answered a question for its state. */
     boolean owesSign;
 
@@ -222,6 +227,11 @@
         return owesSign || nowMillis < suspectUntilMillis || silentMillis(nowMillis) > longestSilence;
     }
 
+    /** Counts an answer or a loss into the rate of failures. */
+    void observeOutcome(boolean failed) {
+        failureRate += FAILURE_WEIGHT * ((failed ? 1 : 0) - failureRate);
+    }
+
     void heard(long nowMillis) {
         lastHeardAtMillis = nowMillis;
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstreams.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstreams.java
@@ -137,6 +137,7 @@
 
     /** Remembers that an upstream did what it was asked. */
     void succeeded(ForwardedUpstream row) {
+        row.observeOutcome(false);
         row.failuresInARow = 0;
         row.suspectUntilMillis = Long.MIN_VALUE;
         row.owesSign = false;
@@ -149,6 +150,7 @@
 
     /** Gives an upstream that failed or fell silent no new work for a while. */
     void failed(ForwardedUpstream row, String reason) {
+        row.observeOutcome(true);
         row.failuresInARow++;
         long millis = SHORTEST_SUSPICION_MILLIS << Math.min(row.failuresInARow - 1, 8);
         row.suspectUntilMillis = context.now() + Math.min(millis, LONGEST_SUSPICION_MILLIS);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
@@ -54,6 +54,9 @@
     /** The longest prompt that counts as short, in tokens; engines read about as many between two steps. */
     private static final long SHORT_PROMPT_TOKENS = 4_000;
 
+    /** Cost of a certain failure, in milliseconds; an attempt that fails costs about a call's time. */
+    private static final double FAILURE_MILLIS = 150;
+
     /** Cost of each slot taken, as a part of one call's work, in milliseconds for all slots. */
     private static final double BUSY_MILLIS = 20;
 
@@ -126,7 +129,11 @@
             int slots = slots(upstream);
             int busy = busy(upstream, nowMillis);
             double queue = Math.max(0, busy + 1 - slots) * CALL_MILLIS / slots;
-            double cost = queue + far(upstream) + BUSY_MILLIS * busy / slots + random.nextDouble(TIE_MILLIS);
+            double cost = queue
+                    + far(upstream)
+                    + BUSY_MILLIS * busy / slots
+                    + FAILURE_MILLIS * upstream.failureRate
+                    + random.nextDouble(TIE_MILLIS);
             if (cost < bestCost) {
                 bestCost = cost;
                 best = new Choice(
@@ -162,6 +169,7 @@
                     - homeGain
                     + READ_AGAIN_MILLIS * readShared
                     + far(upstream)
+                    + FAILURE_MILLIS * upstream.failureRate
                     + conditions.weightsCost().applyAsDouble(version(upstream, call))
                     + BUSY_MILLIS * busy(upstream, conditions.nowMillis()) / slots(upstream)
                     + random.nextDouble(TIE_MILLIS);
