--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -35,7 +35,7 @@
     private final CallLog log;
     private final CallTiming timing = new CallTiming();
     private final RetryBudgets budgets;
-    private final EngineStates engineStates;
+    private final EngineProbes probes;
     private final CrashRegister crashes;
     private final PeerNews peers;
     private final Map<RequestId, CallRow> rows = new LinkedHashMap<>();
@@ -50,14 +50,14 @@
             KnownItems known,
             ForwardedUpstreams upstreams,
             RetryBudgets budgets,
-            EngineStates engineStates,
+            EngineProbes probes,
             CrashRegister crashes,
             PeerNews peers) {
         this.context = context;
         this.known = known;
         this.upstreams = upstreams;
         this.budgets = budgets;
-        this.engineStates = engineStates;
+        this.probes = probes;
         this.crashes = crashes;
         this.peers = peers;
         this.selection = new CallSelection(context, known, upstreams, timing);
@@ -288,7 +288,7 @@
             for (ForwardedUpstream other : upstreams.staying(row.service)) {
                 if (other.weights.getOrDefault(row.call.model(), 0L) < newest
                         || (!weightsTold && other == row.upstream)) {
-                    engineStates.ask(other);
+                    probes.send(other);
                 }
             }
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -45,14 +45,14 @@
         store = new StoreCallTable(context);
         follower = new StoreFollower(context, store, known);
         announcement = new MemberAnnouncement(context, store);
-        EngineStates engineStates = new EngineStates(context);
-        upstreams = new ForwardedUpstreams(context, store, engineStates);
+        EngineProbes probes = new EngineProbes(context);
+        upstreams = new ForwardedUpstreams(context, store, probes);
         crashes = new CrashRegister(context);
         RetryBudgets budgets = new RetryBudgets(context, known);
         right = new OrderRight(context, store, known);
         peers = new PeerNews(context, known, upstreams, crashes);
-        calls = new CallSystem(context, known, upstreams, budgets, engineStates, crashes, peers);
-        rollout = new WeightsRollout(context, known, upstreams, right, engineStates, peers::announceSoon);
+        calls = new CallSystem(context, known, upstreams, budgets, probes, crashes, peers);
+        rollout = new WeightsRollout(context, known, upstreams, right, probes, peers::announceSoon);
         peers.use(rollout);
         known.onChange(this::itemChanged);
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstream.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstream.java
@@ -41,10 +41,10 @@
     int failuresInARow;
     /** The part of its latest answers that were failures, 0 to 1. */
     double failureRate;
-    /** Whether it gets no new work until it has answered a question for its state. */
-    boolean owesSign;
+    /** Whether it gets no new work before it has answered a probe. */
+    boolean awaitsProbe;
 
-    long nextQuestionAtMillis = Long.MIN_VALUE;
+    long nextProbeAtMillis = Long.MIN_VALUE;
     final Map<AttemptId, AttemptRow> inFlight = new LinkedHashMap<>();
     final Map<String, Long> weights = new HashMap<>();
     final PromptCacheView cache = new PromptCacheView();
@@ -113,7 +113,7 @@
             cache.clear();
             load = null;
             suspectUntilMillis = Long.MIN_VALUE;
-            owesSign = false;
+            awaitsProbe = false;
             failuresInARow = 0;
         }
         newer.weights().forEach(this::sawWeights);
@@ -221,10 +221,10 @@
         return nowMillis - Math.max(oldest, lastHeardAtMillis);
     }
 
-    /** Tells whether it is better given no new work: it failed lately, or owes answers and says nothing. */
+    /** Tells whether it gets no new work: it failed lately, awaits a probe, or is silent towards requests. */
     boolean suspect(long nowMillis) {
         long longestSilence = inFlight.size() > 1 ? LONGEST_SILENCE_MILLIS : LONGEST_SINGLE_SILENCE_MILLIS;
-        return owesSign || nowMillis < suspectUntilMillis || silentMillis(nowMillis) > longestSilence;
+        return awaitsProbe || nowMillis < suspectUntilMillis || silentMillis(nowMillis) > longestSilence;
     }
 
     /** Counts an answer or a loss into the rate of failures. */
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstreams.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstreams.java
@@ -27,20 +27,20 @@
     /** How long an upstream gets no new work after its first failure, in milliseconds; doubled by each further one. */
     private static final long SHORTEST_SUSPICION_MILLIS = 300;
 
-    /** Pause between questions to an engine that owes a sign, in milliseconds; each is paid. */
-    private static final long QUESTION_MILLIS = 400;
+    /** Pause between probes of a lost engine, in milliseconds; each is paid. */
+    private static final long PROBE_MILLIS = 400;
 
     /** The longest such time, in milliseconds; two heartbeats of an upstream. */
     private static final long LONGEST_SUSPICION_MILLIS = 2_400;
 
     private final ForwardingContext context;
     private final StoreCallTable store;
-    private final EngineStates engineStates;
+    private final EngineProbes probes;
     private final Map<UpstreamId, ForwardedUpstream> rows = new LinkedHashMap<>();
 
-    ForwardedUpstreams(ForwardingContext context, StoreCallTable store, EngineStates engineStates) {
+    ForwardedUpstreams(ForwardingContext context, StoreCallTable store, EngineProbes probes) {
         this.context = context;
-        this.engineStates = engineStates;
+        this.probes = probes;
         this.store = store;
     }
 
@@ -103,14 +103,14 @@
                 row.goneAtMillis - context.now());
     }
 
-    /** Asks engines that owe a sign, and forgets upstreams that are gone and have no request of this router. */
+    /** Probes lost engines, and forgets upstreams that are gone and have no request of this router. */
     void run() {
         for (ForwardedUpstream row : rows.values()) {
             boolean listed = !row.entry.draining() && context.now() < row.goneAtMillis;
-            if (row.owesSign && listed && context.now() >= row.nextQuestionAtMillis) {
-                row.nextQuestionAtMillis = context.now() + QUESTION_MILLIS;
-                context.wakeAt(row.nextQuestionAtMillis);
-                engineStates.ask(row);
+            if (row.awaitsProbe && listed && context.now() >= row.nextProbeAtMillis) {
+                row.nextProbeAtMillis = context.now() + PROBE_MILLIS;
+                context.wakeAt(row.nextProbeAtMillis);
+                probes.send(row);
             }
         }
         rows.values().removeIf(row -> context.now() >= row.goneAtMillis && row.inFlight.isEmpty());
@@ -140,12 +140,12 @@
         row.observeOutcome(false);
         row.failuresInARow = 0;
         row.suspectUntilMillis = Long.MIN_VALUE;
-        row.owesSign = false;
+        row.awaitsProbe = false;
     }
 
-    /** Takes an engine's answer to a question as the sign that it owed. */
-    void gaveSign(ForwardedUpstream row) {
-        row.owesSign = false;
+    /** Lets a lost engine that answered a probe have work again. */
+    void probeAnswered(ForwardedUpstream row) {
+        row.awaitsProbe = false;
     }
 
     /** Gives an upstream that failed or fell silent no new work for a while. */
@@ -154,7 +154,7 @@
         row.failuresInARow++;
         long millis = SHORTEST_SUSPICION_MILLIS << Math.min(row.failuresInARow - 1, 8);
         row.suspectUntilMillis = context.now() + Math.min(millis, LONGEST_SUSPICION_MILLIS);
-        row.owesSign = !row.weights.isEmpty();
+        row.awaitsProbe = !row.weights.isEmpty();
         context.note(
                 "upstreams",
                 "Upstream suspected.",
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WeightsRollout.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WeightsRollout.java
@@ -45,7 +45,7 @@
     private final KnownItems known;
     private final ForwardedUpstreams upstreams;
     private final OrderRight right;
-    private final EngineStates engineStates;
+    private final EngineProbes probes;
     private final Runnable announce;
     private final Map<UpstreamId, Switch> switches = new HashMap<>();
     private long nextLookAtMillis;
@@ -76,13 +76,13 @@
             KnownItems known,
             ForwardedUpstreams upstreams,
             OrderRight right,
-            EngineStates engineStates,
+            EngineProbes probes,
             Runnable announce) {
         this.context = context;
         this.known = known;
         this.upstreams = upstreams;
         this.right = right;
-        this.engineStates = engineStates;
+        this.probes = probes;
         this.announce = announce;
     }
 
@@ -171,7 +171,7 @@
             return;
         }
         if (state.ordered || state.acceptedOrders < 0) {
-            engineStates.ask(engine);
+            probes.send(engine);
             return;
         }
         long quiet = context.now() - state.startedAtMillis;
@@ -188,7 +188,7 @@
             return;
         }
         if (reply instanceof OrderReply.State told) {
-            upstreams.gaveSign(engine);
+            upstreams.probeAnswered(engine);
             boolean news = false;
             for (Map.Entry<String, Long> each : told.weights().entrySet()) {
                 news |= engine.sawWeights(each.getKey(), each.getValue());
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
@@ -168,7 +168,7 @@
     }
 
     @Test
-    void should_give_a_lost_engine_no_new_work_before_it_has_answered_a_question() {
+    void should_give_a_lost_engine_no_new_work_before_it_has_answered_a_probe() {
         withTutors();
         RequestId request = fixture.call("/mark/1", ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s", "o"));
         UpstreamId lost = fixture.send(request).terms().upstream();
