Have routers of a large fleet tell their news by way of relays

Cause: on the grown site each of 70 routers told each other one, and each prompt part that was read sent a message to all.

Change: above 12 routers each tells one relay of its failure domain, which tells its followers and one relay of each other domain; a message to several peers is written once; the pause between two watches grows with the fleet. Small fleets go on as before.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
@@ -151,6 +151,7 @@
      * @param switching engines that take new weights now
      * @param crashes requests that ran on upstreams that crashed
      * @param reads prompt parts that engines have read since the last news
+     * @param domains what all routers of a failure domain together have in flight, from a relay
      */
     record ForwardingNews(
             EntryVm vm,
@@ -162,8 +163,32 @@
             List<SeenWeights> weights,
             List<UpstreamId> switching,
             List<SeenCrash> crashes,
-            List<ReadParts> reads)
-            implements PeerMessage {}
+            List<ReadParts> reads,
+            List<DomainWork> domains)
+            implements PeerMessage {
+
+        /** Takes lists that are missing as empty. */
+        public ForwardingNews {
+            items = items == null ? List.of() : items;
+            work = work == null ? List.of() : work;
+            weights = weights == null ? List.of() : weights;
+            switching = switching == null ? List.of() : switching;
+            crashes = crashes == null ? List.of() : crashes;
+            reads = reads == null ? List.of() : reads;
+            domains = domains == null ? List.of() : domains;
+        }
+
+        /**
+         * Begins news that say nothing yet.
+         *
+         * @param vm the sender, with its own address
+         * @param revision the store's revision up to which the sender knows all items
+         * @return a builder
+         */
+        public static ForwardingNewsBuilder builder(EntryVm vm, long revision) {
+            return new ForwardingNewsBuilder(vm, revision);
+        }
+    }
 
     /**
      * An item of the store as it was written.
@@ -193,6 +218,20 @@
             long shortPromptTokens,
             long memoryTokens) {}
 
+    /**
+     * What all routers of a failure domain have in flight.
+     *
+     * @param domain the failure domain
+     * @param work their work on each upstream, summed
+     */
+    record DomainWork(FailureDomain domain, List<UpstreamWork> work) {
+
+        /** Takes a missing list as empty. */
+        public DomainWork {
+            work = work == null ? List.of() : work;
+        }
+    }
+
     /**
      * Prompt parts that an engine has read.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashRegister.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashRegister.java
@@ -56,8 +56,8 @@
         losses.removeIf(loss -> loss.upstream().equals(upstream));
     }
 
-    /** Takes a crash that was seen here or by a peer. */
-    void learn(PeerMessage.SeenCrash crash) {
+    /** Takes a crash that was seen here or by a peer; tells whether it was new. */
+    boolean learn(PeerMessage.SeenCrash crash) {
         boolean added = crashesByRequest
                 .computeIfAbsent(crash.fingerprint(), key -> new HashSet<>())
                 .add(crash.upstream().value());
@@ -73,6 +73,7 @@
                     "crashes",
                     crashesByRequest.get(crash.fingerprint()).size());
         }
+        return added;
     }
 
     boolean quarantined(long fingerprint) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstream.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstream.java
@@ -1,11 +1,12 @@
 package org.fuchsiatrail.internal.forwarding;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 import org.fuchsiatrail.AttemptId;
-import org.fuchsiatrail.EntryVmId;
 import org.fuchsiatrail.FailureDomain;
 import org.fuchsiatrail.PeerMessage;
 import org.fuchsiatrail.UpstreamId;
@@ -50,7 +51,7 @@
     final PromptCacheView cache = new PromptCacheView();
     UpstreamLoad load;
     long loadAtMillis = Long.MIN_VALUE;
-    private final Map<EntryVmId, PeerWork> peerWork = new HashMap<>();
+    private final Map<WorkSource, PeerWork> peerWork = new HashMap<>();
 
     /** A request of this router on this upstream. */
     static final class AttemptRow {
@@ -119,9 +120,9 @@
         newer.weights().forEach(this::sawWeights);
     }
 
-    /** Forgets the work of a peer whose news no longer names this upstream. */
-    void forgetPeerWork(EntryVmId peer) {
-        peerWork.remove(peer);
+    /** Forgets work that newer news no longer names. */
+    void forgetPeerWork(WorkSource source) {
+        peerWork.remove(source);
     }
 
     /** Remembers the version of a model's weights; versions only increase within a life. */
@@ -136,8 +137,32 @@
         return true;
     }
 
-    void takePeerWork(EntryVmId peer, PeerMessage.UpstreamWork work, long nowMillis) {
-        peerWork.put(peer, new PeerWork(work, nowMillis));
+    void takePeerWork(WorkSource source, PeerMessage.UpstreamWork work, long nowMillis) {
+        peerWork.put(source, new PeerWork(work, nowMillis));
+    }
+
+    /** What this router has in flight on the upstream. */
+    PeerMessage.UpstreamWork ownWork() {
+        long tokens = 0;
+        long shortTokens = 0;
+        long memory = 0;
+        for (AttemptRow attempt : inFlight.values()) {
+            tokens += attempt.promptTokens;
+            shortTokens += attempt.shortPrompt ? attempt.promptTokens : 0;
+            memory += attempt.memoryTokens;
+        }
+        return new PeerMessage.UpstreamWork(id(), inFlight.size(), ownBound(), tokens, shortTokens, memory);
+    }
+
+    /** What routers that tell it themselves have in flight on the upstream. */
+    List<PeerMessage.UpstreamWork> directPeerWork(long nowMillis) {
+        List<PeerMessage.UpstreamWork> work = new ArrayList<>();
+        peerWork.forEach((source, peer) -> {
+            if (source instanceof WorkSource.Router && peer.atMillis() >= nowMillis - PEER_WORK_MILLIS) {
+                work.add(peer.work());
+            }
+        });
+        return work;
     }
 
     /** Requests in flight from all routers, as far as known. */
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/KnownItems.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/KnownItems.java
@@ -35,6 +35,7 @@
     private BiConsumer<StoreFact, StoreItem> listener = (before, item) -> {};
     private RoutingTable routing;
     private long revision;
+    private int memberCount;
 
     KnownItems(ForwardingContext context) {
         this.context = context;
@@ -52,6 +53,8 @@
             return;
         }
         items.put(item.key(), item);
+        memberCount += (item.fact() instanceof StoreFact.Member ? 1 : 0)
+                - (known != null && known.fact() instanceof StoreFact.Member ? 1 : 0);
         switch (item.fact()) {
             case StoreFact.Routing adopted -> adopt(adopted.table(), item);
             case StoreFact.NamedWeights named -> {
@@ -182,6 +185,11 @@
         return Optional.empty();
     }
 
+    /** The number of routers that the store names. */
+    int memberCount() {
+        return memberCount;
+    }
+
     List<StoreFact.Member> members() {
         List<StoreFact.Member> members = new ArrayList<>();
         for (StoreItem item : items.values()) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerNews.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerNews.java
@@ -1,19 +1,22 @@
 package org.fuchsiatrail.internal.forwarding;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 import org.fuchsiatrail.EntryVm;
 import org.fuchsiatrail.EntryVmId;
+import org.fuchsiatrail.FailureDomain;
+import org.fuchsiatrail.ForwardingNewsBuilder;
 import org.fuchsiatrail.PeerMessage;
 import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
 import org.fuchsiatrail.forwarding.StoreFact;
-import org.fuchsiatrail.forwarding.StoreItem;
 
 /**
- * Exchanges news with the other routers: work in flight, weights seen, engines that switch, crashes, and items of the
- * store for routers that the store turns away.
+ * Exchanges news with the other routers: work in flight, weights seen, engines that switch, crashes and prompt parts
+ * that engines have read. {@link PeerCircle} tells with whom.
  */
 final class PeerNews {
 
@@ -23,43 +26,49 @@
     /** Pause for each peer, in milliseconds: 25 messages a second take a small VM about 1 % of a core. */
     private static final long HEARTBEAT_PER_PEER_MILLIS = 40;
 
+    /** The pause in a fleet with relays, in milliseconds: a relay of 25 followers handles 80 messages a second. */
+    private static final long RELAYED_HEARTBEAT_MILLIS = 300;
+
     /** How long news is gathered before it is pushed, in milliseconds. */
     private static final long PUSH_MILLIS = 5;
 
-    /** How long a peer may be ahead before it is asked, in milliseconds; the own watch usually catches up first. */
-    private static final long BEHIND_MILLIS = 250;
+    /** The shortest pause between two messages of a router in a fleet with relays, in milliseconds. */
+    private static final long RELAYED_PUSH_MILLIS = 50;
 
     /** How long a peer's word that an engine switches counts, in milliseconds; two heartbeats. */
     private static final long SWITCHING_MILLIS = 1_500;
 
-    /** The most bytes of items in one answer; a longer one is cut and asked for again. */
-    private static final int MOST_ITEM_BYTES = 2 * 1024 * 1024;
-
     private final ForwardingContext context;
     private final KnownItems known;
     private final ForwardedUpstreams upstreams;
     private final CrashRegister crashes;
-    private final List<PeerMessage.ReadParts> reads = new ArrayList<>();
+    private final PeerCircle circle;
+    private final ItemRelay items;
+    private final PassingNews passing = new PassingNews();
+    private final Map<FailureDomain, PeerMessage.DomainWork> distantWork = new HashMap<>();
+    private List<PeerMessage.UpstreamWork> lastToldWork = List.of();
+    private boolean relays;
     private WeightsRollout rollout;
+    private long lastToldAtMillis = Long.MIN_VALUE / 2;
     private long nextHeartbeatAtMillis;
     private long pushAtMillis = Long.MAX_VALUE;
-    private long behindSinceMillis = Long.MAX_VALUE;
 
     PeerNews(ForwardingContext context, KnownItems known, ForwardedUpstreams upstreams, CrashRegister crashes) {
         this.context = context;
         this.known = known;
         this.upstreams = upstreams;
         this.crashes = crashes;
+        this.circle = new PeerCircle(context.settings().self());
+        this.items = new ItemRelay(context, known);
     }
 
     /** Remembers parts that an engine has read, to be told soon. */
     void partsRead(UpstreamId engine, List<PromptChain.Link> links) {
         if (!links.isEmpty()) {
-            reads.add(new PeerMessage.ReadParts(
-                    engine,
-                    links.stream().mapToLong(PromptChain.Link::key).toArray(),
-                    links.stream().mapToLong(PromptChain.Link::tokens).toArray()));
-            announceSoon();
+            passing.near().reads.add(readParts(engine, links));
+            if (!PeerCircle.large(known.memberCount())) {
+                announceSoon();
+            }
         }
     }
 
@@ -70,7 +79,8 @@
     /** Has news sent without waiting for the next heartbeat. */
     void announceSoon() {
         if (pushAtMillis == Long.MAX_VALUE) {
-            pushAtMillis = context.now() + PUSH_MILLIS;
+            long earliest = PeerCircle.large(known.memberCount()) ? lastToldAtMillis + RELAYED_PUSH_MILLIS : 0;
+            pushAtMillis = Math.max(earliest, context.now() + PUSH_MILLIS);
             context.wakeAt(pushAtMillis);
         }
     }
@@ -83,59 +93,57 @@
             return;
         }
         pushAtMillis = Long.MAX_VALUE;
-        List<EntryVm> peers = peers();
-        nextHeartbeatAtMillis =
-                context.now() + Math.max(SHORTEST_HEARTBEAT_MILLIS, HEARTBEAT_PER_PEER_MILLIS * peers.size());
+        lastToldAtMillis = context.now();
+        List<EntryVm> members =
+                known.members().stream().map(StoreFact.Member::vm).toList();
+        long pause = PeerCircle.large(members.size())
+                ? RELAYED_HEARTBEAT_MILLIS
+                : Math.max(SHORTEST_HEARTBEAT_MILLIS, HEARTBEAT_PER_PEER_MILLIS * members.size());
+        nextHeartbeatAtMillis = context.now() + pause;
         context.wakeAt(nextHeartbeatAtMillis);
-        PeerMessage.ForwardingNews news = news();
-        for (EntryVm peer : peers) {
-            context.emit(new ForwardingOutput.TellPeer(peer.id(), peer.address(), news));
-        }
+        tell(circle.audience(members, context.now()));
     }
 
-    private List<EntryVm> peers() {
-        List<EntryVm> peers = new ArrayList<>();
-        for (StoreFact.Member member : known.members()) {
-            if (!member.vm().id().equals(context.settings().self().id())) {
-                peers.add(member.vm());
-            }
-        }
-        return peers;
+    private void tell(PeerCircle.Audience audience) {
+        relays = audience.relays();
+        passing.near().crashes.addAll(crashes.takeUntold());
+        passing.near().switching.addAll(rollout.switching());
+        if (!audience.peers().isEmpty()) {
+            lastToldWork = WorkSums.own(upstreams.all());
+            ForwardingNewsBuilder news = news().work(lastToldWork);
+            passing.writeAll(news);
+            send(audience.peers(), news);
+        }
+        if (relays) {
+            PeerMessage.DomainWork near =
+                    new PeerMessage.DomainWork(ownDomain(), WorkSums.near(upstreams.all(), context.now()));
+            ForwardingNewsBuilder outward = news().domains(List.of(near));
+            passing.writeNear(outward);
+            send(audience.distantRelays(), outward);
+            List<PeerMessage.DomainWork> all = new ArrayList<>(distantWork.values());
+            all.add(near);
+            ForwardingNewsBuilder inward = news().domains(all);
+            passing.writeAll(inward);
+            send(audience.followers(), inward);
+        }
+        distantWork.clear();
+        passing.clear();
     }
 
-    private PeerMessage.ForwardingNews news() {
-        List<PeerMessage.UpstreamWork> work = new ArrayList<>();
-        for (ForwardedUpstream upstream : upstreams.all()) {
-            if (!upstream.inFlight.isEmpty()) {
-                long tokens = 0;
-                long shortTokens = 0;
-                long memory = 0;
-                for (ForwardedUpstream.AttemptRow attempt : upstream.inFlight.values()) {
-                    tokens += attempt.promptTokens;
-                    shortTokens += attempt.shortPrompt ? attempt.promptTokens : 0;
-                    memory += attempt.memoryTokens;
-                }
-                work.add(new PeerMessage.UpstreamWork(
-                        upstream.id(), upstream.inFlight.size(), upstream.ownBound(), tokens, shortTokens, memory));
-            }
+    private ForwardingNewsBuilder news() {
+        return PeerMessage.ForwardingNews.builder(context.settings().self(), known.revision())
+                .weights(newWeights());
+    }
+
+    private void send(List<EntryVm> recipients, ForwardingNewsBuilder builder) {
+        PeerMessage.ForwardingNews news = builder.build();
+        for (EntryVm peer : recipients) {
+            context.emit(new ForwardingOutput.TellPeer(peer.id(), peer.address(), news));
         }
-        return new PeerMessage.ForwardingNews(
-                context.settings().self(),
-                known.revision(),
-                false,
-                0,
-                List.of(),
-                work,
-                newWeights(),
-                rollout.switching(),
-                crashes.takeUntold(),
-                takeReads());
     }
 
-    private List<PeerMessage.ReadParts> takeReads() {
-        List<PeerMessage.ReadParts> taken = List.copyOf(reads);
-        reads.clear();
-        return taken;
+    private FailureDomain ownDomain() {
+        return context.settings().self().failureDomain();
     }
 
     /** Versions that the engines' own entries do not tell yet. */
@@ -154,95 +162,87 @@
     /** Takes news of a peer. */
     void receive(EntryVmId from, PeerMessage.ForwardingNews news) {
         if (news.wantsItems()) {
-            answer(from, news);
+            items.answer(from, news);
             return;
         }
-        if (news.coversUpTo() > known.revision()) {
-            known.coveredUpTo(news.coversUpTo());
-            context.note("peers", "Items taken from a peer.", "peer", from, "revision", news.coversUpTo());
+        circle.heard(from, context.now());
+        takeWork(from, news);
+        boolean near = news.vm().failureDomain().equals(ownDomain());
+        takeNews(news, near ? passing.near() : passing.distant());
+        items.compare(from, news);
+    }
+
+    private void takeWork(EntryVmId from, PeerMessage.ForwardingNews news) {
+        WorkSource direct = new WorkSource.Router(from);
+        upstreams.all().forEach(row -> row.forgetPeerWork(direct));
+        takeWork(direct, news.work());
+        for (PeerMessage.DomainWork sum : news.domains()) {
+            WorkSource domain = new WorkSource.Domain(sum.domain());
+            if (!sum.domain().equals(ownDomain())) {
+                distantWork.put(sum.domain(), sum);
+            }
+            upstreams.all().forEach(row -> row.forgetPeerWork(domain));
+            takeWork(
+                    domain, sum.domain().equals(ownDomain()) ? WorkSums.without(sum.work(), lastToldWork) : sum.work());
         }
-        upstreams.all().forEach(row -> row.forgetPeerWork(from));
-        for (PeerMessage.UpstreamWork work : news.work()) {
-            upstreams.find(work.upstream()).ifPresent(row -> row.takePeerWork(from, work, context.now()));
+    }
+
+    private void takeWork(WorkSource source, List<PeerMessage.UpstreamWork> work) {
+        for (PeerMessage.UpstreamWork each : work) {
+            upstreams.find(each.upstream()).ifPresent(row -> row.takePeerWork(source, each, context.now()));
         }
-        news.reads().forEach(this::takeReads);
+    }
+
+    private void takeNews(PeerMessage.ForwardingNews news, PassingNews.Part part) {
+        news.reads().forEach(read -> takeReads(read, part));
         for (PeerMessage.SeenWeights seen : news.weights()) {
-            upstreams.find(seen.engine()).ifPresent(row -> row.sawWeights(seen.model(), seen.version()));
+            boolean added = upstreams
+                    .find(seen.engine())
+                    .map(row -> row.sawWeights(seen.model(), seen.version()))
+                    .orElse(false);
+            if (added && relays) {
+                announceSoon();
+            }
         }
         for (UpstreamId engine : news.switching()) {
-            upstreams.find(engine).ifPresent(this::takeSwitching);
+            upstreams.find(engine).ifPresent(row -> takeSwitching(row, part));
+        }
+        for (PeerMessage.SeenCrash crash : news.crashes()) {
+            if (crashes.learn(crash) && relays) {
+                part.crashes.add(crash);
+                announceSoon();
+            }
         }
-        news.crashes().forEach(crashes::learn);
-        askIfBehind(from, news);
     }
 
-    private void takeReads(PeerMessage.ReadParts read) {
+    private void takeReads(PeerMessage.ReadParts read, PassingNews.Part part) {
         List<PromptChain.Link> links = new ArrayList<>();
         for (int index = 0; index < Math.min(read.keys().length, read.tokens().length); index++) {
             links.add(new PromptChain.Link(read.keys()[index], read.tokens()[index]));
         }
-        upstreams.find(read.engine()).ifPresent(row -> row.cache.read(links, known.memoryTokens(row.entry.service())));
+        upstreams.find(read.engine()).ifPresent(row -> {
+            List<PromptChain.Link> unknown = row.cache.read(links, known.memoryTokens(row.entry.service()));
+            if (relays && !unknown.isEmpty()) {
+                part.reads.add(readParts(read.engine(), unknown));
+            }
+        });
+    }
+
+    private static PeerMessage.ReadParts readParts(UpstreamId engine, List<PromptChain.Link> links) {
+        return new PeerMessage.ReadParts(
+                engine,
+                links.stream().mapToLong(PromptChain.Link::key).toArray(),
+                links.stream().mapToLong(PromptChain.Link::tokens).toArray());
     }
 
-    private void takeSwitching(ForwardedUpstream engine) {
+    private void takeSwitching(ForwardedUpstream engine, PassingNews.Part part) {
         boolean started = !engine.switching(context.now());
         engine.switchingUntilMillis = context.now() + SWITCHING_MILLIS;
+        if (relays) {
+            part.switching.add(engine.id());
+        }
         if (started) {
             announceSoon();
         }
     }
-
-    private void askIfBehind(EntryVmId from, PeerMessage.ForwardingNews news) {
-        if (news.revision() <= known.revision()) {
-            behindSinceMillis = Long.MAX_VALUE;
-            return;
-        }
-        behindSinceMillis = Math.min(behindSinceMillis, context.now());
-        if (context.now() - behindSinceMillis < BEHIND_MILLIS) {
-            return;
-        }
-        behindSinceMillis = context.now();
-        context.count("peers.asked-for-items");
-        PeerMessage.ForwardingNews question = new PeerMessage.ForwardingNews(
-                context.settings().self(),
-                known.revision(),
-                true,
-                0,
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of());
-        context.emit(new ForwardingOutput.TellPeer(from, news.vm().address(), question));
-    }
-
-    private void answer(EntryVmId from, PeerMessage.ForwardingNews question) {
-        List<PeerMessage.RelayedItem> items = new ArrayList<>();
-        List<StoreItem> changed = new ArrayList<>(known.changedAfter(question.revision()));
-        changed.sort((one, other) -> Long.compare(one.revision(), other.revision()));
-        long bytes = 0;
-        long covered = known.revision();
-        for (StoreItem item : changed) {
-            bytes += item.value().length;
-            if (bytes > MOST_ITEM_BYTES && !items.isEmpty()) {
-                covered = items.getLast().revision();
-                break;
-            }
-            boolean removed = item.fact() instanceof StoreFact.Removed;
-            items.add(new PeerMessage.RelayedItem(item.key(), item.revision(), removed, item.value()));
-        }
-        PeerMessage.ForwardingNews reply = new PeerMessage.ForwardingNews(
-                context.settings().self(),
-                known.revision(),
-                false,
-                covered,
-                items,
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of());
-        context.emit(new ForwardingOutput.TellPeer(from, question.vm().address(), reply));
-    }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreFollower.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreFollower.java
@@ -27,8 +27,14 @@
     /** The longest such pause, in milliseconds. */
     private static final long LONGEST_BACKOFF_MILLIS = 600;
 
-    /** Pause after a change before the next watch, in milliseconds, so that one call returns several changes. */
-    private static final long GATHER_MILLIS = 20;
+    /** The shortest pause after a change before the next watch, in milliseconds, so that one call returns several. */
+    private static final long SHORTEST_GATHER_MILLIS = 20;
+
+    /** Pause for each router of the fleet, in milliseconds: all together make about 65 watches a second at most. */
+    private static final double GATHER_PER_ROUTER_MILLIS = 15;
+
+    /** The longest such pause, in milliseconds; half of the shortest time to put a configuration in force. */
+    private static final long LONGEST_GATHER_MILLIS = 1_000;
 
     private final ForwardingContext context;
     private final StoreCallTable store;
@@ -104,7 +110,7 @@
                 backoffMillis = SHORTEST_BACKOFF_MILLIS;
                 changes.items().forEach(known::apply);
                 known.coveredUpTo(changes.revision());
-                pause(GATHER_MILLIS);
+                pause(gatherMillis(known.memberCount()));
             }
             case StoreReply.HistoryGone gone -> {
                 reading = true;
@@ -114,6 +120,13 @@
         }
     }
 
+    /** The pause between two watches in a fleet of some size; watches are paid, and each change ends all of them. */
+    static long gatherMillis(int routers) {
+        return PeerCircle.large(routers)
+                ? Math.min(LONGEST_GATHER_MILLIS, Math.round(routers * GATHER_PER_ROUTER_MILLIS))
+                : SHORTEST_GATHER_MILLIS;
+    }
+
     private void backOff() {
         pause(backoffMillis / 2 + context.random().nextLong(backoffMillis));
         backoffMillis = Math.min(LONGEST_BACKOFF_MILLIS, backoffMillis * 2);
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/WeightsRolloutTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/WeightsRolloutTest.java
@@ -183,17 +183,9 @@
         EntryVm peer = new EntryVm(new EntryVmId("vm-2"), new FailureDomain("lima-b"), "10.0.0.2:7000", false);
         fixture.tick(new ForwardingInput.PeerSpoke(
                 peer.id(),
-                new PeerMessage.ForwardingNews(
-                        peer,
-                        0,
-                        false,
-                        0,
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        List.of(new UpstreamId("engine-1")),
-                        List.of(),
-                        List.of())));
+                PeerMessage.ForwardingNews.builder(peer, 0)
+                        .switching(List.of(new UpstreamId("engine-1")))
+                        .build()));
         for (int each = 0; each < 10; each++) {
             RequestId request =
                     fixture.call("/ask/" + each, ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s" + each, "o"));
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerTransport.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerTransport.java
@@ -51,6 +51,8 @@
     private final AtomicLong refused = new AtomicLong();
     private final AtomicLong dropped = new AtomicLong();
     private final AtomicLong sentBytes = new AtomicLong();
+    private PeerMessage lastMessage;
+    private byte[] lastBytes;
 
     /**
      * Begins to listen for peers.
@@ -101,11 +103,20 @@
             dropped.incrementAndGet();
             return;
         }
-        byte[] bytes = PeerCodec.write(message);
+        byte[] bytes = written(message);
         sentBytes.addAndGet(bytes.length + LENGTH_BYTES);
         links.computeIfAbsent(address, Link::new).send(bytes);
     }
 
+    /** Writes a message once when it goes to several peers in turn. */
+    private synchronized byte[] written(PeerMessage message) {
+        if (message != lastMessage) {
+            lastMessage = message;
+            lastBytes = PeerCodec.write(message);
+        }
+        return lastBytes;
+    }
+
     /**
      * Cuts or restores the link with a peer, in both directions; for tests of partitions.
      *
