Go by the engines' own account of their caches

Cause: routers guessed what engines hold from the requests they sent. The prompts and answers that nobody shares push shared parts out unseen, so requests went to engines that had dropped their parts, and nothing was fetched.

Change: one router of a failure domain asks each engine and store for all it holds, follows its changes, and tells the others of its domain. Placement, fetches and saves go by that; a cache that cannot be heard is neither fetched from nor saved to. The guess stays for caches without word.

The news now tells how long is left, and only a real renewal counts and is passed on. Its test failed first. - Requests that arrive between the start and the first configuration are held for 250 ms at most instead of being refused while the configuration is being read (five on one router after a power loss). The test of the refusal at once now looks a second after the start.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ForwardingNewsBuilder.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ForwardingNewsBuilder.java
@@ -12,10 +12,11 @@
     private List<PeerMessage.RelayedItem> items = List.of();
     private List<PeerMessage.UpstreamWork> work = List.of();
     private List<PeerMessage.SeenWeights> weights = List.of();
-    private List<UpstreamId> switching = List.of();
+    private List<PeerMessage.Switching> switching = List.of();
     private List<PeerMessage.SeenCrash> crashes = List.of();
     private List<PeerMessage.ReadParts> reads = List.of();
     private List<PeerMessage.DomainWork> domains = List.of();
+    private List<PeerMessage.CacheChanges> caches = List.of();
 
     ForwardingNewsBuilder(EntryVm vm, long revision) {
         this.vm = vm;
@@ -73,7 +74,7 @@
      * @param engines the engines
      * @return this builder
      */
-    public ForwardingNewsBuilder switching(List<UpstreamId> engines) {
+    public ForwardingNewsBuilder switching(List<PeerMessage.Switching> engines) {
         switching = engines;
         return this;
     }
@@ -111,6 +112,17 @@
         return this;
     }
 
+    /**
+     * Sets what changed in caches.
+     *
+     * @param changes the changes of each cache
+     * @return this builder
+     */
+    public ForwardingNewsBuilder caches(List<PeerMessage.CacheChanges> changes) {
+        caches = changes;
+        return this;
+    }
+
     /**
      * Builds the news.
      *
@@ -118,6 +130,6 @@
      */
     public PeerMessage.ForwardingNews build() {
         return new PeerMessage.ForwardingNews(
-                vm, revision, wantsItems, coversUpTo, items, work, weights, switching, crashes, reads, domains);
+                vm, revision, wantsItems, coversUpTo, items, work, weights, switching, crashes, reads, domains, caches);
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
@@ -152,6 +152,7 @@
      * @param crashes requests that ran on upstreams that crashed
      * @param reads prompt parts that engines have read since the last news
      * @param domains what all routers of a failure domain together have in flight, from a relay
+     * @param caches what changed in caches that the sender reads
      */
     record ForwardingNews(
             EntryVm vm,
@@ -161,10 +162,11 @@
             List<RelayedItem> items,
             List<UpstreamWork> work,
             List<SeenWeights> weights,
-            List<UpstreamId> switching,
+            List<Switching> switching,
             List<SeenCrash> crashes,
             List<ReadParts> reads,
-            List<DomainWork> domains)
+            List<DomainWork> domains,
+            List<CacheChanges> caches)
             implements PeerMessage {
 
         /** Takes lists that are missing as empty. */
@@ -176,6 +178,7 @@
             crashes = crashes == null ? List.of() : crashes;
             reads = reads == null ? List.of() : reads;
             domains = domains == null ? List.of() : domains;
+            caches = caches == null ? List.of() : caches;
         }
 
         /**
@@ -241,6 +244,16 @@
      */
     record ReadParts(UpstreamId engine, long[] keys, long[] tokens) {}
 
+    /**
+     * Changes in the cache of an engine or of a store of kept KV cache.
+     *
+     * @param holder the engine or store
+     * @param anew whether all that was known of it before is void
+     * @param keys the parts
+     * @param tokens the stored tokens of each part; 0 when it was dropped
+     */
+    record CacheChanges(UpstreamId holder, boolean anew, long[] keys, long[] tokens) {}
+
     /**
      * The version of weights that an engine was seen with.
      *
@@ -250,6 +263,14 @@
      */
     record SeenWeights(UpstreamId engine, String model, long version) {}
 
+    /**
+     * An engine that takes new weights.
+     *
+     * @param engine the engine
+     * @param millisLeft how much longer it gets no work unless it is told again, in milliseconds
+     */
+    record Switching(UpstreamId engine, long millisLeft) {}
+
     /**
      * A request that ran on an upstream when it crashed.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingInput.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingInput.java
@@ -48,6 +48,14 @@
      */
     record OrderAnswered(UpstreamId engine, OrderReply reply) implements ForwardingInput {}
 
+    /**
+     * An engine or a store of kept KV cache told what changed in its cache.
+     *
+     * @param holder the engine or store
+     * @param reply the answer
+     */
+    record CacheEventsRead(UpstreamId holder, CacheEventsReply reply) implements ForwardingInput {}
+
     /**
      * A peer sent news.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingOutput.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingOutput.java
@@ -91,6 +91,25 @@
      */
     record AskState(UpstreamId engine, String address) implements ForwardingOutput {}
 
+    /**
+     * Ask an engine or a store of kept KV cache what changed in its cache.
+     *
+     * @param holder the engine or store
+     * @param address its IP address and port
+     * @param after where to go on reading, as told by the last answer
+     * @param waitMillis how long to wait there for a change, in milliseconds
+     */
+    record ReadCacheEvents(UpstreamId holder, String address, long after, long waitMillis)
+            implements ForwardingOutput {}
+
+    /**
+     * Ask an engine or a store of kept KV cache for all that its cache holds; it pauses its work to tell.
+     *
+     * @param holder the engine or store
+     * @param address its IP address and port
+     */
+    record ReadCache(UpstreamId holder, String address) implements ForwardingOutput {}
+
     /**
      * Send news to a peer.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/RoutingTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/RoutingTable.java
@@ -83,14 +83,15 @@
     }
 
     /**
-     * Finds the store of kept KV cache.
+     * Finds the stores of kept KV cache.
      *
-     * @return the first one that is configured
+     * @return the services that are such stores, by name
      */
-    public Optional<ServiceDefinition.KeptCache> keptCache() {
+    public List<ServiceDefinition> keptCaches() {
         return services.values().stream()
-                .flatMap(service -> service.keptCache().stream())
-                .min(Comparator.comparing(ServiceDefinition.KeptCache::address));
+                .filter(service -> service.keptCache().isPresent())
+                .sorted(Comparator.comparing(ServiceDefinition::name))
+                .toList();
     }
 
     /**
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSelection.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSelection.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.RoutingTable;
 import org.fuchsiatrail.forwarding.ServiceDefinition;
 
@@ -57,7 +58,17 @@
                         : 0,
                 fetchRate,
                 known.memoryTokens(row.service),
-                known.routing().flatMap(RoutingTable::keptCache).map(ServiceDefinition.KeptCache::address));
+                keptCaches());
+    }
+
+    private List<UpstreamPlacement.KeptCache> keptCaches() {
+        List<UpstreamPlacement.KeptCache> stores = new ArrayList<>();
+        for (ServiceDefinition service :
+                known.routing().map(RoutingTable::keptCaches).orElse(List.of())) {
+            stores.add(new UpstreamPlacement.KeptCache(
+                    service.keptCache().orElseThrow().address(), upstreams.keptCache(new UpstreamId(service.name()))));
+        }
+        return stores;
     }
 
     private List<ForwardedUpstream> candidates(CallRow row) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -33,6 +33,7 @@
     private final CallIntake intake;
     private final CallSelection selection;
     private final CallLog log;
+    private final EarlyCalls early;
     private final CallTiming timing = new CallTiming();
     private final RetryBudgets budgets;
     private final EngineProbes probes;
@@ -63,11 +64,18 @@
         this.selection = new CallSelection(context, known, upstreams, timing);
         this.intake = new CallIntake(context, known, crashes);
         this.log = new CallLog(context, known);
+        this.early = new EarlyCalls(context);
     }
 
     /** Takes a new request. */
     void arrive(RequestId request, ForwardedCall call) {
         context.count("requests");
+        if (known.routing().isPresent() || !early.hold(request, call)) {
+            take(request, call);
+        }
+    }
+
+    private void take(RequestId request, ForwardedCall call) {
         switch (intake.take(request, call)) {
             case CallIntake.Refused refused -> {
                 log.refused(call, refused.code());
@@ -242,7 +250,7 @@
         if (row.choice != null && row.route.prompted()) {
             long capacity = known.memoryTokens(row.service);
             PromptChain chain = row.choice.chain();
-            peers.partsRead(row.upstream.id(), row.upstream.cache.read(chain.shared(), capacity));
+            peers.partsRead(row.upstream.id(), row.upstream.cache.read(chain.shared(), capacity, context.now()));
         }
         upstreams.succeeded(row.upstream);
         row.state = CallRow.State.DELIVERING;
@@ -333,6 +341,7 @@
 
     /** Takes the news that a caller closed its connection. */
     void callerLeft(RequestId request) {
+        early.callerLeft(request);
         CallRow row = rows.get(request);
         if (row == null) {
             return;
@@ -351,6 +360,7 @@
 
     /** Looks at requests whose time has come. */
     void run() {
+        early.release(known.routing().isPresent()).forEach(call -> take(call.request(), call.call()));
         while (!due.isEmpty() && due.peek().atMillis() <= context.now()) {
             CallRow row = due.poll().row();
             if (row.state != CallRow.State.OVER) {
@@ -446,6 +456,6 @@
     }
 
     int open() {
-        return rows.size();
+        return rows.size() + early.open();
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -31,6 +31,7 @@
     private final OrderRight right;
     private final WeightsRollout rollout;
     private final PeerNews peers;
+    private final CacheEventReader caches;
     private long lingerUntilMillis = Long.MAX_VALUE;
     private boolean stopped;
 
@@ -54,6 +55,7 @@
         calls = new CallSystem(context, known, upstreams, budgets, probes, crashes, peers);
         rollout = new WeightsRollout(context, known, upstreams, right, probes, peers::announceSoon);
         peers.use(rollout);
+        caches = new CacheEventReader(context, known, upstreams, peers);
         known.onChange(this::itemChanged);
     }
 
@@ -78,6 +80,7 @@
         calls.run();
         right.run();
         rollout.run();
+        caches.run();
         peers.run();
         finishStop();
         return context.finish();
@@ -90,6 +93,7 @@
             case ForwardingInput.AttemptSpoke spoke -> calls.receive(spoke.attempt(), spoke.event());
             case ForwardingInput.StoreAnswered answered -> store.answer(answered.call(), answered.reply());
             case ForwardingInput.OrderAnswered answered -> rollout.receive(answered.engine(), answered.reply());
+            case ForwardingInput.CacheEventsRead read -> caches.receive(read.holder(), read.reply());
             case ForwardingInput.ItemRelayed relayed -> known.apply(relayed.item());
             case ForwardingInput.PeerSpoke spoke -> peers.receive(spoke.from(), spoke.message());
             case ForwardingInput.TimeJumped jumped -> {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstream.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstream.java
@@ -133,7 +133,6 @@
         }
         weights.put(model, version);
         switchingUntilMillis = Long.MIN_VALUE;
-        cache.clear();
         return true;
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstreams.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardedUpstreams.java
@@ -37,6 +37,7 @@
     private final StoreCallTable store;
     private final EngineProbes probes;
     private final Map<UpstreamId, ForwardedUpstream> rows = new LinkedHashMap<>();
+    private final Map<UpstreamId, PromptCacheView> keptCaches = new LinkedHashMap<>();
 
     ForwardedUpstreams(ForwardingContext context, StoreCallTable store, EngineProbes probes) {
         this.context = context;
@@ -120,6 +121,17 @@
         return Optional.ofNullable(rows.get(id));
     }
 
+    /** What is known of the cache of a store of kept KV cache. */
+    PromptCacheView keptCache(UpstreamId store) {
+        return keptCaches.computeIfAbsent(store, id -> new PromptCacheView());
+    }
+
+    /** What is known of the cache of an engine or a store, when there is such a one. */
+    Optional<PromptCacheView> cache(UpstreamId holder) {
+        ForwardedUpstream row = rows.get(holder);
+        return row != null ? Optional.of(row.cache) : Optional.ofNullable(keptCaches.get(holder));
+    }
+
     Collection<ForwardedUpstream> all() {
         return rows.values();
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PassingNews.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PassingNews.java
@@ -1,14 +1,11 @@
 package org.fuchsiatrail.internal.forwarding;
 
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.stream.Stream;
 
 import org.fuchsiatrail.ForwardingNewsBuilder;
 import org.fuchsiatrail.PeerMessage;
-import org.fuchsiatrail.UpstreamId;
 
 /**
  * News that is told once: what this router has seen, and what it passes on as a relay. Only what was new here is passed
@@ -16,6 +13,7 @@
  */
 final class PassingNews {
 
+    private final List<PeerMessage.CacheChanges> caches = new ArrayList<>();
     private final Part near = new Part();
     private final Part distant = new Part();
 
@@ -23,7 +21,7 @@
     static final class Part {
         final List<PeerMessage.ReadParts> reads = new ArrayList<>();
         final List<PeerMessage.SeenCrash> crashes = new ArrayList<>();
-        final Set<UpstreamId> switching = new LinkedHashSet<>();
+        final List<PeerMessage.Switching> switching = new ArrayList<>();
 
         private void clear() {
             reads.clear();
@@ -42,6 +40,11 @@
         return distant;
     }
 
+    /** Changes in caches, which each failure domain reads for itself. */
+    List<PeerMessage.CacheChanges> caches() {
+        return caches;
+    }
+
     /** Writes the news of the own domain into a message to another domain. */
     void writeNear(ForwardingNewsBuilder news) {
         news.reads(List.copyOf(near.reads)).crashes(List.copyOf(near.crashes)).switching(List.copyOf(near.switching));
@@ -49,17 +52,18 @@
 
     /** Writes all news into a message to a router of the own domain. */
     void writeAll(ForwardingNewsBuilder news) {
-        Set<UpstreamId> switching = new LinkedHashSet<>(near.switching);
-        switching.addAll(distant.switching);
         news.reads(Stream.concat(near.reads.stream(), distant.reads.stream()).toList())
                 .crashes(Stream.concat(near.crashes.stream(), distant.crashes.stream())
                         .toList())
-                .switching(List.copyOf(switching));
+                .switching(Stream.concat(near.switching.stream(), distant.switching.stream())
+                        .toList())
+                .caches(List.copyOf(caches));
     }
 
     /** Forgets what has been told. */
     void clear() {
         near.clear();
         distant.clear();
+        caches.clear();
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerCircle.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerCircle.java
@@ -64,6 +64,11 @@
         heardAtMillis.put(peer, nowMillis);
     }
 
+    /** Tells whether a router was heard lately. */
+    boolean heardLately(EntryVmId peer, long nowMillis) {
+        return nowMillis - heardAtMillis.getOrDefault(peer, Long.MIN_VALUE / 2) < FOLLOWING_MILLIS;
+    }
+
     /** Tells whether a fleet is so large that news goes by way of relays. */
     static boolean large(int members) {
         return members > LARGEST_FLAT_FLEET;
@@ -86,7 +91,7 @@
         List<EntryVm> distant = new ArrayList<>();
         for (EntryVm member : members) {
             boolean near = member.failureDomain().equals(self.failureDomain());
-            boolean heard = nowMillis - heardAtMillis.getOrDefault(member.id(), Long.MIN_VALUE / 2) < FOLLOWING_MILLIS;
+            boolean heard = heardLately(member.id(), nowMillis);
             if (heard && !member.id().equals(self.id()) && !member.id().equals(own.id())) {
                 (near ? followers : distant).add(member);
             }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerNews.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerNews.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 import org.fuchsiatrail.EntryVm;
 import org.fuchsiatrail.EntryVmId;
@@ -38,6 +39,9 @@
     /** How long a peer's word that an engine switches counts, in milliseconds; two heartbeats. */
     private static final long SWITCHING_MILLIS = 1_500;
 
+    /** What a renewal of that word must add to count, in milliseconds; more than routers take to pass it on. */
+    private static final long RENEWAL_MILLIS = 500;
+
     private final ForwardingContext context;
     private final KnownItems known;
     private final ForwardedUpstreams upstreams;
@@ -72,6 +76,20 @@
         }
     }
 
+    /** Remembers changes in a cache that this router reads for its failure domain. */
+    void cacheChanged(PeerMessage.CacheChanges changes) {
+        passing.caches().add(changes);
+        boolean changed = changes.anew() || changes.keys().length > 0;
+        if (changed && !PeerCircle.large(known.memberCount())) {
+            announceSoon();
+        }
+    }
+
+    /** Tells whether a router is expected to tell its news: it was heard lately, or relays stand between. */
+    boolean expectsNews(EntryVmId peer) {
+        return PeerCircle.large(known.memberCount()) || circle.heardLately(peer, context.now());
+    }
+
     void use(WeightsRollout weightsRollout) {
         rollout = weightsRollout;
     }
@@ -107,12 +125,20 @@
     private void tell(PeerCircle.Audience audience) {
         relays = audience.relays();
         passing.near().crashes.addAll(crashes.takeUntold());
-        passing.near().switching.addAll(rollout.switching());
+        for (UpstreamId engine : rollout.switching()) {
+            passing.near().switching.add(new PeerMessage.Switching(engine, SWITCHING_MILLIS));
+        }
         if (!audience.peers().isEmpty()) {
             lastToldWork = WorkSums.own(upstreams.all());
-            ForwardingNewsBuilder news = news().work(lastToldWork);
-            passing.writeAll(news);
-            send(audience.peers(), news);
+            Map<Boolean, List<EntryVm>> peers = audience.peers().stream()
+                    .collect(Collectors.partitioningBy(
+                            peer -> peer.failureDomain().equals(ownDomain())));
+            ForwardingNewsBuilder inward = news().work(lastToldWork);
+            passing.writeAll(inward);
+            send(peers.get(true), inward);
+            ForwardingNewsBuilder outward = news().work(lastToldWork);
+            passing.writeNear(outward);
+            send(peers.get(false), outward);
         }
         if (relays) {
             PeerMessage.DomainWork near =
@@ -204,8 +230,14 @@
                 announceSoon();
             }
         }
-        for (UpstreamId engine : news.switching()) {
-            upstreams.find(engine).ifPresent(row -> takeSwitching(row, part));
+        for (PeerMessage.Switching switching : news.switching()) {
+            upstreams.find(switching.engine()).ifPresent(row -> takeSwitching(row, switching, part));
+        }
+        for (PeerMessage.CacheChanges changes : news.caches()) {
+            upstreams.cache(changes.holder()).ifPresent(view -> view.take(changes, context.now()));
+            if (relays) {
+                passing.caches().add(changes);
+            }
         }
         for (PeerMessage.SeenCrash crash : news.crashes()) {
             if (crashes.learn(crash) && relays) {
@@ -221,7 +253,8 @@
             links.add(new PromptChain.Link(read.keys()[index], read.tokens()[index]));
         }
         upstreams.find(read.engine()).ifPresent(row -> {
-            List<PromptChain.Link> unknown = row.cache.read(links, known.memoryTokens(row.entry.service()));
+            List<PromptChain.Link> unknown =
+                    row.cache.read(links, known.memoryTokens(row.entry.service()), context.now());
             if (relays && !unknown.isEmpty()) {
                 part.reads.add(readParts(read.engine(), unknown));
             }
@@ -235,11 +268,16 @@
                 links.stream().mapToLong(PromptChain.Link::tokens).toArray());
     }
 
-    private void takeSwitching(ForwardedUpstream engine, PassingNews.Part part) {
+    /** Takes and passes on only what is new, so that an engine's pause ends although routers echo it. */
+    private void takeSwitching(ForwardedUpstream engine, PeerMessage.Switching switching, PassingNews.Part part) {
         boolean started = !engine.switching(context.now());
-        engine.switchingUntilMillis = context.now() + SWITCHING_MILLIS;
+        long until = context.now() + Math.min(switching.millisLeft(), SWITCHING_MILLIS);
+        if (until < engine.switchingUntilMillis + RENEWAL_MILLIS) {
+            return;
+        }
+        engine.switchingUntilMillis = until;
         if (relays) {
-            part.switching.add(engine.id());
+            part.switching.add(switching);
         }
         if (started) {
             announceSoon();
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PromptChain.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PromptChain.java
@@ -17,21 +17,24 @@
     /**
      * A part of a prompt.
      *
-     * @param key equal for equal parts behind equal parts
+     * @param key equal for equal parts under one salt and model
      * @param tokens its length
      */
     record Link(long key, long tokens) {}
 
     static PromptChain of(String salt, ForwardedCall call) {
         List<Link> links = new ArrayList<>();
-        long key = Hashing.xxh3_64().hashCharsToLong(salt + '\u0000' + call.model());
         for (ForwardedCall.PromptPart part : call.prompt()) {
-            key = Hashing.xxh3_64().hashCharsToLong(Long.toHexString(key) + '\u0000' + part.id());
-            links.add(new Link(key, part.tokens()));
+            links.add(new Link(key(salt, call.model(), part.id()), part.tokens()));
         }
         return new PromptChain(links);
     }
 
+    /** Names a part under a salt. */
+    static long key(String salt, String model, String part) {
+        return Hashing.xxh3_64().hashCharsToLong(salt + '\u0000' + model + '\u0000' + part);
+    }
+
     /** The parts that other requests may share: all but the last. */
     List<Link> shared() {
         return links.isEmpty() ? links : links.subList(0, links.size() - 1);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
@@ -30,6 +30,9 @@
     /** The part of a link's speed that a fetch gets beside others and between failure domains. */
     private static final double FETCH_PART = 0.3;
 
+    /** The same for a fetch from a store, whose link is slower and serves all engines. */
+    private static final double STORE_FETCH_PART = 0.1;
+
     /** Shared tokens below which parts are read rather than fetched; a failed fetch costs a millisecond. */
     private static final long FEWEST_FETCHED_TOKENS = 64;
 
@@ -101,14 +104,25 @@
      * @param weightsCost the cost of a version of the weights, in milliseconds
      * @param fetchTokensPerMilli how fast engines fetch cached parts, or 0 when they do not
      * @param engineMemoryTokens KV memory of an engine, in tokens
-     * @param keptCache the address of the store of kept KV cache, when there is one
+     * @param keptCaches the stores of kept KV cache
      */
     record Conditions(
             long nowMillis,
             LongToDoubleFunction weightsCost,
             double fetchTokensPerMilli,
             long engineMemoryTokens,
-            Optional<String> keptCache) {}
+            List<KeptCache> keptCaches) {}
+
+    /**
+     * A store of kept KV cache.
+     *
+     * @param address its IP address and port
+     * @param view what is known of the parts it keeps
+     */
+    record KeptCache(String address, PromptCacheView view) {}
+
+    /** Where an engine fetches parts that it lacks, and where it saves those it reads. */
+    private record Transfers(long fetchedTokens, double fetchMillis, Optional<String> from, Optional<String> saveTo) {}
 
     /** Tells how a request's prompt is found in the cache of engines with certain weights. */
     @FunctionalInterface
@@ -191,23 +205,9 @@
         long version = version(upstream, call);
         PromptChain chain = chains.forWeights(version);
         long cached = upstream.cache.cachedTokens(chain.shared());
-        Optional<String> source = Optional.empty();
-        long fetched = 0;
-        for (ForwardedUpstream other : candidates) {
-            boolean usable = other != upstream && version(other, call) == version;
-            long more = usable ? other.cache.cachedTokens(chain.shared()) - cached : 0;
-            if (conditions.fetchTokensPerMilli() > 0 && more > Math.max(fetched, FEWEST_FETCHED_TOKENS)) {
-                fetched = more;
-                source = Optional.of(other.entry.address());
-            }
-        }
-        boolean lacksMore = chain.sharedTokens() - cached - fetched > FEWEST_FETCHED_TOKENS;
-        if (source.isEmpty() && lacksMore) {
-            source = conditions.keptCache();
-        }
-        Optional<String> saveTo = lacksMore ? conditions.keptCache() : Optional.empty();
+        Transfers transfers = transfers(chain, cached, upstream, candidates, conditions, call);
+        long fetched = transfers.fetchedTokens();
         long uncached = Math.max(0, Math.max(chain.tokens(), call.inputTokens()) - cached - fetched);
-        double fetch = fetched == 0 ? 0 : fetched / (conditions.fetchTokensPerMilli() * FETCH_PART);
         boolean isShort = isShort(call.inputTokens());
         double wait = upstream.pendingPromptTokens(conditions.nowMillis(), isShort) / READ_TOKENS_PER_MILLI;
         long own = Math.max(0, chain.tokens() - chain.sharedTokens()) + Math.max(0, chain.sharedTokens() - cached);
@@ -218,10 +218,56 @@
                 + upstream.stallMillis(conditions.nowMillis(), isShort)
                 + queued(upstream, conditions.nowMillis())
                 + (slotsTaken || memoryTaken ? FULL_MILLIS : 0)
-                + fetch
+                + transfers.fetchMillis()
                 + uncached / READ_TOKENS_PER_MILLI;
         long readShared = Math.max(0, chain.sharedTokens() - cached - fetched);
-        return new Choice(upstream, chain, predicted, uncached, readShared, own, source, saveTo);
+        return new Choice(upstream, chain, predicted, uncached, readShared, own, transfers.from(), transfers.saveTo());
+    }
+
+    /** Finds the engine or store with the most of the shared parts that an engine lacks. */
+    private static Transfers transfers(
+            PromptChain chain,
+            long cached,
+            ForwardedUpstream upstream,
+            List<ForwardedUpstream> candidates,
+            Conditions conditions,
+            ForwardedCall call) {
+        List<PromptChain.Link> shared = chain.shared();
+        long lacking = chain.sharedTokens() - cached;
+        if (lacking <= FEWEST_FETCHED_TOKENS || conditions.fetchTokensPerMilli() <= 0) {
+            return new Transfers(0, 0, Optional.empty(), Optional.empty());
+        }
+        long version = version(upstream, call);
+        long fetched = 0;
+        double part = FETCH_PART;
+        Optional<String> from = Optional.empty();
+        for (ForwardedUpstream other : candidates) {
+            boolean usable = other != upstream && version(other, call) == version;
+            long more = usable ? other.cache.cachedTokens(shared) - cached : 0;
+            if (more > Math.max(fetched, FEWEST_FETCHED_TOKENS)) {
+                fetched = more;
+                from = Optional.of(other.entry.address());
+            }
+        }
+        for (KeptCache store : conditions.keptCaches()) {
+            long more = store.view().cachedTokens(shared) - cached;
+            if (more > fetched + FEWEST_FETCHED_TOKENS) {
+                fetched = more;
+                part = STORE_FETCH_PART;
+                from = Optional.of(store.address());
+            }
+        }
+        boolean readsMore = lacking - fetched > FEWEST_FETCHED_TOKENS;
+        Optional<String> saveTo = readsMore ? saveTo(chain, conditions) : Optional.empty();
+        double millis = fetched == 0 ? 0 : fetched / (conditions.fetchTokensPerMilli() * part);
+        return new Transfers(fetched, millis, from, saveTo);
+    }
+
+    private static Optional<String> saveTo(PromptChain chain, Conditions conditions) {
+        List<KeptCache> told = conditions.keptCaches().stream()
+                .filter(store -> store.view().told(conditions.nowMillis()))
+                .toList();
+        return Rendezvous.first(chain.sessionKey(), told, KeptCache::address).map(KeptCache::address);
     }
 
     private static double queued(ForwardedUpstream upstream, long nowMillis) {
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
@@ -39,6 +39,7 @@
     void should_refuse_as_not_run_before_a_configuration_is_known() {
         fixture.storeAnswers = false;
         fixture.start();
+        fixture.pass(1_100);
         RequestId request = fixture.call("/read/1");
         assertThat(fixture.refusal(request))
                 .get()
@@ -327,4 +328,28 @@
         assertThat(fixture.send(apart).terms().cacheSalt()).isEqualTo("w1/apart");
         assertThat(fixture.send(shared).terms().weightsVersion()).hasValue(1);
     }
+
+    @Test
+    void should_hold_requests_that_arrive_before_the_configuration_was_read() {
+        fixture.configured().list(fixture.records("one"));
+        fixture.storeAnswers = false;
+        fixture.start();
+        RequestId early = fixture.call("/read/1");
+        assertThat(fixture.refusal(early)).isEmpty();
+        fixture.pass(100);
+        fixture.relay("servers/one", 5, new StoreFact.Upstream(fixture.records("one")));
+        fixture.relay("configuration", 6, new StoreFact.Routing(ForwardingFixture.table(3)));
+        assertThat(fixture.sends(early)).hasSize(1);
+    }
+
+    @Test
+    void should_refuse_a_held_request_soon_when_no_configuration_comes() {
+        fixture.storeAnswers = false;
+        fixture.start();
+        RequestId early = fixture.call("/read/1");
+        fixture.pass(300);
+        assertThat(fixture.refusal(early)).isPresent();
+        fixture.pass(1_000);
+        assertThat(fixture.refusal(fixture.call("/read/2"))).isPresent();
+    }
 }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -82,20 +82,26 @@
     }
 
     static RoutingTable table(long version) {
-        return new RoutingTable(
+        return table(
                 version,
-                List.of(
-                        route("/read/", RequestKind.IDEMPOTENT, false, 2, "records"),
-                        route("/issue/", RequestKind.NOT_IDEMPOTENT, false, 1, "records"),
-                        route("/ask/", RequestKind.STREAM, true, 2, "tutors"),
-                        route("/mark/", RequestKind.STREAM, false, 1, "tutors")),
                 List.of(
                         new ServiceDefinition("records", 100, Optional.empty(), Optional.empty()),
                         new ServiceDefinition(
                                 "tutors",
                                 300,
                                 Optional.of(new ServiceDefinition.EngineTraits(64, 100_000, 163_840, 550_000)),
-                                Optional.empty())),
+                                Optional.empty())));
+    }
+
+    static RoutingTable table(long version, List<ServiceDefinition> services) {
+        return new RoutingTable(
+                version,
+                List.of(
+                        route("/read/", RequestKind.IDEMPOTENT, false, 2, "records"),
+                        route("/issue/", RequestKind.NOT_IDEMPOTENT, false, 1, "records"),
+                        route("/ask/", RequestKind.STREAM, true, 2, "tutors"),
+                        route("/mark/", RequestKind.STREAM, false, 1, "tutors")),
+                services,
                 List.of(
                         new CustomerEntry(new CustomerId("huaman"), List.of(KEY), OptionalInt.empty(), false),
                         new CustomerEntry(new CustomerId("apart"), List.of("key-2"), OptionalInt.empty(), true)),
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/PeerNewsTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/PeerNewsTest.java
@@ -8,6 +8,7 @@
 import org.fuchsiatrail.FailureDomain;
 import org.fuchsiatrail.ForwardingNewsBuilder;
 import org.fuchsiatrail.PeerMessage;
+import org.fuchsiatrail.RequestId;
 import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.ForwardingInput;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
@@ -154,6 +155,24 @@
         assertThat(passedOn).isEqualTo(1);
     }
 
+    @Test
+    void should_let_an_engine_serve_again_though_routers_echo_that_it_switched() {
+        largeFleet();
+        fixture.pass(310);
+        hear(near, from(near).switching(List.of(new PeerMessage.Switching(new UpstreamId("engine-1"), 1_500))));
+        for (int heartbeat = 0; heartbeat < 12; heartbeat++) {
+            fixture.outputs.clear();
+            fixture.pass(310);
+            for (PeerMessage.ForwardingNews told : told()) {
+                hear(near, from(near).switching(told.switching()));
+                hear(far, from(far).switching(told.switching()));
+            }
+        }
+        RequestId request =
+                fixture.call("/ask/1", ForwardingFixture.KEY, ForwardingFixture.prompt("course", "session", "own"));
+        assertThat(fixture.sends(request)).hasSize(1);
+    }
+
     private PeerMessage.ForwardingNews toldTo(EntryVm peer) {
         return fixture.all(ForwardingOutput.TellPeer.class).stream()
                 .filter(tell -> tell.to().equals(peer.id()))
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/WeightsRolloutTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/WeightsRolloutTest.java
@@ -184,7 +184,7 @@
         fixture.tick(new ForwardingInput.PeerSpoke(
                 peer.id(),
                 PeerMessage.ForwardingNews.builder(peer, 0)
-                        .switching(List.of(new UpstreamId("engine-1")))
+                        .switching(List.of(new PeerMessage.Switching(new UpstreamId("engine-1"), 1_500)))
                         .build()));
         for (int each = 0; each < 10; each++) {
             RequestId request =
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/EngineGateway.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/EngineGateway.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 
+import org.fuchsiatrail.forwarding.CacheEventsReply;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
 import org.fuchsiatrail.forwarding.OrderReply;
 
@@ -23,4 +24,20 @@
      * @param listener takes the answer, once, on the event loop
      */
     void state(ForwardingOutput.AskState question, Consumer<OrderReply> listener);
+
+    /**
+     * Asks an engine or a store of kept KV cache what changed in its cache.
+     *
+     * @param question the engine or store
+     * @param listener takes the answer, once, on the event loop
+     */
+    void cacheEvents(ForwardingOutput.ReadCacheEvents question, Consumer<CacheEventsReply> listener);
+
+    /**
+     * Asks an engine or a store of kept KV cache for all that its cache holds.
+     *
+     * @param question the engine or store
+     * @param listener takes the answer, once, on the event loop
+     */
+    void cache(ForwardingOutput.ReadCache question, Consumer<CacheEventsReply> listener);
 }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingLoop.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingLoop.java
@@ -220,6 +220,11 @@
                 engines.order(order, reply -> accept(new ForwardingInput.OrderAnswered(order.engine(), reply)));
             case ForwardingOutput.AskState question ->
                 engines.state(question, reply -> accept(new ForwardingInput.OrderAnswered(question.engine(), reply)));
+            case ForwardingOutput.ReadCacheEvents question ->
+                engines.cacheEvents(
+                        question, reply -> accept(new ForwardingInput.CacheEventsRead(question.holder(), reply)));
+            case ForwardingOutput.ReadCache question ->
+                engines.cache(question, reply -> accept(new ForwardingInput.CacheEventsRead(question.holder(), reply)));
             case ForwardingOutput.TellPeer tell -> peers.send(tell.to(), tell.address(), tell.message());
             case ForwardingOutput.Note note -> LogLines.info(note.part(), note.sentence(), note.fields());
             case ForwardingOutput.Count count -> metrics.count(count.metric(), 1);
