Tell each word on a cache once, of shared parts only, with the heartbeats

Cause: in a fleet with relays, routers that follow each other for a moment passed the same changes of caches back and forth without end.

Change: a word on a cache carries its reader and a number and is taken once; readers tell only parts that requests are known to share; parts read and changes go with the heartbeat; the records sent most are written as lists.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
@@ -251,8 +251,10 @@
      * @param anew whether all that was known of it before is void
      * @param keys the parts
      * @param tokens the stored tokens of each part; 0 when it was dropped
+     * @param reader the router that read them, in this life
+     * @param number counts what that router has told, so that each is taken once
      */
-    record CacheChanges(UpstreamId holder, boolean anew, long[] keys, long[] tokens) {}
+    record CacheChanges(UpstreamId holder, boolean anew, long[] keys, long[] tokens, String reader, long number) {}
 
     /**
      * The version of weights that an engine was seen with.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CacheEventReader.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CacheEventReader.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -20,8 +21,9 @@
 /**
  * Follows the caches of engines and of stores of kept KV cache, and tells the other routers of the failure domain.
  *
- * <p>Load pattern: hundreds of changes a second on each engine. One router of a failure domain reads each cache, so the
- * cost to a router falls with the number of routers and the cost to an engine does not grow with it.
+ * <p>Load pattern: hundreds of changes a second on each engine, most of parts that nobody shares. One router of a
+ * failure domain reads each cache, so the cost to a router falls with the number of routers and the cost to an engine
+ * does not grow with it; it tells only changes of parts that requests are known to share.
  */
 final class CacheEventReader {
 
@@ -48,6 +50,8 @@
     private final ForwardedUpstreams upstreams;
     private final PeerNews peers;
     private final Map<UpstreamId, Position> positions = new HashMap<>();
+    private final String reader;
+    private long told;
     private long nextLookAtMillis;
 
     /** Where the reading of one cache stands. */
@@ -69,6 +73,8 @@
         this.known = known;
         this.upstreams = upstreams;
         this.peers = peers;
+        this.reader = context.settings().self().id() + "/"
+                + Long.toHexString(context.random().nextLong());
     }
 
     void run() {
@@ -174,7 +180,7 @@
         if (!position.failed) {
             position.failed = true;
             context.note("caches", "Cache not heard.", "holder", holder, "reason", reason);
-            tell(new PeerMessage.CacheChanges(holder, true, new long[0], new long[0]));
+            tell(holder, true, Map.of());
         }
     }
 
@@ -182,7 +188,7 @@
         if (changes.gap() || changes.epoch() != position.epoch) {
             context.note("caches", "Cache lost.", "holder", holder, "epoch", changes.epoch(), "gap", changes.gap());
             position.epoch = UNKNOWN;
-            tell(new PeerMessage.CacheChanges(holder, true, new long[0], new long[0]));
+            tell(holder, true, Map.of());
             return;
         }
         take(holder, position, changes.epoch(), changes.next(), false, changes.changes());
@@ -198,18 +204,30 @@
         position.epoch = epoch;
         position.after = next;
         position.askAtMillis = context.now() + PAUSE_MILLIS;
-        long[] keys = new long[changes.size()];
-        long[] tokens = new long[changes.size()];
-        for (int index = 0; index < changes.size(); index++) {
-            CacheEventsReply.Change change = changes.get(index);
-            keys[index] = PromptChain.key(change.salt(), change.model(), change.part());
-            tokens[index] = change.tokens();
+        Map<Long, Long> tokens = new LinkedHashMap<>();
+        for (CacheEventsReply.Change change : changes) {
+            long key = PromptChain.key(change.salt(), change.model(), change.part());
+            if (anew) {
+                // Of the parts held before, it is not known which are shared.
+                peers.sharedParts().add(key);
+            }
+            if (peers.sharedParts().contains(key)) {
+                tokens.remove(key);
+                tokens.put(key, change.tokens());
+            }
         }
-        tell(new PeerMessage.CacheChanges(holder, anew, keys, tokens));
+        tell(holder, anew, tokens);
     }
 
-    private void tell(PeerMessage.CacheChanges changes) {
-        upstreams.cache(changes.holder()).ifPresent(view -> view.take(changes, context.now()));
+    private void tell(UpstreamId holder, boolean anew, Map<Long, Long> tokens) {
+        PeerMessage.CacheChanges changes = new PeerMessage.CacheChanges(
+                holder,
+                anew,
+                tokens.keySet().stream().mapToLong(Long::longValue).toArray(),
+                tokens.values().stream().mapToLong(Long::longValue).toArray(),
+                reader,
+                ++told);
+        upstreams.cache(holder).ifPresent(view -> view.take(changes, context.now()));
         peers.cacheChanged(changes);
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -250,6 +250,7 @@
         if (row.choice != null && row.route.prompted()) {
             long capacity = known.memoryTokens(row.service);
             PromptChain chain = row.choice.chain();
+            chain.shared().forEach(link -> peers.sharedParts().add(link.key()));
             peers.partsRead(row.upstream.id(), row.upstream.cache.read(chain.shared(), capacity, context.now()));
         }
         upstreams.succeeded(row.upstream);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerNews.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerNews.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
@@ -42,6 +43,9 @@
     /** What a renewal of that word must add to count, in milliseconds; more than routers take to pass it on. */
     private static final long RENEWAL_MILLIS = 500;
 
+    /** The most readers of caches, in any life, whose numbers are remembered. */
+    private static final int MOST_READERS = 500;
+
     private final ForwardingContext context;
     private final KnownItems known;
     private final ForwardedUpstreams upstreams;
@@ -49,6 +53,8 @@
     private final PeerCircle circle;
     private final ItemRelay items;
     private final PassingNews passing = new PassingNews();
+    private final SharedParts sharedParts = new SharedParts();
+    private final Map<String, Long> numbersByReader = new LinkedHashMap<>();
     private final Map<FailureDomain, PeerMessage.DomainWork> distantWork = new HashMap<>();
     private List<PeerMessage.UpstreamWork> lastToldWork = List.of();
     private boolean relays;
@@ -70,21 +76,22 @@
     void partsRead(UpstreamId engine, List<PromptChain.Link> links) {
         if (!links.isEmpty()) {
             passing.near().reads.add(readParts(engine, links));
-            if (!PeerCircle.large(known.memberCount())) {
-                announceSoon();
-            }
         }
     }
 
     /** Remembers changes in a cache that this router reads for its failure domain. */
     void cacheChanged(PeerMessage.CacheChanges changes) {
         passing.caches().add(changes);
-        boolean changed = changes.anew() || changes.keys().length > 0;
-        if (changed && !PeerCircle.large(known.memberCount())) {
+        if (changes.anew() && !PeerCircle.large(known.memberCount())) {
             announceSoon();
         }
     }
 
+    /** The parts that requests of any router are known to share. */
+    SharedParts sharedParts() {
+        return sharedParts;
+    }
+
     /** Tells whether a router is expected to tell its news: it was heard lately, or relays stand between. */
     boolean expectsNews(EntryVmId peer) {
         return PeerCircle.large(known.memberCount()) || circle.heardLately(peer, context.now());
@@ -233,12 +240,7 @@
         for (PeerMessage.Switching switching : news.switching()) {
             upstreams.find(switching.engine()).ifPresent(row -> takeSwitching(row, switching, part));
         }
-        for (PeerMessage.CacheChanges changes : news.caches()) {
-            upstreams.cache(changes.holder()).ifPresent(view -> view.take(changes, context.now()));
-            if (relays) {
-                passing.caches().add(changes);
-            }
-        }
+        news.caches().forEach(this::takeCache);
         for (PeerMessage.SeenCrash crash : news.crashes()) {
             if (crashes.learn(crash) && relays) {
                 part.crashes.add(crash);
@@ -247,7 +249,25 @@
         }
     }
 
+    private void takeCache(PeerMessage.CacheChanges changes) {
+        Long before = numbersByReader.remove(changes.reader());
+        numbersByReader.put(changes.reader(), Math.max(changes.number(), before == null ? 0 : before));
+        if (numbersByReader.size() > MOST_READERS) {
+            numbersByReader.remove(numbersByReader.keySet().iterator().next());
+        }
+        if (before != null && before >= changes.number()) {
+            return;
+        }
+        upstreams.cache(changes.holder()).ifPresent(view -> view.take(changes, context.now()));
+        if (relays) {
+            passing.caches().add(changes);
+        }
+    }
+
     private void takeReads(PeerMessage.ReadParts read, PassingNews.Part part) {
+        for (long key : read.keys()) {
+            sharedParts.add(key);
+        }
         List<PromptChain.Link> links = new ArrayList<>();
         for (int index = 0; index < Math.min(read.keys().length, read.tokens().length); index++) {
             links.add(new PromptChain.Link(read.keys()[index], read.tokens()[index]));
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CacheEventReaderTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CacheEventReaderTest.java
@@ -79,6 +79,11 @@
         return List.of(stored("course", 2_500), stored("session", 3_800));
     }
 
+    /** Has the parts of the essay known as shared. */
+    private void share() {
+        fixture.finish(mark("seen"));
+    }
+
     private void tell(UpstreamId holder, long epoch, boolean gap, List<CacheEventsReply.Change> changes) {
         fixture.tick(
                 new ForwardingInput.CacheEventsRead(holder, new CacheEventsReply.Changes(epoch, 10, gap, changes)));
@@ -92,10 +97,41 @@
     @Test
     void should_place_a_session_where_the_engine_says_that_its_parts_are() {
         engines(6);
+        share();
         tell(engine(4), EPOCH, false, essay());
         assertThat(mark("own").terms().upstream()).isEqualTo(engine(4));
     }
 
+    @Test
+    void should_not_tell_changes_of_parts_that_nobody_shares() {
+        engines(2);
+        fixture.outputs.clear();
+        tell(engine(1), EPOCH, false, List.of(stored("own of somebody", 2_900)));
+        fixture.pass(400);
+        assertThat(fixture.all(ForwardingOutput.TellPeer.class))
+                .allMatch(tell -> tell.message().caches().stream().allMatch(changes -> changes.keys().length == 0));
+    }
+
+    @Test
+    void should_take_each_word_of_a_reader_once_however_often_it_comes() {
+        engines(6);
+        EntryVm near = new EntryVm(new EntryVmId("vm-2"), new FailureDomain("lima-a"), "10.0.0.2:7000", false);
+        long[] keys = Stream.of("course", "session")
+                .mapToLong(part -> PromptChain.key("w1", ForwardingFixture.MODEL, part))
+                .toArray();
+        PeerMessage.CacheChanges stored =
+                new PeerMessage.CacheChanges(engine(5), false, keys, new long[] {2_500, 3_800}, "vm-2/1", 1);
+        PeerMessage.CacheChanges dropped =
+                new PeerMessage.CacheChanges(engine(5), false, keys, new long[] {0, 0}, "vm-2/1", 2);
+        fixture.tick(new ForwardingInput.PeerSpoke(
+                near.id(),
+                PeerMessage.ForwardingNews.builder(near, 0)
+                        .caches(List.of(stored, dropped, stored))
+                        .build()));
+        hold(engine(2), EPOCH, essay());
+        assertThat(mark("own").terms().upstream()).isEqualTo(engine(2));
+    }
+
     @Test
     void should_go_on_reading_where_the_last_answer_ended() {
         engines(1);
@@ -148,8 +184,7 @@
         engines(2);
         hold(STORE, EPOCH, List.of());
         assertThat(mark("one").terms().saveTo()).contains(STORE_ADDRESS);
-        fixture.pass(200);
-        tell(STORE, EPOCH, false, essay());
+        hold(STORE, EPOCH, essay());
         ForwardingOutput.Send known = fixture.send(
                 fixture.call("/mark/1", ForwardingFixture.KEY, ForwardingFixture.prompt("course", "session", "two")));
         assertThat(known.terms().fetchFrom()).contains(STORE_ADDRESS);
@@ -199,8 +234,8 @@
         fixture.tick(new ForwardingInput.PeerSpoke(
                 near.id(),
                 PeerMessage.ForwardingNews.builder(near, 0)
-                        .caches(List.of(
-                                new PeerMessage.CacheChanges(engine(5), false, keys, new long[] {2_500, 3_800})))
+                        .caches(List.of(new PeerMessage.CacheChanges(
+                                engine(5), false, keys, new long[] {2_500, 3_800}, "vm-2/1", 1)))
                         .build()));
         assertThat(mark("own").terms().upstream()).isEqualTo(engine(5));
     }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/WireMapper.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/WireMapper.java
@@ -3,6 +3,8 @@
 import java.util.List;
 
 import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import com.fasterxml.jackson.annotation.JsonValue;
 import com.fasterxml.jackson.core.JsonFactory;
@@ -45,6 +47,17 @@
             OperatorRequest.class,
             OperatorAnswer.class);
 
+    /**
+     * Records that routers send each other many times a second, written as lists of their fields in order. New fields
+     * are appended; routers of another version skip them or go without.
+     */
+    private static final List<Class<?>> COMPACT = List.of(
+            PeerMessage.UpstreamWork.class,
+            PeerMessage.ReadParts.class,
+            PeerMessage.CacheChanges.class,
+            PeerMessage.Switching.class,
+            PeerMessage.SeenWeights.class);
+
     private WireMapper() {}
 
     /** How an id is written. */
@@ -102,6 +115,11 @@
 
     private static ObjectMapper configure(ObjectMapper mapper) {
         mapper.configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+        JsonFormat.Value compact = JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY);
+        COMPACT.forEach(record -> mapper.configOverride(record).setFormat(compact));
+        JsonInclude.Value filled =
+                JsonInclude.Value.construct(JsonInclude.Include.NON_EMPTY, JsonInclude.Include.ALWAYS);
+        mapper.configOverride(PeerMessage.ForwardingNews.class).setInclude(filled);
         IDS.forEach(id -> mapper.addMixIn(id, IdForm.class));
         mapper.addMixIn(ModelVersion.class, ModelVersionForm.class);
         for (Class<?> family : FAMILIES) {
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerCodecTest.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerCodecTest.java
@@ -1,6 +1,7 @@
 package org.fuchsiatrail.wire.peer;
 
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
 import java.util.stream.Stream;
 
@@ -18,6 +19,7 @@
 import org.fuchsiatrail.ModelVersion;
 import org.fuchsiatrail.PeerMessage;
 import org.fuchsiatrail.UpstreamId;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -60,6 +62,39 @@
         assertThat(PeerCodec.read(PeerCodec.write(message))).isEqualTo(message);
     }
 
+    private static PeerMessage.ForwardingNews news() {
+        PeerMessage.UpstreamWork work = new PeerMessage.UpstreamWork(ENGINE, 2, 1, 9_000, 600, 3_000);
+        return PeerMessage.ForwardingNews.builder(VM, 7)
+                .items(List.of(new PeerMessage.RelayedItem("key", 5, false, new byte[] {1, 2})), 6)
+                .work(List.of(work))
+                .weights(List.of(new PeerMessage.SeenWeights(ENGINE, "tutor", 3)))
+                .switching(List.of(new PeerMessage.Switching(ENGINE, 900)))
+                .crashes(List.of(new PeerMessage.SeenCrash(44, ENGINE)))
+                .reads(List.of(new PeerMessage.ReadParts(ENGINE, new long[] {1, 2}, new long[] {300, 400})))
+                .domains(List.of(new PeerMessage.DomainWork(VM.failureDomain(), List.of(work))))
+                .caches(List.of(
+                        new PeerMessage.CacheChanges(ENGINE, true, new long[] {8}, new long[] {0}, "vm-1/5", 3)))
+                .build();
+    }
+
+    @Test
+    void should_read_the_news_of_forwarding_routers_as_they_were_written() throws MalformedPeerMessageException {
+        assertThat(PeerCodec.read(PeerCodec.write(news())))
+                .usingRecursiveComparison()
+                .isEqualTo(news());
+        PeerMessage empty = PeerMessage.ForwardingNews.builder(VM, 7).build();
+        assertThat(PeerCodec.read(PeerCodec.write(empty))).isEqualTo(empty);
+    }
+
+    @Test
+    void should_write_work_in_few_bytes() {
+        List<PeerMessage.UpstreamWork> work =
+                Collections.nCopies(50, new PeerMessage.UpstreamWork(ENGINE, 2, 1, 9_000, 600, 3_000));
+        PeerMessage message =
+                PeerMessage.ForwardingNews.builder(VM, 7).work(work).build();
+        assertThat(PeerCodec.write(message)).hasSizeLessThan(50 * 24 + 150);
+    }
+
     @ParameterizedTest
     @MethodSource("messages")
     void should_refuse_every_truncated_message(PeerMessage message) {
