Decide who reads which cache twice a second, and say quiet words rarely

Cause: each router weighed every router for every cache 20 times a second, and each answer of a cache went to all routers of the domain even when it held no change of a shared part.

Change: the assignment is made every 500 ms (every 50 ms while a router starts), a cache without news is said to be heard once a second. Lines on a request name the cache that an engine fetches from.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CacheEventReader.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CacheEventReader.java
@@ -2,11 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 import org.fuchsiatrail.EntryVm;
 import org.fuchsiatrail.PeerMessage;
@@ -42,8 +40,14 @@
     /** The epoch of a cache that was not heard or whose changes were missed; it is asked for all it holds. */
     private static final long UNKNOWN = Long.MIN_VALUE;
 
-    /** Pause between looks at who reads what, in milliseconds. */
-    private static final long LOOK_MILLIS = 50;
+    /** Pause between decisions who reads what, in milliseconds; a reader that fell silent is replaced after it. */
+    private static final long ASSIGNMENT_MILLIS = 500;
+
+    /** The same while a router starts and learns which caches there are, in milliseconds. */
+    private static final long START_ASSIGNMENT_MILLIS = 50;
+
+    /** How often a cache without news is said to be heard, in milliseconds; others trust its last word for 4 s. */
+    private static final long QUIET_WORD_MILLIS = 1_000;
 
     private final ForwardingContext context;
     private final KnownItems known;
@@ -52,13 +56,14 @@
     private final Map<UpstreamId, Position> positions = new HashMap<>();
     private final String reader;
     private long told;
-    private long nextLookAtMillis;
+    private long nextAssignmentAtMillis;
 
     /** Where the reading of one cache stands. */
     private static final class Position {
         final String address;
         boolean asked;
         boolean failed;
+        long toldAtMillis;
         long askAtMillis;
         long after;
         long epoch = UNKNOWN;
@@ -78,29 +83,36 @@
     }
 
     void run() {
-        if (context.now() < nextLookAtMillis || context.stopping()) {
+        if (context.stopping()) {
             return;
         }
-        nextLookAtMillis = context.now() + LOOK_MILLIS;
+        if (context.now() >= nextAssignmentAtMillis) {
+            assign();
+        }
+        positions.forEach(this::ask);
+    }
+
+    /** Decides which caches this router reads. */
+    private void assign() {
+        boolean starting = context.ageMillis() < START_MILLIS;
+        nextAssignmentAtMillis = context.now() + (starting ? START_ASSIGNMENT_MILLIS : ASSIGNMENT_MILLIS);
+        context.wakeAt(nextAssignmentAtMillis);
         List<EntryVm> readers = readers();
-        Set<UpstreamId> holders = new HashSet<>();
+        Map<UpstreamId, String> addresses = new LinkedHashMap<>();
         for (ForwardedUpstream engine : upstreams.all()) {
-            boolean reachable = !engine.weights.isEmpty() && !engine.awaitsProbe;
-            if (reachable && reads(readers, engine.id())) {
-                holders.add(engine.id());
-                ask(engine.id(), engine.entry.address());
+            if (!engine.weights.isEmpty() && !engine.awaitsProbe) {
+                addresses.put(engine.id(), engine.entry.address());
             }
         }
         for (ServiceDefinition store :
                 known.routing().map(RoutingTable::keptCaches).orElse(List.of())) {
             UpstreamId id = new UpstreamId(store.name());
             upstreams.keptCache(id);
-            if (reads(readers, id)) {
-                holders.add(id);
-                ask(id, store.keptCache().orElseThrow().address());
-            }
+            addresses.put(id, store.keptCache().orElseThrow().address());
         }
-        positions.keySet().retainAll(holders);
+        addresses.keySet().removeIf(holder -> !reads(readers, holder));
+        positions.entrySet().removeIf(entry -> !entry.getValue().address.equals(addresses.get(entry.getKey())));
+        addresses.forEach((holder, address) -> positions.computeIfAbsent(holder, id -> new Position(address)));
     }
 
     private List<EntryVm> readers() {
@@ -125,24 +137,18 @@
         return reader.id().equals(context.settings().self().id());
     }
 
-    private void ask(UpstreamId holder, String address) {
-        Position position = positions.get(holder);
-        if (position == null || !position.address.equals(address)) {
-            position = new Position(address);
-            positions.put(holder, position);
-        }
+    private void ask(UpstreamId holder, Position position) {
         if (position.asked) {
             return;
         }
         if (context.now() < position.askAtMillis) {
-            context.wakeAt(position.askAtMillis);
             return;
         }
         position.asked = true;
         context.emit(
                 position.epoch == UNKNOWN
-                        ? new ForwardingOutput.ReadCache(holder, address)
-                        : new ForwardingOutput.ReadCacheEvents(holder, address, position.after, WAIT_MILLIS));
+                        ? new ForwardingOutput.ReadCache(holder, position.address)
+                        : new ForwardingOutput.ReadCacheEvents(holder, position.address, position.after, WAIT_MILLIS));
     }
 
     /** Takes an answer of a cache. */
@@ -169,7 +175,6 @@
             case CacheEventsReply.Changes changes -> takeChanges(holder, position, changes);
             case CacheEventsReply.Failed failed -> fail(holder, position, failed.reason());
         }
-        nextLookAtMillis = Math.min(nextLookAtMillis, position.askAtMillis);
         context.wakeAt(position.askAtMillis);
     }
 
@@ -216,7 +221,11 @@
                 tokens.put(key, change.tokens());
             }
         }
-        tell(holder, anew, tokens);
+        boolean wordDue = context.now() - position.toldAtMillis >= QUIET_WORD_MILLIS;
+        if (anew || wordDue || !tokens.isEmpty()) {
+            position.toldAtMillis = context.now();
+            tell(holder, anew, tokens);
+        }
     }
 
     private void tell(UpstreamId holder, boolean anew, Map<Long, Long> tokens) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
@@ -41,6 +41,8 @@
                 Math.round(row.choice.predictedMillis()),
                 "uncachedTokens",
                 row.choice.uncachedTokens(),
+                "fetchFrom",
+                terms.fetchFrom().orElse(""),
                 "running",
                 row.upstream.running(context.now()),
                 "remainingMillis",
