Log what tells the causes of an unbounded crashing request apart

Lines of attempts name the request's fingerprint, and a sent attempt the crashes that its router knows, so that one request can be followed across routers, and a verdict that was missing, unknown or not applied can be told from the log. A lost attempt that is never attributed has a line and a counter (crashes_unattributed; crashes_attributed beside it).

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
@@ -24,7 +24,7 @@
         return storeReplica.routing().map(RoutingTable::version).orElse(0L);
     }
 
-    void sent(PendingCall pending, Dispatch dispatch, long remainingMillis) {
+    void sent(PendingCall pending, Dispatch dispatch, long remainingMillis, int knownCrashes) {
         context.count(pending.sends == 1 ? "attempts.first" : "attempts.repeated");
         context.log(
                 COMPONENT,
@@ -37,6 +37,10 @@
                 pending.upstream.id(),
                 "send",
                 pending.sends,
+                "fingerprint",
+                Long.toHexString(pending.call.fingerprint()),
+                "knownCrashes",
+                knownCrashes,
                 "predictedMillis",
                 Math.round(pending.placement.predictedMillis()),
                 "uncachedTokens",
@@ -87,6 +91,8 @@
                 "Attempt lost.",
                 "request",
                 pending.call.callerAttemptId(),
+                "fingerprint",
+                Long.toHexString(pending.call.fingerprint()),
                 "upstream",
                 pending.upstream.id(),
                 "sent",
@@ -127,6 +133,8 @@
                 "Request refused.",
                 "request",
                 call.callerAttemptId(),
+                "fingerprint",
+                Long.toHexString(call.fingerprint()),
                 "host",
                 call.host(),
                 "path",
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -162,7 +162,7 @@
             schedule(pending, pending.attemptTimeoutAtMillis);
         }
         Dispatch dispatch = buildDispatch(pending, upstream, remainingMillis);
-        log.sent(pending, dispatch, remainingMillis);
+        log.sent(pending, dispatch, remainingMillis, crashTracker.knownCrashes(pending.call.fingerprint()));
         context.emit(new ForwardingOutput.Send(
                 pending.attempt, pending.request, pending.route.kind() == RequestKind.STREAM, dispatch));
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashTracker.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashTracker.java
@@ -50,20 +50,25 @@
         for (LostConnection lost : List.copyOf(lostConnections)) {
             if (lost.upstream().equals(upstream) && context.now() - lost.atMillis() < ATTRIBUTION_WINDOW_MILLIS) {
                 PeerMessage.SeenCrash crash = new PeerMessage.SeenCrash(lost.fingerprint(), upstream);
-                recordCrash(crash);
+                recordCrash(crash, "this router");
                 unsent.add(crash);
             }
         }
         lostConnections.removeIf(lost -> lost.upstream().equals(upstream));
     }
 
-    /** Records a crash that this router or a peer detected; returns whether it was not known before. */
+    /** Records a crash that a peer detected; returns whether it was not known before. */
     boolean recordCrash(PeerMessage.SeenCrash crash) {
+        return recordCrash(crash, "a peer");
+    }
+
+    private boolean recordCrash(PeerMessage.SeenCrash crash, String detectedBy) {
         boolean added = crashesByRequest
                 .computeIfAbsent(crash.fingerprint(), key -> new HashSet<>())
                 .add(crash.upstream().value());
         if (added) {
             lastCrashAtMillis.put(crash.fingerprint(), context.now());
+            context.count("crashes.attributed");
             context.log(
                     "quarantine",
                     "Upstream crash attributed to a request.",
@@ -72,14 +77,20 @@
                     "upstream",
                     crash.upstream(),
                     "crashes",
-                    crashesByRequest.get(crash.fingerprint()).size());
+                    knownCrashes(crash.fingerprint()),
+                    "detectedBy",
+                    detectedBy);
         }
         return added;
     }
 
     boolean isQuarantined(long fingerprint) {
-        Set<String> crashes = crashesByRequest.get(fingerprint);
-        return crashes != null && crashes.size() >= QUARANTINE_CRASHES;
+        return knownCrashes(fingerprint) >= QUARANTINE_CRASHES;
+    }
+
+    /** The number of upstream incarnations that this router knows a request to have crashed. */
+    int knownCrashes(long fingerprint) {
+        return crashesByRequest.getOrDefault(fingerprint, Set.of()).size();
     }
 
     /** Removes and returns the crashes that have not been sent to peers yet. */
@@ -94,7 +105,7 @@
     }
 
     void run() {
-        lostConnections.removeIf(lost -> context.now() - lost.atMillis() >= ATTRIBUTION_WINDOW_MILLIS);
+        lostConnections.removeIf(this::expireUnattributed);
         lastCrashAtMillis.entrySet().removeIf(entry -> {
             boolean expired = context.now() - entry.getValue() > RETENTION_MILLIS;
             if (expired) {
@@ -103,4 +114,19 @@
             return expired;
         });
     }
+
+    private boolean expireUnattributed(LostConnection lost) {
+        boolean expired = context.now() - lost.atMillis() >= ATTRIBUTION_WINDOW_MILLIS;
+        if (expired) {
+            context.count("crashes.unattributed");
+            context.log(
+                    "quarantine",
+                    "Lost attempt not attributed to a crash; its upstream was not seen to end.",
+                    "fingerprint",
+                    Long.toHexString(lost.fingerprint()),
+                    "upstream",
+                    lost.upstream());
+        }
+        return expired;
+    }
 }
