Attribute a crash whenever the end of the upstream is noticed

Cause: a crash counted only if the router that lost the connection itself saw, within 3 s, a refused connection or a later start under the same upstream id. An upstream that crashes usually returns under a new id; the store drops its old entry after three missed heartbeats, some 3 s after the end; a suspected upstream gets no attempt that could be refused; and a refusal is often seen by another router.

Change: CrashDetector keeps unanswered attempts by the incarnation to which they were sent, and the ends of incarnations, and joins the two in whichever order they come. Ends are: a refused connection of an attempt or of an engine probe, a registered restart, a dropped entry, and another upstream at the same address. A later answer of the same incarnation discards the attempts. Losses while an engine switches weights count too, as only its end makes them a crash.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/OrderReply.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/OrderReply.java
@@ -21,6 +21,13 @@
      */
     record Failed(String reason) implements OrderReply {}
 
+    /**
+     * The engine refused the connection, so no process runs at its address.
+     *
+     * @param reason the error
+     */
+    record ConnectionRefused(String reason) implements OrderReply {}
+
     /**
      * The engine's state, which is some hundred milliseconds old.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -38,6 +38,7 @@
     private final RetryBudgets retryBudgets;
     private final EngineProbes probes;
     private final CrashTracker crashTracker;
+    private final CrashDetector crashDetector;
     private final PeerGossip gossip;
     private final Map<RequestId, PendingCall> pendingCalls = new LinkedHashMap<>();
     private final Map<AttemptId, PendingCall> callsByAttempt = new HashMap<>();
@@ -53,6 +54,7 @@
             RetryBudgets retryBudgets,
             EngineProbes probes,
             CrashTracker crashTracker,
+            CrashDetector crashDetector,
             PeerGossip gossip) {
         this.context = context;
         this.storeReplica = storeReplica;
@@ -60,6 +62,7 @@
         this.retryBudgets = retryBudgets;
         this.probes = probes;
         this.crashTracker = crashTracker;
+        this.crashDetector = crashDetector;
         this.gossip = gossip;
         this.selector = new UpstreamSelector(context, storeReplica, upstreams, timing);
         this.intake = new CallIntake(context, storeReplica, crashTracker);
@@ -142,6 +145,7 @@
         pending.state = PendingCall.State.SENT;
         pending.placement = placement;
         pending.upstream = upstream;
+        pending.incarnation = upstream.incarnationId();
         pending.sends++;
         pending.attempt = new AttemptId(context.settings().self().id() + "-" + nextAttemptNumber++);
         pending.attemptTimeoutAtMillis =
@@ -190,6 +194,9 @@
             return;
         }
         pending.upstream.recordContact(context.now());
+        if (!(event instanceof AttemptEvent.Lost)) {
+            crashDetector.recordAnswer(pending.incarnation);
+        }
         switch (event) {
             case AttemptEvent.Answered answered -> handleAnswer(pending, answered.head());
             case AttemptEvent.Started started -> handleStreamStart(pending, started);
@@ -341,11 +348,9 @@
         context.emit(new ForwardingOutput.Cancel(pending.attempt));
         if (lost.sent()) {
             pending.possibleExecutions++;
-        }
-        if (lost.sent() && !expectedLoss) {
-            crashTracker.recordLostConnection(pending.call.fingerprint(), pending.upstream.incarnationId());
-        } else if (!lost.sent()) {
-            crashTracker.recordUpstreamDown(pending.upstream.incarnationId());
+            crashDetector.recordUnanswered(pending.call.fingerprint(), pending.incarnation);
+        } else {
+            crashDetector.recordEnded(pending.incarnation);
         }
         if (!lost.lastEventId().isEmpty()) {
             pending.lastEventId = lost.lastEventId();
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashTracker.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashTracker.java
@@ -11,50 +11,33 @@
 import org.fuchsiatrail.UpstreamId;
 
 /**
- * Detects requests that crash the upstreams that execute them.
+ * Records which upstreams a request has crashed, and quarantines requests that keep crashing upstreams.
  *
- * <p>A broken connection alone is no proof of a crash. A crash is counted when the upstream then refuses new
- * connections or is registered with a different start time. Routers share the crashes they detect, since such a request
- * may be retried at any of them.
+ * <p>Routers share the crashes they detect, since such a request may be retried at any of them.
  */
 final class CrashTracker {
 
     /** The number of upstream incarnations that a request must have crashed before it is refused. */
     private static final int QUARANTINE_CRASHES = 3;
 
-    /** How long after a broken connection a crash detected at its upstream is attributed to it, in milliseconds. */
-    private static final long ATTRIBUTION_WINDOW_MILLIS = 3_000;
-
     /** How long crashes are remembered, in milliseconds. */
     private static final long RETENTION_MILLIS = 120_000;
 
     private final ForwardingContext context;
-    private final List<LostConnection> lostConnections = new ArrayList<>();
     private final Map<Long, Set<String>> crashesByRequest = new HashMap<>();
     private final Map<Long, Long> lastCrashAtMillis = new HashMap<>();
     private final List<PeerMessage.SeenCrash> unsent = new ArrayList<>();
 
-    private record LostConnection(long fingerprint, UpstreamId upstream, long atMillis) {}
-
     CrashTracker(ForwardingContext context) {
         this.context = context;
     }
 
-    /** Records that the connection of a request broke after the request was sent. */
-    void recordLostConnection(long fingerprint, UpstreamId upstream) {
-        lostConnections.add(new LostConnection(fingerprint, upstream, context.now()));
-    }
-
-    /** Counts recent broken connections of an upstream as crashes, since it refuses connections or has restarted. */
-    void recordUpstreamDown(UpstreamId upstream) {
-        for (LostConnection lost : List.copyOf(lostConnections)) {
-            if (lost.upstream().equals(upstream) && context.now() - lost.atMillis() < ATTRIBUTION_WINDOW_MILLIS) {
-                PeerMessage.SeenCrash crash = new PeerMessage.SeenCrash(lost.fingerprint(), upstream);
-                recordCrash(crash, "this router");
-                unsent.add(crash);
-            }
+    /** Records a crash that this router detected, and sends it to peers if it was not known before. */
+    void reportCrash(long fingerprint, UpstreamId incarnation) {
+        PeerMessage.SeenCrash crash = new PeerMessage.SeenCrash(fingerprint, incarnation);
+        if (recordCrash(crash, "this router")) {
+            unsent.add(crash);
         }
-        lostConnections.removeIf(lost -> lost.upstream().equals(upstream));
     }
 
     /** Records a crash that a peer detected; returns whether it was not known before. */
@@ -105,7 +88,6 @@
     }
 
     void run() {
-        lostConnections.removeIf(this::expireUnattributed);
         lastCrashAtMillis.entrySet().removeIf(entry -> {
             boolean expired = context.now() - entry.getValue() > RETENTION_MILLIS;
             if (expired) {
@@ -114,19 +96,4 @@
             return expired;
         });
     }
-
-    private boolean expireUnattributed(LostConnection lost) {
-        boolean expired = context.now() - lost.atMillis() >= ATTRIBUTION_WINDOW_MILLIS;
-        if (expired) {
-            context.count("crashes.unattributed");
-            context.log(
-                    "quarantine",
-                    "Lost attempt not attributed to a crash; its upstream was not seen to end.",
-                    "fingerprint",
-                    Long.toHexString(lost.fingerprint()),
-                    "upstream",
-                    lost.upstream());
-        }
-        return expired;
-    }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -7,9 +7,8 @@
 import org.fuchsiatrail.forwarding.ForwardingInput;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
 import org.fuchsiatrail.forwarding.ForwardingSettings;
+import org.fuchsiatrail.forwarding.OrderReply;
 import org.fuchsiatrail.forwarding.RoutingTable;
-import org.fuchsiatrail.forwarding.StoreItem;
-import org.fuchsiatrail.forwarding.StoreItemContent;
 
 /** Dispatches inputs to the components of the forwarding core and runs each component once per tick. */
 public final class DefaultForwardingCore implements ForwardingCore {
@@ -27,6 +26,7 @@
     private final MemberRegistration memberRegistration;
     private final UpstreamTable upstreams;
     private final CrashTracker crashTracker;
+    private final CrashDetector crashDetector;
     private final CallSystem calls;
     private final OrderLease orderLease;
     private final WeightsRollout rollout;
@@ -49,25 +49,17 @@
         EngineProbes probes = new EngineProbes(context);
         upstreams = new UpstreamTable(context, storeCalls, probes);
         crashTracker = new CrashTracker(context);
+        crashDetector = new CrashDetector(context, crashTracker);
         RetryBudgets retryBudgets = new RetryBudgets(context, storeReplica);
         orderLease = new OrderLease(context, storeCalls, storeReplica);
         gossip = new PeerGossip(context, storeReplica, upstreams, crashTracker);
-        calls = new CallSystem(context, storeReplica, upstreams, retryBudgets, probes, crashTracker, gossip);
+        calls = new CallSystem(
+                context, storeReplica, upstreams, retryBudgets, probes, crashTracker, crashDetector, gossip);
         rollout = new WeightsRollout(context, storeReplica, upstreams, orderLease, probes, gossip::scheduleUpdate);
         gossip.setRollout(rollout);
         cacheEventReader = new CacheEventReader(context, storeReplica, upstreams, gossip);
-        storeReplica.onChange(this::itemChanged);
-    }
-
-    private void itemChanged(StoreItemContent previousContent, StoreItem item) {
-        if (previousContent instanceof StoreItemContent.Upstream previous
-                && item.content() instanceof StoreItemContent.Upstream current
-                && previous.entry().startedAtMillis() != current.entry().startedAtMillis()) {
-            upstreams
-                    .find(previous.entry().id())
-                    .ifPresent(upstream -> crashTracker.recordUpstreamDown(upstream.incarnationId()));
-        }
-        upstreams.itemChanged(previousContent, item);
+        storeReplica.onChange(upstreams::itemChanged);
+        upstreams.onIncarnationEnded(crashDetector::recordEnded);
     }
 
     @Override
@@ -78,6 +70,7 @@
         storeWatcher.run();
         memberRegistration.run();
         upstreams.run();
+        crashDetector.run();
         crashTracker.run();
         calls.run();
         orderLease.run();
@@ -95,8 +88,14 @@
             case ForwardingInput.AttemptEventReceived received ->
                 calls.receiveAttemptEvent(received.attempt(), received.event());
             case ForwardingInput.StoreAnswered answered -> storeCalls.answer(answered.call(), answered.reply());
-            case ForwardingInput.OrderAnswered answered ->
+            case ForwardingInput.OrderAnswered answered -> {
+                if (answered.reply() instanceof OrderReply.ConnectionRefused) {
+                    upstreams
+                            .find(answered.engine())
+                            .ifPresent(engine -> crashDetector.recordEnded(engine.incarnationId()));
+                }
                 rollout.receiveOrderReply(answered.engine(), answered.reply());
+            }
             case ForwardingInput.CacheEventsReceived cacheEvents ->
                 cacheEventReader.receive(cacheEvents.holder(), cacheEvents.reply());
             case ForwardingInput.StoreItemRelayed relayed -> storeReplica.apply(relayed.item());
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
@@ -39,6 +39,9 @@
     State state = State.WAITING;
     AttemptId attempt;
     UpstreamState upstream;
+    /** The incarnation of the upstream to which the current attempt was sent. */
+    UpstreamId incarnation;
+
     UpstreamPlacement.Placement placement;
     /** When the current attempt is abandoned, if the request may be retried. */
     long attemptTimeoutAtMillis = Long.MAX_VALUE;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
@@ -37,6 +37,8 @@
     UpstreamEntry entry;
     /** When the upstream is removed, unless its entry appears in the store again before. */
     long removalAtMillis = Long.MAX_VALUE;
+    /** Whether the end of this incarnation was reported after its entry was removed. */
+    boolean endReported;
     /** Until when it is expected to refuse requests because it loads new weights. */
     long switchingUntilMillis = Long.MIN_VALUE;
     /** Until when it is expected to refuse requests because it is overloaded. */
@@ -118,6 +120,7 @@
         boolean restarted = newerEntry.startedAtMillis() != entry.startedAtMillis();
         entry = newerEntry;
         removalAtMillis = Long.MAX_VALUE;
+        endReported = false;
         if (restarted) {
             weightVersions.clear();
             cache.clear();
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.StoreItem;
@@ -40,6 +41,7 @@
     private final EngineProbes probes;
     private final Map<UpstreamId, UpstreamState> upstreams = new LinkedHashMap<>();
     private final Map<UpstreamId, PromptCacheView> kvCacheStores = new LinkedHashMap<>();
+    private Consumer<UpstreamId> endListener = incarnation -> {};
 
     UpstreamTable(ForwardingContext context, StoreCallTable store, EngineProbes probes) {
         this.context = context;
@@ -47,6 +49,11 @@
         this.store = store;
     }
 
+    /** Sets the listener for incarnations that the store shows to have ended without draining. */
+    void onIncarnationEnded(Consumer<UpstreamId> listener) {
+        endListener = listener;
+    }
+
     /** Applies a changed store item. */
     void itemChanged(StoreItemContent previousContent, StoreItem item) {
         if (item.content() instanceof StoreItemContent.Upstream upstream) {
@@ -59,18 +66,37 @@
     private void addOrUpdate(UpstreamEntry entry) {
         UpstreamState upstream = upstreams.get(entry.id());
         if (upstream == null) {
+            reportEndedPredecessor(entry);
             upstreams.put(entry.id(), new UpstreamState(entry));
             logEntry("Upstream registered.", entry);
             return;
         }
-        boolean changed = upstream.entry.draining() != entry.draining()
-                || upstream.entry.startedAtMillis() != entry.startedAtMillis();
+        boolean restarted = upstream.entry.startedAtMillis() != entry.startedAtMillis();
+        boolean changed = restarted || upstream.entry.draining() != entry.draining();
+        if (restarted) {
+            reportEnd(upstream);
+        }
         upstream.update(entry);
         if (changed) {
             logEntry("Upstream restarted or changed its draining state.", entry);
         }
     }
 
+    /** An address is assigned to another upstream only after the one before has ended. */
+    private void reportEndedPredecessor(UpstreamEntry entry) {
+        for (UpstreamState upstream : upstreams.values()) {
+            if (upstream.entry.address().equals(entry.address())) {
+                reportEnd(upstream);
+            }
+        }
+    }
+
+    private void reportEnd(UpstreamState upstream) {
+        if (!upstream.entry.draining()) {
+            endListener.accept(upstream.incarnationId());
+        }
+    }
+
     private void logEntry(String message, UpstreamEntry entry) {
         context.log(
                 "upstreams",
@@ -117,6 +143,12 @@
                 probes.send(upstream);
             }
         }
+        for (UpstreamState upstream : upstreams.values()) {
+            if (context.now() >= upstream.removalAtMillis && !upstream.endReported) {
+                upstream.endReported = true;
+                reportEnd(upstream);
+            }
+        }
         upstreams
                 .values()
                 .removeIf(upstream -> context.now() >= upstream.removalAtMillis && upstream.inFlight.isEmpty());
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WeightsRollout.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WeightsRollout.java
@@ -221,18 +221,21 @@
                 state.acceptedOrders = -1;
                 logOrderReply(engine, state, "busy");
             }
-            case OrderReply.Failed failed -> {
-                state.ordered = false;
-                state.acceptedOrders = -1;
-                state.consecutiveFailures++;
-                if (state.isUnresponsive()) {
-                    engine.switchingUntilMillis = Long.MIN_VALUE;
-                }
-                state.backoffUntilMillis = context.now() + UNRESPONSIVE_BACKOFF_MILLIS;
-                context.wakeAt(state.backoffUntilMillis);
-                logOrderReply(engine, state, failed.reason());
-            }
+            case OrderReply.Failed failed -> handleFailure(engine, state, failed.reason());
+            case OrderReply.ConnectionRefused refused -> handleFailure(engine, state, refused.reason());
+        }
+    }
+
+    private void handleFailure(UpstreamState engine, WeightSwitch state, String reason) {
+        state.ordered = false;
+        state.acceptedOrders = -1;
+        state.consecutiveFailures++;
+        if (state.isUnresponsive()) {
+            engine.switchingUntilMillis = Long.MIN_VALUE;
         }
+        state.backoffUntilMillis = context.now() + UNRESPONSIVE_BACKOFF_MILLIS;
+        context.wakeAt(state.backoffUntilMillis);
+        logOrderReply(engine, state, reason);
     }
 
     private void logOrderReply(UpstreamState engine, WeightSwitch state, String outcome) {
