Count attempts on an upstream that ends silently as its crash

Seen by callers: as before, for an upstream that ends without closing its connections (its VM loses power). Its requests ran into their deadlines or their callers left, and neither counted as an unanswered attempt.

Change: an attempt in flight at its deadline, or when its caller leaves, is unanswered, and one that is in flight when the store drops the entry of its upstream counts at once, as a stream may wait 15 s for its deadline. Such an attempt is not cancelled: an upstream may leave without draining and answer it.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -12,6 +12,7 @@
 import org.fuchsiatrail.AttemptId;
 import org.fuchsiatrail.RequestId;
 import org.fuchsiatrail.ResultCode;
+import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.AttemptEvent;
 import org.fuchsiatrail.forwarding.CustomerEntry;
 import org.fuchsiatrail.forwarding.Dispatch;
@@ -348,7 +349,7 @@
         context.emit(new ForwardingOutput.Cancel(pending.attempt));
         if (lost.sent()) {
             pending.possibleExecutions++;
-            crashDetector.recordUnanswered(pending.call.fingerprint(), pending.incarnation);
+            recordUnanswered(pending);
         } else {
             crashDetector.recordEnded(pending.incarnation);
         }
@@ -384,6 +385,9 @@
         }
         // Counts requests whose caller disconnected before the answer was complete.
         context.count("requests.caller-left");
+        if (callsByAttempt.containsKey(pending.attempt)) {
+            recordUnanswered(pending);
+        }
         boolean keepAttempt =
                 pending.route.kind() == RequestKind.NOT_IDEMPOTENT && pending.state == PendingCall.State.SENT;
         if (!keepAttempt && pending.attempt != null) {
@@ -396,6 +400,19 @@
         finish(pending, "Caller disconnected before the answer was complete.", 0);
     }
 
+    /**
+     * Handles the end of an upstream incarnation that the store shows. Attempts in flight on it are not cancelled:
+     * an upstream that leaves without draining still answers them.
+     */
+    void upstreamEnded(UpstreamId incarnation) {
+        for (PendingCall pending : callsByAttempt.values()) {
+            if (pending.incarnation.equals(incarnation)) {
+                recordUnanswered(pending);
+            }
+        }
+        crashDetector.recordEnded(incarnation);
+    }
+
     /** Processes queued requests and the timers that are due. */
     void run() {
         startupQueue
@@ -440,6 +457,7 @@
                 upstreams.recordFailure(pending.upstream, "no response before the request's deadline");
             }
             releaseAttempt(pending);
+            recordUnanswered(pending);
             context.emit(new ForwardingOutput.Cancel(pending.attempt));
             pending.possibleExecutions++;
         }
@@ -470,6 +488,10 @@
         close(pending);
     }
 
+    private void recordUnanswered(PendingCall pending) {
+        crashDetector.recordUnanswered(pending.call.fingerprint(), pending.incarnation);
+    }
+
     private void releaseAttempt(PendingCall pending) {
         callsByAttempt.remove(pending.attempt);
         UpstreamState.InFlightAttempt released = pending.upstream.inFlight.remove(pending.attempt);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashDetector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashDetector.java
@@ -41,7 +41,7 @@
         this.tracker = tracker;
     }
 
-    /** Records that an attempt may have been executed by an incarnation of an upstream and ended without an answer. */
+    /** Records that an attempt may have been executed by an incarnation of an upstream and has no answer. */
     void recordUnanswered(long fingerprint, UpstreamId incarnation) {
         if (endedAtMillis.containsKey(incarnation)) {
             tracker.reportCrash(fingerprint, incarnation);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -59,7 +59,7 @@
         gossip.setRollout(rollout);
         cacheEventReader = new CacheEventReader(context, storeReplica, upstreams, gossip);
         storeReplica.onChange(upstreams::itemChanged);
-        upstreams.onIncarnationEnded(crashDetector::recordEnded);
+        upstreams.onIncarnationEnded(calls::upstreamEnded);
     }
 
     @Override
