Apply a quarantine to requests that were accepted before it

Seen by callers: a request that was waiting for an upstream or lost its attempt when the quarantine began was sent to one more upstream.

Cause: only new requests were checked. The check now stands where every attempt is placed, in place of the check of new requests.

CrashingRequestSentOnTest#should_not_retry_a_request_that_was_quarantined_ after_it_was_sent failed before (2 attempts) and passes now.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallIntake.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallIntake.java
@@ -14,7 +14,6 @@
 
     private final ForwardingContext context;
     private final StoreReplica storeReplica;
-    private final CrashTracker crashTracker;
 
     /** The outcome of the check of a new request. */
     sealed interface Decision {}
@@ -25,10 +24,9 @@
     /** The request is refused; it was sent to no upstream. */
     record Refused(ResultCode code, long retryAfterMillis) implements Decision {}
 
-    CallIntake(ForwardingContext context, StoreReplica storeReplica, CrashTracker crashTracker) {
+    CallIntake(ForwardingContext context, StoreReplica storeReplica) {
         this.context = context;
         this.storeReplica = storeReplica;
-        this.crashTracker = crashTracker;
     }
 
     Decision admit(RequestId request, ForwardedCall call) {
@@ -51,9 +49,6 @@
         if (call.callerAttemptId().isEmpty()) {
             return new Refused(ResultCode.INVALID_REQUEST, 0);
         }
-        if (crashTracker.isQuarantined(call.fingerprint())) {
-            return new Refused(ResultCode.UPSTREAM_FAILED, 0);
-        }
         return new Accepted(
                 new PendingCall(request, call, route.get(), customer, drawService(route.get()), context.now()));
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -66,7 +66,7 @@
         this.crashDetector = crashDetector;
         this.gossip = gossip;
         this.selector = new UpstreamSelector(context, storeReplica, upstreams, timing);
-        this.intake = new CallIntake(context, storeReplica, crashTracker);
+        this.intake = new CallIntake(context, storeReplica);
         this.log = new CallLog(context, storeReplica);
         this.startupQueue = new StartupCallQueue(context);
     }
@@ -104,6 +104,10 @@
             handleDeadline(pending);
             return;
         }
+        if (crashTracker.isQuarantined(pending.call.fingerprint())) {
+            refuseOrAbort(pending, ResultCode.UPSTREAM_FAILED, 0, "the request crashed several upstreams");
+            return;
+        }
         Optional<UpstreamPlacement.Placement> placement = selector.select(pending);
         if (placement.isEmpty()) {
             waitOrRefuse(pending);
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashingRequestSentOnTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashingRequestSentOnTest.java
@@ -5,9 +5,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 
+import org.fuchsiatrail.PeerMessage;
 import org.fuchsiatrail.RequestId;
 import org.fuchsiatrail.ResultCode;
+import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.AttemptEvent;
 import org.fuchsiatrail.forwarding.ForwardingInput;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
@@ -171,6 +174,26 @@
         assertQuarantinedAtEachRouter();
     }
 
+    @Test
+    void should_not_retry_a_request_that_was_quarantined_after_it_was_sent() {
+        start(Target.CALL);
+        ForwardingFixture router = routers.getFirst();
+        ForwardingFixture peer = routers.getLast();
+        RequestId request = router.call("/read/crash");
+        List<PeerMessage.SeenCrash> crashesElsewhere = IntStream.range(0, CRASHES_ALLOWED)
+                .mapToObj(number -> new PeerMessage.SeenCrash(
+                        "/read/crash".hashCode(), new UpstreamId("u-elsewhere-" + number + "@1")))
+                .toList();
+        router.tick(new ForwardingInput.PeerMessageReceived(
+                peer.self().id(),
+                PeerMessage.ForwardingNews.builder(peer.self(), 1)
+                        .crashes(crashesElsewhere)
+                        .build()));
+        router.lost(router.send(request), true, "");
+        assertThat(router.sends(request)).hasSize(1);
+        assertThat(router.refusal(request).orElseThrow().code()).isEqualTo(ResultCode.UPSTREAM_FAILED);
+    }
+
     @Test
     void should_still_send_other_requests() {
         start(Target.CALL);
