Clear a request of crashes when it completes

Seen by callers, before this only in a test: with crashes now attributed to all requests in flight on an upstream that ends, a popular request that is in flight on three upstreams while these crash for other reasons would be refused everywhere for two minutes.

Cause: nothing ever spoke for a request. A request that crashes upstreams never completes, so one that does is cleared of all crashes known so far, also of those that are reported again; clearances go to peers like crashes. An answer of status 500 or above is no completion.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ForwardingNewsBuilder.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ForwardingNewsBuilder.java
@@ -14,6 +14,7 @@
     private List<PeerMessage.SeenWeights> weights = List.of();
     private List<PeerMessage.Switching> switching = List.of();
     private List<PeerMessage.SeenCrash> crashes = List.of();
+    private List<PeerMessage.SeenCrash> clearedCrashes = List.of();
     private List<PeerMessage.ReadParts> reads = List.of();
     private List<PeerMessage.DomainWork> domains = List.of();
     private List<PeerMessage.CacheChanges> caches = List.of();
@@ -90,6 +91,17 @@
         return this;
     }
 
+    /**
+     * Sets the crashes that requests did not cause, since they completed afterwards.
+     *
+     * @param cleared the crashes
+     * @return this builder
+     */
+    public ForwardingNewsBuilder clearedCrashes(List<PeerMessage.SeenCrash> cleared) {
+        clearedCrashes = cleared;
+        return this;
+    }
+
     /**
      * Sets the prompt parts that engines have prefilled.
      *
@@ -130,6 +142,18 @@
      */
     public PeerMessage.ForwardingNews build() {
         return new PeerMessage.ForwardingNews(
-                vm, revision, wantsItems, coversUpTo, items, work, weights, switching, crashes, reads, domains, caches);
+                vm,
+                revision,
+                wantsItems,
+                coversUpTo,
+                items,
+                work,
+                weights,
+                switching,
+                crashes,
+                reads,
+                domains,
+                caches,
+                clearedCrashes);
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
@@ -157,6 +157,7 @@
      * @param reads prompt parts that engines have prefilled since the last update
      * @param domains the total work that all routers of a failure domain have in flight, as sent by a relay
      * @param caches changes in the caches whose events the sender reads
+     * @param clearedCrashes crashes that requests did not cause, since they completed afterwards
      */
     record ForwardingNews(
             EntryVm vm,
@@ -170,7 +171,8 @@
             List<SeenCrash> crashes,
             List<ReadParts> reads,
             List<DomainWork> domains,
-            List<CacheChanges> caches)
+            List<CacheChanges> caches,
+            List<SeenCrash> clearedCrashes)
             implements PeerMessage {
 
         /** Replaces missing lists with empty ones. */
@@ -183,6 +185,7 @@
             reads = reads == null ? List.of() : reads;
             domains = domains == null ? List.of() : domains;
             caches = caches == null ? List.of() : caches;
+            clearedCrashes = clearedCrashes == null ? List.of() : clearedCrashes;
         }
 
         /**
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -208,6 +208,7 @@
             case AttemptEvent.Progressed progressed -> handleProgress(pending, progressed.lastEventId());
             case AttemptEvent.Finished finished -> {
                 upstreams.recordSuccess(pending.upstream);
+                crashTracker.recordCompletion(pending.call.fingerprint());
                 finish(pending, "Stream completed.", 200);
             }
             case AttemptEvent.Lost lost -> handleLoss(pending, lost);
@@ -254,6 +255,7 @@
             pending.upstream.recordOutcome(true);
         } else {
             upstreams.recordSuccess(pending.upstream);
+            crashTracker.recordCompletion(pending.call.fingerprint());
         }
         context.emit(new ForwardingOutput.Deliver(pending.request, pending.attempt));
         finish(pending, "Answer delivered.", head.status());
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashTracker.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashTracker.java
@@ -1,8 +1,8 @@
 package org.fuchsiatrail.internal.forwarding;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -13,20 +13,31 @@
 /**
  * Records which upstreams a request has crashed, and quarantines requests that keep crashing upstreams.
  *
- * <p>Routers share the crashes they detect, since such a request may be retried at any of them.
+ * <p>All requests that were running on an upstream are suspected of its crash. One that completes later is cleared of
+ * all crashes so far, since a request that crashes upstreams never completes. Routers share crashes and clearances,
+ * since a request may be retried at any of them.
  */
 final class CrashTracker {
 
     /** The number of upstream incarnations that a request must have crashed before it is refused. */
     private static final int QUARANTINE_CRASHES = 3;
 
-    /** How long crashes are remembered, in milliseconds. */
+    /** How long crashes are remembered after the last one of a request, in milliseconds. */
     private static final long RETENTION_MILLIS = 120_000;
 
+    /** The most requests whose crashes are remembered; the oldest are forgotten first. */
+    private static final int MAXIMUM_REQUESTS = 10_000;
+
     private final ForwardingContext context;
-    private final Map<Long, Set<String>> crashesByRequest = new HashMap<>();
-    private final Map<Long, Long> lastCrashAtMillis = new HashMap<>();
-    private final List<PeerMessage.SeenCrash> unsent = new ArrayList<>();
+    private final Map<Long, RequestCrashes> requests = new LinkedHashMap<>();
+    private List<PeerMessage.SeenCrash> unsentCrashes = new ArrayList<>();
+    private List<PeerMessage.SeenCrash> unsentClearances = new ArrayList<>();
+
+    private static final class RequestCrashes {
+        private final Set<UpstreamId> crashed = new HashSet<>();
+        private final Set<UpstreamId> cleared = new HashSet<>();
+        private long lastCrashAtMillis;
+    }
 
     CrashTracker(ForwardingContext context) {
         this.context = context;
@@ -36,7 +47,7 @@
     void reportCrash(long fingerprint, UpstreamId incarnation) {
         PeerMessage.SeenCrash crash = new PeerMessage.SeenCrash(fingerprint, incarnation);
         if (recordCrash(crash, "this router")) {
-            unsent.add(crash);
+            unsentCrashes.add(crash);
         }
     }
 
@@ -46,25 +57,57 @@
     }
 
     private boolean recordCrash(PeerMessage.SeenCrash crash, String detectedBy) {
-        boolean added = crashesByRequest
-                .computeIfAbsent(crash.fingerprint(), key -> new HashSet<>())
-                .add(crash.upstream().value());
-        if (added) {
-            lastCrashAtMillis.put(crash.fingerprint(), context.now());
-            context.count("crashes.attributed");
-            context.log(
-                    "quarantine",
-                    "Upstream crash attributed to a request.",
-                    "fingerprint",
-                    Long.toHexString(crash.fingerprint()),
-                    "upstream",
-                    crash.upstream(),
-                    "crashes",
-                    knownCrashes(crash.fingerprint()),
-                    "detectedBy",
-                    detectedBy);
+        RequestCrashes request = crashesOf(crash.fingerprint());
+        if (request.cleared.contains(crash.upstream()) || !request.crashed.add(crash.upstream())) {
+            return false;
+        }
+        request.lastCrashAtMillis = context.now();
+        context.count("crashes.attributed");
+        context.log(
+                "quarantine",
+                "Upstream crash attributed to a request.",
+                "fingerprint",
+                Long.toHexString(crash.fingerprint()),
+                "upstream",
+                crash.upstream(),
+                "crashes",
+                request.crashed.size(),
+                "detectedBy",
+                detectedBy);
+        return true;
+    }
+
+    private RequestCrashes crashesOf(long fingerprint) {
+        RequestCrashes request = requests.computeIfAbsent(fingerprint, key -> new RequestCrashes());
+        if (requests.size() > MAXIMUM_REQUESTS) {
+            requests.remove(requests.keySet().iterator().next());
+        }
+        return request;
+    }
+
+    /** Clears a request that an upstream executed to the end of all crashes that are known so far. */
+    void recordCompletion(long fingerprint) {
+        RequestCrashes request = requests.get(fingerprint);
+        if (request == null) {
+            return;
+        }
+        for (UpstreamId incarnation : List.copyOf(request.crashed)) {
+            PeerMessage.SeenCrash crash = new PeerMessage.SeenCrash(fingerprint, incarnation);
+            clearCrash(crash);
+            unsentClearances.add(crash);
+        }
+    }
+
+    /** Clears a request of a crash, also of one that is reported later; returns whether it was not cleared before. */
+    boolean clearCrash(PeerMessage.SeenCrash crash) {
+        RequestCrashes request = crashesOf(crash.fingerprint());
+        request.crashed.remove(crash.upstream());
+        boolean cleared = request.cleared.add(crash.upstream());
+        if (cleared) {
+            request.lastCrashAtMillis = context.now();
+            context.count("crashes.cleared");
         }
-        return added;
+        return cleared;
     }
 
     boolean isQuarantined(long fingerprint) {
@@ -73,27 +116,29 @@
 
     /** The number of upstream incarnations that this router knows a request to have crashed. */
     int knownCrashes(long fingerprint) {
-        return crashesByRequest.getOrDefault(fingerprint, Set.of()).size();
+        RequestCrashes request = requests.get(fingerprint);
+        return request == null ? 0 : request.crashed.size();
     }
 
     /** Removes and returns the crashes that have not been sent to peers yet. */
-    List<PeerMessage.SeenCrash> drainUnsent() {
-        List<PeerMessage.SeenCrash> drained = List.copyOf(unsent);
-        unsent.clear();
+    List<PeerMessage.SeenCrash> drainUnsentCrashes() {
+        List<PeerMessage.SeenCrash> drained = unsentCrashes;
+        unsentCrashes = new ArrayList<>();
+        return drained;
+    }
+
+    /** Removes and returns the clearances that have not been sent to peers yet. */
+    List<PeerMessage.SeenCrash> drainUnsentClearances() {
+        List<PeerMessage.SeenCrash> drained = unsentClearances;
+        unsentClearances = new ArrayList<>();
         return drained;
     }
 
     boolean hasUnsent() {
-        return !unsent.isEmpty();
+        return !unsentCrashes.isEmpty() || !unsentClearances.isEmpty();
     }
 
     void run() {
-        lastCrashAtMillis.entrySet().removeIf(entry -> {
-            boolean expired = context.now() - entry.getValue() > RETENTION_MILLIS;
-            if (expired) {
-                crashesByRequest.remove(entry.getKey());
-            }
-            return expired;
-        });
+        requests.values().removeIf(request -> context.now() - request.lastCrashAtMillis > RETENTION_MILLIS);
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/GossipBuffer.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/GossipBuffer.java
@@ -21,11 +21,13 @@
     static final class Updates {
         final List<PeerMessage.ReadParts> prefilledParts = new ArrayList<>();
         final List<PeerMessage.SeenCrash> crashes = new ArrayList<>();
+        final List<PeerMessage.SeenCrash> clearedCrashes = new ArrayList<>();
         final List<PeerMessage.Switching> switching = new ArrayList<>();
 
         private void clear() {
             prefilledParts.clear();
             crashes.clear();
+            clearedCrashes.clear();
             switching.clear();
         }
     }
@@ -52,6 +54,7 @@
     void writeLocal(ForwardingNewsBuilder update) {
         update.reads(List.copyOf(local.prefilledParts))
                 .crashes(List.copyOf(local.crashes))
+                .clearedCrashes(List.copyOf(local.clearedCrashes))
                 .switching(List.copyOf(local.switching));
     }
 
@@ -61,6 +64,8 @@
                         .toList())
                 .crashes(Stream.concat(local.crashes.stream(), remote.crashes.stream())
                         .toList())
+                .clearedCrashes(Stream.concat(local.clearedCrashes.stream(), remote.clearedCrashes.stream())
+                        .toList())
                 .switching(Stream.concat(local.switching.stream(), remote.switching.stream())
                         .toList())
                 .caches(List.copyOf(cacheReports));
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
@@ -141,7 +141,8 @@
 
     private void sendUpdates(GossipTopology.Recipients recipients) {
         isRelay = recipients.isRelay();
-        buffer.local().crashes.addAll(crashes.drainUnsent());
+        buffer.local().crashes.addAll(crashes.drainUnsentCrashes());
+        buffer.local().clearedCrashes.addAll(crashes.drainUnsentClearances());
         for (UpstreamId engine : rollout.switchingEngines()) {
             buffer.local().switching.add(new PeerMessage.Switching(engine, SWITCHING_VALIDITY_MILLIS));
         }
@@ -262,6 +263,12 @@
                 scheduleUpdate();
             }
         }
+        for (PeerMessage.SeenCrash crash : update.clearedCrashes()) {
+            if (crashes.clearCrash(crash) && isRelay) {
+                updates.clearedCrashes.add(crash);
+                scheduleUpdate();
+            }
+        }
     }
 
     private void applyCacheChanges(PeerMessage.CacheChanges changes) {
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerCodecTest.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerCodecTest.java
@@ -74,6 +74,7 @@
                 .weights(List.of(new PeerMessage.SeenWeights(ENGINE, "tutor", 3)))
                 .switching(List.of(new PeerMessage.Switching(ENGINE, 900)))
                 .crashes(List.of(new PeerMessage.SeenCrash(44, ENGINE)))
+                .clearedCrashes(List.of(new PeerMessage.SeenCrash(45, ENGINE)))
                 .reads(List.of(new PeerMessage.ReadParts(ENGINE, new long[] {1, 2}, new long[] {300, 400})))
                 .domains(List.of(new PeerMessage.DomainWork(VM.failureDomain(), List.of(work))))
                 .caches(List.of(
