--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/StoreCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/StoreCall.java
@@ -1,6 +1,9 @@
 package org.fuchsiatrail.forwarding;
 
+import java.util.List;
+
 import org.fuchsiatrail.EntryVm;
+import org.fuchsiatrail.UpstreamId;
 
 /**
  * A call to the platform's store.
@@ -61,6 +64,15 @@
      */
     record TakeOrderRight(String holder, long lease) implements StoreCall {}
 
+    /**
+     * Publishes a quarantined request if no router has done so.
+     *
+     * @param fingerprint the fingerprint of the request
+     * @param crashedUpstreams the incarnations of upstreams that it crashed
+     * @param lease the lease; the quarantine ends with it
+     */
+    record PublishQuarantine(long fingerprint, List<UpstreamId> crashedUpstreams, long lease) implements StoreCall {}
+
     /**
      * Returns the name of the call for log lines.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/StoreItemContent.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/StoreItemContent.java
@@ -41,6 +41,13 @@
      */
     record OrderLeaseHolder(String holder) implements StoreItemContent {}
 
+    /**
+     * A quarantined request, which no router sends to an upstream.
+     *
+     * @param fingerprint the fingerprint of the request
+     */
+    record Quarantine(long fingerprint) implements StoreItemContent {}
+
     /**
      * The value of the item cannot be parsed, so the item provides no content.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -40,6 +40,7 @@
     private final EngineProbes probes;
     private final CrashTracker crashTracker;
     private final CrashDetector crashDetector;
+    private final SharedQuarantines quarantines;
     private final PeerGossip gossip;
     private final Map<RequestId, PendingCall> pendingCalls = new LinkedHashMap<>();
     private final Map<AttemptId, PendingCall> callsByAttempt = new HashMap<>();
@@ -56,6 +57,7 @@
             EngineProbes probes,
             CrashTracker crashTracker,
             CrashDetector crashDetector,
+            SharedQuarantines quarantines,
             PeerGossip gossip) {
         this.context = context;
         this.storeReplica = storeReplica;
@@ -64,6 +66,7 @@
         this.probes = probes;
         this.crashTracker = crashTracker;
         this.crashDetector = crashDetector;
+        this.quarantines = quarantines;
         this.gossip = gossip;
         this.selector = new UpstreamSelector(context, storeReplica, upstreams, timing);
         this.intake = new CallIntake(context, storeReplica);
@@ -104,7 +107,7 @@
             handleDeadline(pending);
             return;
         }
-        if (crashTracker.isQuarantined(pending.call.fingerprint())) {
+        if (quarantines.isQuarantined(pending.call.fingerprint())) {
             refuseOrAbort(pending, ResultCode.UPSTREAM_FAILED, 0, "the request crashed several upstreams");
             return;
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashTracker.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashTracker.java
@@ -23,7 +23,7 @@
     private static final int QUARANTINE_CRASHES = 3;
 
     /** How long crashes are remembered after the last one of a request, in milliseconds. */
-    private static final long RETENTION_MILLIS = 120_000;
+    static final long RETENTION_MILLIS = 120_000;
 
     /** The most requests whose crashes are remembered; the oldest are forgotten first. */
     private static final int MAXIMUM_REQUESTS = 10_000;
@@ -32,6 +32,10 @@
     private final Map<Long, RequestCrashes> requests = new LinkedHashMap<>();
     private List<PeerMessage.SeenCrash> unsentCrashes = new ArrayList<>();
     private List<PeerMessage.SeenCrash> unsentClearances = new ArrayList<>();
+    private List<Quarantine> newQuarantines = new ArrayList<>();
+
+    /** The beginning of a quarantine, and whether this router detected the last of the crashes. */
+    record Quarantine(long fingerprint, boolean detectedHere) {}
 
     private static final class RequestCrashes {
         private final Set<UpstreamId> crashed = new HashSet<>();
@@ -46,17 +50,17 @@
     /** Records a crash that this router detected, and sends it to peers if it was not known before. */
     void reportCrash(long fingerprint, UpstreamId incarnation) {
         PeerMessage.SeenCrash crash = new PeerMessage.SeenCrash(fingerprint, incarnation);
-        if (recordCrash(crash, "this router")) {
+        if (recordCrash(crash, true)) {
             unsentCrashes.add(crash);
         }
     }
 
     /** Records a crash that a peer detected; returns whether it was not known before. */
     boolean recordCrash(PeerMessage.SeenCrash crash) {
-        return recordCrash(crash, "a peer");
+        return recordCrash(crash, false);
     }
 
-    private boolean recordCrash(PeerMessage.SeenCrash crash, String detectedBy) {
+    private boolean recordCrash(PeerMessage.SeenCrash crash, boolean detectedHere) {
         RequestCrashes request = crashesOf(crash.fingerprint());
         if (request.cleared.contains(crash.upstream()) || !request.crashed.add(crash.upstream())) {
             return false;
@@ -73,7 +77,10 @@
                 "crashes",
                 request.crashed.size(),
                 "detectedBy",
-                detectedBy);
+                detectedHere ? "this router" : "a peer");
+        if (request.crashed.size() == QUARANTINE_CRASHES) {
+            newQuarantines.add(new Quarantine(crash.fingerprint(), detectedHere));
+        }
         return true;
     }
 
@@ -120,6 +127,19 @@
         return request == null ? 0 : request.crashed.size();
     }
 
+    /** The upstream incarnations that this router knows a request to have crashed. */
+    List<UpstreamId> crashedUpstreams(long fingerprint) {
+        RequestCrashes request = requests.get(fingerprint);
+        return request == null ? List.of() : List.copyOf(request.crashed);
+    }
+
+    /** Removes and returns the quarantines that began since the last call. */
+    List<Quarantine> drainNewQuarantines() {
+        List<Quarantine> drained = newQuarantines;
+        newQuarantines = new ArrayList<>();
+        return drained;
+    }
+
     /** Removes and returns the crashes that have not been sent to peers yet. */
     List<PeerMessage.SeenCrash> drainUnsentCrashes() {
         List<PeerMessage.SeenCrash> drained = unsentCrashes;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -27,6 +27,7 @@
     private final UpstreamTable upstreams;
     private final CrashTracker crashTracker;
     private final CrashDetector crashDetector;
+    private final SharedQuarantines quarantines;
     private final CallSystem calls;
     private final OrderLease orderLease;
     private final WeightsRollout rollout;
@@ -50,11 +51,20 @@
         upstreams = new UpstreamTable(context, storeCalls, probes);
         crashTracker = new CrashTracker(context);
         crashDetector = new CrashDetector(context, crashTracker);
+        quarantines = new SharedQuarantines(context, storeCalls, storeReplica, crashTracker);
         RetryBudgets retryBudgets = new RetryBudgets(context, storeReplica);
         orderLease = new OrderLease(context, storeCalls, storeReplica);
         gossip = new PeerGossip(context, storeReplica, upstreams, crashTracker);
         calls = new CallSystem(
-                context, storeReplica, upstreams, retryBudgets, probes, crashTracker, crashDetector, gossip);
+                context,
+                storeReplica,
+                upstreams,
+                retryBudgets,
+                probes,
+                crashTracker,
+                crashDetector,
+                quarantines,
+                gossip);
         rollout = new WeightsRollout(context, storeReplica, upstreams, orderLease, probes, gossip::scheduleUpdate);
         gossip.setRollout(rollout);
         cacheEventReader = new CacheEventReader(context, storeReplica, upstreams, gossip);
@@ -73,6 +83,7 @@
         crashDetector.run();
         crashTracker.run();
         calls.run();
+        quarantines.run();
         orderLease.run();
         rollout.run();
         cacheEventReader.run();
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreReplica.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreReplica.java
@@ -35,6 +35,9 @@
     /** For each model, when this router first saw each of its target versions, in milliseconds. */
     private final Map<String, TreeMap<Long, Long>> targetSetAtMillis = new HashMap<>();
 
+    /** The quarantined requests, with the time at which this router learned of each, in milliseconds. */
+    private final Map<Long, Long> quarantinedAtMillis = new HashMap<>();
+
     private BiConsumer<StoreItemContent, StoreItem> listener = (previousContent, item) -> {};
     private RoutingTable routing;
     private long revision;
@@ -90,11 +93,28 @@
             case StoreItemContent.OrderLeaseHolder holder ->
                 context.log(
                         "orders", "Order lease holder set.", "holder", holder.holder(), "revision", item.revision());
-            case StoreItemContent.Removed removed -> context.count("store.removed-items");
+            case StoreItemContent.Quarantine quarantine -> {
+                quarantinedAtMillis.putIfAbsent(quarantine.fingerprint(), context.now());
+                context.log(
+                        "quarantine",
+                        "Quarantine in force.",
+                        "fingerprint",
+                        Long.toHexString(quarantine.fingerprint()),
+                        "revision",
+                        item.revision());
+            }
+            case StoreItemContent.Removed removed -> applyRemoval(current);
         }
         listener.accept(current == null ? new StoreItemContent.Removed() : current.content(), item);
     }
 
+    private void applyRemoval(StoreItem removed) {
+        context.count("store.removed-items");
+        if (removed != null && removed.content() instanceof StoreItemContent.Quarantine quarantine) {
+            quarantinedAtMillis.remove(quarantine.fingerprint());
+        }
+    }
+
     private void applyRouting(RoutingTable table, StoreItem item) {
         routing = table;
         context.count("configuration.adopted");
@@ -193,6 +213,12 @@
         return Optional.empty();
     }
 
+    /** Returns whether the store quarantines a request; its lease has ended when that was learned long ago. */
+    boolean isQuarantined(long fingerprint) {
+        Long learnedAtMillis = quarantinedAtMillis.get(fingerprint);
+        return learnedAtMillis != null && context.now() - learnedAtMillis < CrashTracker.RETENTION_MILLIS;
+    }
+
     /** The number of routers registered in the store. */
     int memberCount() {
         return memberCount;
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashingRequestSentOnTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashingRequestSentOnTest.java
@@ -38,8 +38,8 @@
     private static final int REPETITIONS = 100;
     private static final int UPSTREAMS = 8;
 
-    private final List<ForwardingFixture> routers =
-            List.of(new ForwardingFixture("vm-1"), new ForwardingFixture("vm-2"), new ForwardingFixture("vm-3"));
+    private final List<ForwardingFixture> routers = new ArrayList<>(
+            List.of(new ForwardingFixture("vm-1"), new ForwardingFixture("vm-2"), new ForwardingFixture("vm-3")));
     private final Set<String> endedUpstreams = new HashSet<>();
     private final List<Change> changes = new ArrayList<>();
     private Target target;
@@ -69,6 +69,7 @@
     private void start(Target crashed) {
         target = crashed;
         for (ForwardingFixture router : routers) {
+            router.quarantineListener = quarantine -> routers.forEach(other -> other.putQuarantine(quarantine));
             router.configured();
             for (ForwardingFixture member : routers) {
                 router.put("members/" + member.self().id(), new StoreItemContent.Member(member.self()));
@@ -194,6 +195,26 @@
         assertThat(router.refusal(request).orElseThrow().code()).isEqualTo(ResultCode.UPSTREAM_FAILED);
     }
 
+    @Test
+    void should_stay_quarantined_when_routers_restart() {
+        start(Target.CALL);
+        repeatRequest(true);
+        routers.replaceAll(ForwardingFixture::restarted);
+        assertQuarantinedAtEachRouter();
+    }
+
+    @Test
+    void should_stay_quarantined_when_routers_restart_after_an_outage_of_the_store() {
+        start(Target.CALL);
+        routers.forEach(router -> router.storeAnswers = false);
+        routers.forEach(router -> router.call(target.path));
+        repeatRequest(true);
+        routers.forEach(router -> router.storeAnswers = true);
+        routers.forEach(router -> router.advanceTime(5_000));
+        routers.replaceAll(ForwardingFixture::restarted);
+        assertQuarantinedAtEachRouter();
+    }
+
     @Test
     void should_still_send_other_requests() {
         start(Target.CALL);
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 
 import org.fuchsiatrail.AttemptId;
 import org.fuchsiatrail.CustomerId;
@@ -44,6 +45,7 @@
     final List<StoreItem> items = new ArrayList<>();
     boolean storeAnswers = true;
     boolean orderLeaseTaken = true;
+    Consumer<StoreCall.PublishQuarantine> quarantineListener = this::putQuarantine;
     long now = 1_000_000;
     private final EntryVm self;
     private long revision;
@@ -146,6 +148,19 @@
         answerWatch();
     }
 
+    void putQuarantine(StoreCall.PublishQuarantine quarantine) {
+        put("quarantine/" + quarantine.fingerprint(), new StoreItemContent.Quarantine(quarantine.fingerprint()));
+    }
+
+    /** Returns a router that replaces this one, with the same store and without any other state. */
+    ForwardingFixture restarted() {
+        ForwardingFixture successor = new ForwardingFixture(self.id().value());
+        successor.items.addAll(items);
+        successor.revision = revision;
+        successor.now = now;
+        return successor.start();
+    }
+
     void remove(String key) {
         put(key, new StoreItemContent.Removed());
     }
@@ -196,6 +211,10 @@
                     case StoreCall.KeepLease keep -> new StoreReply.LeaseRenewed();
                     case StoreCall.EndLease end -> new StoreReply.LeaseExpired();
                     case StoreCall.AnnounceMember member -> new StoreReply.Written(1);
+                    case StoreCall.PublishQuarantine quarantine -> {
+                        quarantineListener.accept(quarantine);
+                        yield new StoreReply.Written(1);
+                    }
                     case StoreCall.TakeOrderRight take ->
                         orderLeaseTaken ? new StoreReply.Conflict() : new StoreReply.Written(41);
                 };
