Suspect a chat request whose engine falls silent

Seen by callers of the product's own interface: the same fault as on the platform, for engines that end without closing their connections: a request that ends them was moved from one to the next, and again when its caller repeated it.

Cause: only a lost connection counted as a presumed crash; an attempt that was aborted by the idle timeout did not. It counts now for its own request. An engine that was only frozen sends a later load report, which retracts the crash as before.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/quarantine/QuarantineSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/quarantine/QuarantineSystem.java
@@ -73,7 +73,7 @@
         if (changed) {
             context.log(
                     "quarantine",
-                    "Connection to engine lost; its running requests are suspects.",
+                    "Engine lost or silent; its requests are suspects.",
                     "engine",
                     engine,
                     "suspects",
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatSystem.java
@@ -401,6 +401,7 @@
             // Counts attempts aborted by the engine idle timeout.
             context.count("attempts.silent");
             upstreams.recordFailure(row.engine);
+            quarantine.recordCrash(row.engine.id(), row.engineIncarnation, List.of(row.fingerprint));
             retryOnOtherEngine(row);
         }
     }
--- a/fuchsiatrail-proofs/src/test/java/org/fuchsiatrail/proofs/UpstreamFailureProofTest.java
+++ b/fuchsiatrail-proofs/src/test/java/org/fuchsiatrail/proofs/UpstreamFailureProofTest.java
@@ -70,6 +70,22 @@
         }
     }
 
+    @Test
+    void should_lose_two_engines_at_most_to_a_request_that_ends_them_silently() {
+        for (long seed = 1; seed <= 20; seed++) {
+            Fixture fixture = Fixture.started(seed);
+            fixture.deployment.setPoisonText(POISON);
+            fixture.deployment.setPoisonEndsSilently(true);
+            ChatCall poisonCall = Fixture.chatCall(Fixture.prompt("evil " + POISON, 10), 20);
+            for (int repetition = 0; repetition < 4; repetition++) {
+                CallerRecord caller =
+                        fixture.deployment.chat(fixture.router(1 + repetition % 3), Fixture.ALPHA_KEY, poisonCall);
+                fixture.deployment.runUntil(caller::isFinished, 30_000);
+            }
+            assertThat(fixture.deployment.poisonCrashes()).as("seed %d", seed).isLessThanOrEqualTo(2);
+        }
+    }
+
     @Test
     void should_take_back_a_suspicion_when_an_engine_was_only_cut_off() {
         Fixture fixture = Fixture.started(60);
--- a/fuchsiatrail-standins/src/main/java/org/fuchsiatrail/standins/drive/VirtualDeployment.java
+++ b/fuchsiatrail-standins/src/main/java/org/fuchsiatrail/standins/drive/VirtualDeployment.java
@@ -329,6 +329,15 @@
         engines.setPoisonText(text);
     }
 
+    /**
+     * Sets whether engines that crash because of the poison text leave their connections open.
+     *
+     * @param silently true when nothing arrives on the connections any more, false when they are closed
+     */
+    public void setPoisonEndsSilently(boolean silently) {
+        engines.setPoisonEndsSilently(silently);
+    }
+
     /**
      * Returns the number of engine crashes that prompts with the poison text have caused.
      *
--- a/fuchsiatrail-standins/src/main/java/org/fuchsiatrail/standins/drive/VirtualEngines.java
+++ b/fuchsiatrail-standins/src/main/java/org/fuchsiatrail/standins/drive/VirtualEngines.java
@@ -20,6 +20,9 @@
 /** The engines of a virtual deployment and the connections from routers to them. */
 final class VirtualEngines {
 
+    /** How long an engine that ended silently is down, in milliseconds. */
+    private static final long SILENT_DOWN_MILLIS = 6_000;
+
     private final VirtualTime time;
     private final SplittableRandom random;
     private final Faults faults;
@@ -31,6 +34,7 @@
     private final Set<UpstreamId> frozenEngines = new HashSet<>();
     private final List<StartedAttempt> startedAttempts = new ArrayList<>();
     private String poisonText = "";
+    private boolean poisonEndsSilently;
     private int poisonCrashes;
     private int maximumConcurrentLoads;
 
@@ -82,6 +86,10 @@
         poisonText = text;
     }
 
+    void setPoisonEndsSilently(boolean silently) {
+        poisonEndsSilently = silently;
+    }
+
     int poisonCrashes() {
         return poisonCrashes;
     }
@@ -115,13 +123,22 @@
             startedAttempts.add(new StartedAttempt(time.now(), start.engine(), start));
             boolean crash = !poisonText.isEmpty() && start.call().prompt().contains(poisonText);
             engines.get(start.engine()).start(time.now(), start.call(), event -> sendWithFaults(connection, event));
-            if (crash) {
-                poisonCrashes++;
-                crash(start.engine(), 2_000);
+            if (crash && !frozenEngines.contains(start.engine())) {
+                crashByPoison(start.engine());
             }
         });
     }
 
+    private void crashByPoison(UpstreamId engine) {
+        poisonCrashes++;
+        if (poisonEndsSilently) {
+            freeze(engine, SILENT_DOWN_MILLIS);
+            time.schedule(SILENT_DOWN_MILLIS, () -> engines.get(engine).restart());
+        } else {
+            crash(engine, 2_000);
+        }
+    }
+
     private void sendWithFaults(Connection connection, EngineEvent event) {
         if (withProbability(faults.engineEventLossRate)) {
             return;
