Write each accepted log line before a flush returns

Cause: the writer thread takes a line and holds it for up to 200 ms; flush() wrote only what was still queued. The product's own router did not flush at all after its last line.

Change: flush wakes the writer thread and waits until all lines accepted so far are written, for 2 s at most; lines that a stalled reader has not taken by then count as dropped. Before, flush waited without bound for a writer thread blocked on its stream. RouterProcess flushes when it is closed.

--- a/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/RouterProcess.java
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/RouterProcess.java
@@ -167,6 +167,7 @@
         traces.close();
         eventLoopGroup.shutdownGracefully(100, 1_000, TimeUnit.MILLISECONDS).syncUninterruptibly();
         LogLines.info("router", "Router stopped.", Map.of());
+        LogLines.flush();
     }
 
     private static void closeQuietly(AutoCloseable closeable) {
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/observe/LogLines.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/observe/LogLines.java
@@ -28,6 +28,9 @@
     /** The capacity of the queue to the writer thread: one second of the highest log rate of a router. */
     private static final int MAXIMUM_QUEUED_LINES = 8_192;
 
+    /** The longest time for which a flush waits for a slow reader of the log, in milliseconds. */
+    private static final long FLUSH_TIMEOUT_MILLIS = 2_000;
+
     private static volatile BoundedLineWriter writer;
 
     private LogLines() {}
@@ -81,11 +84,14 @@
         return current == null ? 0 : current.dropped();
     }
 
-    /** Writes all queued lines; to be called before the process exits. */
+    /**
+     * Waits until all lines logged so far are written, for two seconds at most; to be called before the process exits.
+     * Lines that a slow reader has not taken by then are counted as dropped.
+     */
     public static void flush() {
         BoundedLineWriter current = writer;
         if (current != null) {
-            current.flush();
+            current.flush(FLUSH_TIMEOUT_MILLIS);
         }
     }
 
@@ -164,12 +170,12 @@
 
         @Override
         public void flush() {
-            lines.flush();
+            lines.flush(FLUSH_TIMEOUT_MILLIS);
         }
 
         @Override
         public void close() {
-            lines.flush();
+            lines.flush(FLUSH_TIMEOUT_MILLIS);
         }
     }
 
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/observe/BoundedLineWriterTest.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/observe/BoundedLineWriterTest.java
@@ -6,10 +6,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -19,10 +21,9 @@
  */
 class BoundedLineWriterTest {
 
-    @Test
-    void should_drop_and_count_lines_instead_of_blocking_on_a_stalled_reader() {
+    private static PrintStream stalledStream() {
         CountDownLatch neverReleased = new CountDownLatch(1);
-        OutputStream stalledStream = new OutputStream() {
+        return new PrintStream(new OutputStream() {
             @Override
             public void write(int value) {
                 try {
@@ -31,14 +32,42 @@
                     Thread.currentThread().interrupt();
                 }
             }
-        };
-        BoundedLineWriter writer = BoundedLineWriter.start(new PrintStream(stalledStream), 10);
+        });
+    }
+
+    @Test
+    void should_drop_and_count_lines_instead_of_blocking_on_a_stalled_reader() {
+        BoundedLineWriter writer = BoundedLineWriter.start(stalledStream(), 10);
         for (int line = 0; line < 1_000; line++) {
             writer.write("line\n");
         }
         assertThat(writer.dropped()).isBetween(900L, 990L);
     }
 
+    /** Flushes at any moment of a batch: before the writer thread has taken the line, and while it holds it. */
+    @Test
+    void should_write_each_line_before_a_flush_returns() throws Exception {
+        ByteArrayOutputStream written = new ByteArrayOutputStream();
+        BoundedLineWriter writer = BoundedLineWriter.start(new PrintStream(written, true), 100);
+        for (int line = 1; line <= 300; line++) {
+            writer.write("line " + line + "\n");
+            TimeUnit.MICROSECONDS.sleep(line % 3 * 700);
+            writer.flush(2_000);
+            assertThat(written.toString(StandardCharsets.UTF_8)).endsWith("line " + line + "\n");
+        }
+        assertThat(writer.dropped()).isZero();
+    }
+
+    @Test
+    @Timeout(2)
+    void should_count_lines_as_dropped_when_a_flush_times_out() {
+        BoundedLineWriter writer = BoundedLineWriter.start(stalledStream(), 10);
+        writer.write("first\n");
+        writer.write("second\n");
+        writer.flush(100);
+        assertThat(writer.dropped()).isEqualTo(2);
+    }
+
     @Test
     void should_write_one_json_object_per_line_with_its_fields() throws Exception {
         ByteArrayOutputStream written = new ByteArrayOutputStream();
