End a quarantine a fixed time after its last crash

Cause: each heartbeat lists the sender's suspicions, and each one renewed the receiver's end of the quarantine, also for crashes that it knew; a router whose suspicion had ended took it over again.

Change: heartbeats carry the age of each crash, and a router keeps the earliest time that it was told, which neither repeated heartbeats, their transit nor the clocks of two routers can move forward. A suspicion that is told when its last crash is too old is ignored. A router of the former build tells no ages, so the old behaviour ends when the last one is replaced.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
@@ -59,8 +59,34 @@
      *
      * @param fingerprint the customer and digest of the request
      * @param crashes each engine incarnation that ended while it ran the request, as engine and incarnation
+     * @param agesMillis the time since each of these crashes, in milliseconds; empty from a router that does not tell
      */
-    record Suspicion(String fingerprint, List<String> crashes) {}
+    record Suspicion(String fingerprint, List<String> crashes, List<Long> agesMillis) {
+
+        /** Replaces missing ages with an empty list. */
+        public Suspicion {
+            agesMillis = agesMillis == null ? List.of() : agesMillis;
+        }
+
+        /**
+         * Returns the time since a crash.
+         *
+         * @param index the position of the crash in the list
+         * @return milliseconds, or 0 when the sender does not tell the age
+         */
+        public long ageMillis(int index) {
+            return index < agesMillis.size() ? agesMillis.get(index) : 0;
+        }
+
+        /**
+         * Returns the time since the last crash.
+         *
+         * @return milliseconds, or 0 when the sender does not tell ages
+         */
+        public long lastCrashAgeMillis() {
+            return agesMillis.stream().mapToLong(Long::longValue).min().orElse(0);
+        }
+    }
 
     /**
      * Queries a router for the engines that hold a prefix, according to its partition of the cache directory.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/quarantine/QuarantineSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/quarantine/QuarantineSystem.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 
 import org.fuchsiatrail.LoadReport;
@@ -17,6 +19,9 @@
 /**
  * Records which requests ran on engines that crashed, and quarantines requests that are involved in repeated crashes.
  *
+ * <p>A suspicion ends a fixed time after the last crash. Routers tell each other the ages of crashes and keep the
+ * highest, so that neither clocks that differ nor repeated heartbeats prolong it.
+ *
  * <p>A request with one crash is a suspect: it is retried, but never on the same engine as another suspect. With two
  * crashes it is quarantined. An engine that reports the same incarnation after a presumed crash did not crash, and the
  * crash is retracted.
@@ -53,8 +58,11 @@
     }
 
     private static final class Suspect {
-        private final Set<String> crashes = new TreeSet<>();
-        private long expiresAtMillis;
+        private final Map<String, Long> crashedAtMillis = new TreeMap<>();
+
+        private long lastCrashAtMillis() {
+            return Collections.max(crashedAtMillis.values());
+        }
     }
 
     /**
@@ -68,7 +76,7 @@
         String crash = engine + "#" + incarnation;
         boolean changed = false;
         for (String fingerprint : fingerprints) {
-            changed |= addCrash(fingerprint, crash);
+            changed |= addCrash(fingerprint, crash, context.now());
         }
         if (changed) {
             context.log(
@@ -82,17 +90,18 @@
         }
     }
 
-    private boolean addCrash(String fingerprint, String crash) {
+    private boolean addCrash(String fingerprint, String crash, long crashedAtMillis) {
         if (clearedCrashes.getOrDefault(fingerprint, Set.of()).contains(crash)) {
             return false;
         }
         Suspect suspect = suspects.computeIfAbsent(fingerprint, key -> new Suspect());
-        suspect.expiresAtMillis = context.now() + context.settings().quarantineMillis();
-        if (!suspect.crashes.add(crash)) {
+        boolean known = suspect.crashedAtMillis.containsKey(crash);
+        suspect.crashedAtMillis.merge(crash, crashedAtMillis, Math::min);
+        if (known) {
             return false;
         }
         crashTimes.putIfAbsent(crash, context.now());
-        if (suspect.crashes.size() == QUARANTINE_CRASHES) {
+        if (suspect.crashedAtMillis.size() == QUARANTINE_CRASHES) {
             context.count("quarantine.requests");
             context.log(
                     "quarantine",
@@ -100,7 +109,7 @@
                     "fingerprint",
                     fingerprint,
                     "crashes",
-                    suspect.crashes);
+                    suspect.crashedAtMillis.keySet());
         }
         trim(suspects);
         return true;
@@ -119,11 +128,11 @@
         }
         crashTimes.remove(crash);
         suspects.forEach((fingerprint, suspect) -> {
-            if (suspect.crashes.remove(crash)) {
+            if (suspect.crashedAtMillis.remove(crash) != null) {
                 recordClearedCrashes(fingerprint, Set.of(crash));
             }
         });
-        suspects.values().removeIf(suspect -> suspect.crashes.isEmpty());
+        suspects.values().removeIf(suspect -> suspect.crashedAtMillis.isEmpty());
     }
 
     /**
@@ -133,9 +142,9 @@
      */
     public void recordCompletion(String fingerprint) {
         Suspect suspect = suspects.get(fingerprint);
-        if (suspect != null && suspect.crashes.size() < QUARANTINE_CRASHES) {
+        if (suspect != null && suspect.crashedAtMillis.size() < QUARANTINE_CRASHES) {
             suspects.remove(fingerprint);
-            recordClearedCrashes(fingerprint, suspect.crashes);
+            recordClearedCrashes(fingerprint, suspect.crashedAtMillis.keySet());
         }
     }
 
@@ -153,7 +162,7 @@
      */
     public boolean isQuarantined(String fingerprint) {
         Suspect suspect = suspects.get(fingerprint);
-        return suspect != null && suspect.crashes.size() >= QUARANTINE_CRASHES;
+        return suspect != null && suspect.crashedAtMillis.size() >= QUARANTINE_CRASHES;
     }
 
     /**
@@ -173,8 +182,11 @@
      */
     public List<PeerMessage.Suspicion> suspicions() {
         List<PeerMessage.Suspicion> all = new ArrayList<>();
-        suspects.forEach((fingerprint, suspect) ->
-                all.add(new PeerMessage.Suspicion(fingerprint, List.copyOf(suspect.crashes))));
+        suspects.forEach((fingerprint, suspect) -> {
+            List<Long> agesMillis = new ArrayList<>();
+            suspect.crashedAtMillis.values().forEach(atMillis -> agesMillis.add(context.now() - atMillis));
+            all.add(new PeerMessage.Suspicion(fingerprint, List.copyOf(suspect.crashedAtMillis.keySet()), agesMillis));
+        });
         return all;
     }
 
@@ -185,15 +197,22 @@
      */
     public void receiveSuspicions(List<PeerMessage.Suspicion> suspicions) {
         for (PeerMessage.Suspicion suspicion : suspicions) {
-            for (String crash : suspicion.crashes()) {
-                addCrash(suspicion.fingerprint(), crash);
+            if (suspicion.lastCrashAgeMillis() >= context.settings().quarantineMillis()) {
+                continue;
+            }
+            for (int index = 0; index < suspicion.crashes().size(); index++) {
+                addCrash(
+                        suspicion.fingerprint(),
+                        suspicion.crashes().get(index),
+                        context.now() - suspicion.ageMillis(index));
             }
         }
     }
 
     /** Removes expired suspicions. */
     public void run() {
-        suspects.values().removeIf(suspect -> suspect.expiresAtMillis <= context.now());
+        long quarantineMillis = context.settings().quarantineMillis();
+        suspects.values().removeIf(suspect -> context.now() - suspect.lastCrashAtMillis() >= quarantineMillis);
         if (suspects.isEmpty()) {
             crashTimes.clear();
         }
--- /dev/null
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/quarantine/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the quarantine of requests that crash engines. */
+package org.fuchsiatrail.internal.quarantine;
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerCodecTest.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerCodecTest.java
@@ -50,7 +50,7 @@
                         List.of(new PeerMessage.AssignedTokens(ENGINE, 5)),
                         List.of("engine-2"),
                         List.of("engine-3"),
-                        List.of(new PeerMessage.Suspicion("f", List.of("engine-1#3"))),
+                        List.of(new PeerMessage.Suspicion("f", List.of("engine-1#3"), List.of(40L))),
                         List.of(new PeerMessage.RetryReservation(7, 8))),
                 new PeerMessage.AskConfiguration(4),
                 new PeerMessage.AskClaim(claim, "trace"),
