Save nothing to a KV cache store that is unresponsive

should_neither_fetch_from_nor_save_to_an_unresponsive_kv_cache_store now asserts both halves and failed before (it saved to 10.9.0.1); a second test covers a peer's report.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
@@ -286,8 +286,16 @@
      * @param tokens the number of stored tokens of each part; 0 when the part was evicted
      * @param reader the incarnation of the router that read the cache events
      * @param number the sequence number of the reader's cache reports, so that each report is applied only once
+     * @param unresponsive whether the cache events could not be read, so nothing is known of the content
      */
-    record CacheChanges(UpstreamId holder, boolean anew, long[] keys, long[] tokens, String reader, long number) {}
+    record CacheChanges(
+            UpstreamId holder,
+            boolean anew,
+            long[] keys,
+            long[] tokens,
+            String reader,
+            long number,
+            boolean unresponsive) {}
 
     /**
      * A version of weights that was observed on an engine.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CacheEventReader.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CacheEventReader.java
@@ -190,14 +190,14 @@
         context.wakeAt(state.nextRequestAtMillis);
     }
 
-    /** Reports an unresponsive cache as empty, so that nothing is fetched from it. */
+    /** Reports an unresponsive cache, so that nothing is fetched from it or saved to it. */
     private void handleFailure(UpstreamId holder, ReadState state, String reason) {
         state.nextRequestAtMillis = context.now() + RETRY_INTERVAL_MILLIS;
         state.epoch = UNKNOWN_EPOCH;
         if (!state.failed) {
             state.failed = true;
             context.log("caches", "Cache unresponsive; treated as empty.", "holder", holder, "reason", reason);
-            report(holder, true, Map.of());
+            publish(holder, true, Map.of(), true);
         }
     }
 
@@ -249,13 +249,18 @@
     }
 
     private void report(UpstreamId holder, boolean isSnapshot, Map<Long, Long> tokensByPart) {
+        publish(holder, isSnapshot, tokensByPart, false);
+    }
+
+    private void publish(UpstreamId holder, boolean isSnapshot, Map<Long, Long> tokensByPart, boolean unresponsive) {
         PeerMessage.CacheChanges changes = new PeerMessage.CacheChanges(
                 holder,
                 isSnapshot,
                 tokensByPart.keySet().stream().mapToLong(Long::longValue).toArray(),
                 tokensByPart.values().stream().mapToLong(Long::longValue).toArray(),
                 readerId,
-                ++lastReportNumber);
+                ++lastReportNumber,
+                unresponsive);
         upstreams.cache(holder).ifPresent(view -> view.applyReport(changes, context.now()));
         gossip.recordCacheChanges(changes);
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PromptCacheView.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PromptCacheView.java
@@ -56,7 +56,10 @@
         return newLinks;
     }
 
-    /** Applies a cache report; a snapshot replaces everything known before. */
+    /**
+     * Applies a cache report; a snapshot replaces everything known before. One that the cache is unresponsive makes the
+     * view an estimate.
+     */
     void applyReport(PeerMessage.CacheChanges changes, long nowMillis) {
         if (changes.anew()) {
             clear();
@@ -64,7 +67,7 @@
         for (int index = 0; index < Math.min(changes.keys().length, changes.tokens().length); index++) {
             store(changes.keys()[index], changes.tokens()[index]);
         }
-        lastReportAtMillis = nowMillis;
+        lastReportAtMillis = changes.unresponsive() ? Long.MIN_VALUE / 2 : nowMillis;
     }
 
     /** Returns whether a cache report arrived recently enough to be trusted. */
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CacheEventReaderTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CacheEventReaderTest.java
@@ -125,9 +125,9 @@
                 .mapToLong(part -> PromptChain.key("w1", ForwardingFixture.MODEL, part))
                 .toArray();
         PeerMessage.CacheChanges stored =
-                new PeerMessage.CacheChanges(engine(5), false, keys, new long[] {2_500, 3_800}, "vm-2/1", 1);
+                new PeerMessage.CacheChanges(engine(5), false, keys, new long[] {2_500, 3_800}, "vm-2/1", 1, false);
         PeerMessage.CacheChanges evicted =
-                new PeerMessage.CacheChanges(engine(5), false, keys, new long[] {0, 0}, "vm-2/1", 2);
+                new PeerMessage.CacheChanges(engine(5), false, keys, new long[] {0, 0}, "vm-2/1", 2, false);
         fixture.tick(new ForwardingInput.PeerMessageReceived(
                 peer.id(),
                 PeerMessage.ForwardingNews.builder(peer, 0)
@@ -203,6 +203,21 @@
         fixture.tick(new ForwardingInput.CacheEventsReceived(STORE, new CacheEventsReply.Failed("no answer")));
         ForwardingOutput.Send send = sendMarkRequest("own");
         assertThat(send.dispatch().fetchFrom()).isEmpty();
+        assertThat(send.dispatch().saveTo()).isEmpty();
+    }
+
+    @Test
+    void should_not_save_to_a_kv_cache_store_that_a_peer_reports_as_unresponsive() {
+        startWithEngines(2);
+        reportSnapshot(STORE, EPOCH, essayParts());
+        EntryVm peer = new EntryVm(new EntryVmId("vm-2"), new FailureDomain("lima-a"), "10.0.0.2:7000", false);
+        fixture.tick(new ForwardingInput.PeerMessageReceived(
+                peer.id(),
+                PeerMessage.ForwardingNews.builder(peer, 0)
+                        .caches(List.of(
+                                new PeerMessage.CacheChanges(STORE, true, new long[0], new long[0], "vm-2/1", 1, true)))
+                        .build()));
+        assertThat(sendMarkRequest("own").dispatch().saveTo()).isEmpty();
     }
 
     @Test
@@ -240,7 +255,7 @@
                 peer.id(),
                 PeerMessage.ForwardingNews.builder(peer, 0)
                         .caches(List.of(new PeerMessage.CacheChanges(
-                                engine(5), false, keys, new long[] {2_500, 3_800}, "vm-2/1", 1)))
+                                engine(5), false, keys, new long[] {2_500, 3_800}, "vm-2/1", 1, false)))
                         .build()));
         assertThat(sendMarkRequest("own").dispatch().upstream()).isEqualTo(engine(5));
     }
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerCodecTest.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerCodecTest.java
@@ -78,7 +78,7 @@
                 .reads(List.of(new PeerMessage.ReadParts(ENGINE, new long[] {1, 2}, new long[] {300, 400})))
                 .domains(List.of(new PeerMessage.DomainWork(VM.failureDomain(), List.of(work))))
                 .caches(List.of(
-                        new PeerMessage.CacheChanges(ENGINE, true, new long[] {8}, new long[] {0}, "vm-1/5", 3)))
+                        new PeerMessage.CacheChanges(ENGINE, true, new long[] {8}, new long[] {0}, "vm-1/5", 3, true)))
                 .build();
     }
 
