--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -38,9 +38,7 @@
     private final CallTiming timing = new CallTiming();
     private final RetryBudgets retryBudgets;
     private final EngineProbes probes;
-    private final CrashTracker crashTracker;
-    private final CrashDetector crashDetector;
-    private final SharedQuarantines quarantines;
+    private final CrashProtection crashProtection;
     private final PeerGossip gossip;
     private final Map<RequestId, PendingCall> pendingCalls = new LinkedHashMap<>();
     private final Map<AttemptId, PendingCall> callsByAttempt = new HashMap<>();
@@ -55,18 +53,14 @@
             UpstreamTable upstreams,
             RetryBudgets retryBudgets,
             EngineProbes probes,
-            CrashTracker crashTracker,
-            CrashDetector crashDetector,
-            SharedQuarantines quarantines,
+            CrashProtection crashProtection,
             PeerGossip gossip) {
         this.context = context;
         this.storeReplica = storeReplica;
         this.upstreams = upstreams;
         this.retryBudgets = retryBudgets;
         this.probes = probes;
-        this.crashTracker = crashTracker;
-        this.crashDetector = crashDetector;
-        this.quarantines = quarantines;
+        this.crashProtection = crashProtection;
         this.gossip = gossip;
         this.selector = new UpstreamSelector(context, storeReplica, upstreams, timing);
         this.intake = new CallIntake(context, storeReplica);
@@ -107,7 +101,7 @@
             handleDeadline(pending);
             return;
         }
-        if (quarantines.isQuarantined(pending.call.fingerprint())) {
+        if (crashProtection.isQuarantined(pending)) {
             refuseOrAbort(pending, ResultCode.UPSTREAM_FAILED, 0, "the request crashed several upstreams");
             return;
         }
@@ -174,7 +168,7 @@
             schedule(pending, pending.attemptTimeoutAtMillis);
         }
         Dispatch dispatch = buildDispatch(pending, upstream, remainingMillis);
-        log.sent(pending, dispatch, remainingMillis, crashTracker.knownCrashes(pending.call.fingerprint()));
+        log.sent(pending, dispatch, remainingMillis, crashProtection.knownCrashes(pending));
         context.emit(new ForwardingOutput.Send(
                 pending.attempt, pending.request, pending.route.kind() == RequestKind.STREAM, dispatch));
     }
@@ -202,16 +196,14 @@
             return;
         }
         pending.upstream.recordContact(context.now());
-        if (!(event instanceof AttemptEvent.Lost)) {
-            crashDetector.recordAnswer(pending.incarnation);
-        }
+        crashProtection.recordEvent(pending, event);
         switch (event) {
             case AttemptEvent.Answered answered -> handleAnswer(pending, answered.head());
             case AttemptEvent.Started started -> handleStreamStart(pending, started);
             case AttemptEvent.Progressed progressed -> handleProgress(pending, progressed.lastEventId());
             case AttemptEvent.Finished finished -> {
                 upstreams.recordSuccess(pending.upstream);
-                crashTracker.recordCompletion(pending.call.fingerprint());
+                crashProtection.recordCompletion(pending);
                 finish(pending, "Stream completed.", 200);
             }
             case AttemptEvent.Lost lost -> handleLoss(pending, lost);
@@ -258,7 +250,7 @@
             pending.upstream.recordOutcome(true);
         } else {
             upstreams.recordSuccess(pending.upstream);
-            crashTracker.recordCompletion(pending.call.fingerprint());
+            crashProtection.recordCompletion(pending);
         }
         context.emit(new ForwardingOutput.Deliver(pending.request, pending.attempt));
         finish(pending, "Answer delivered.", head.status());
@@ -358,9 +350,9 @@
         context.emit(new ForwardingOutput.Cancel(pending.attempt));
         if (lost.sent()) {
             pending.possibleExecutions++;
-            recordUnanswered(pending);
+            crashProtection.recordUnanswered(pending);
         } else {
-            crashDetector.recordEnded(pending.incarnation);
+            crashProtection.recordEnded(pending.incarnation);
         }
         if (!lost.lastEventId().isEmpty()) {
             pending.lastEventId = lost.lastEventId();
@@ -395,7 +387,7 @@
         // Counts requests whose caller disconnected before the answer was complete.
         context.count("requests.caller-left");
         if (callsByAttempt.containsKey(pending.attempt)) {
-            recordUnanswered(pending);
+            crashProtection.recordUnanswered(pending);
         }
         boolean keepAttempt =
                 pending.route.kind() == RequestKind.NOT_IDEMPOTENT && pending.state == PendingCall.State.SENT;
@@ -416,10 +408,10 @@
     void upstreamEnded(UpstreamId incarnation) {
         for (PendingCall pending : callsByAttempt.values()) {
             if (pending.incarnation.equals(incarnation)) {
-                recordUnanswered(pending);
+                crashProtection.recordUnanswered(pending);
             }
         }
-        crashDetector.recordEnded(incarnation);
+        crashProtection.recordEnded(incarnation);
     }
 
     /** Processes queued requests and the timers that are due. */
@@ -466,7 +458,7 @@
                 upstreams.recordFailure(pending.upstream, "no response before the request's deadline");
             }
             releaseAttempt(pending);
-            recordUnanswered(pending);
+            crashProtection.recordUnanswered(pending);
             context.emit(new ForwardingOutput.Cancel(pending.attempt));
             pending.possibleExecutions++;
         }
@@ -497,10 +489,6 @@
         close(pending);
     }
 
-    private void recordUnanswered(PendingCall pending) {
-        crashDetector.recordUnanswered(pending.call.fingerprint(), pending.incarnation);
-    }
-
     private void releaseAttempt(PendingCall pending) {
         callsByAttempt.remove(pending.attempt);
         UpstreamState.InFlightAttempt released = pending.upstream.inFlight.remove(pending.attempt);
--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashProtection.java
@@ -0,0 +1,63 @@
+package org.fuchsiatrail.internal.forwarding;
+
+import org.fuchsiatrail.UpstreamId;
+import org.fuchsiatrail.forwarding.AttemptEvent;
+
+/**
+ * Protects upstreams from requests that crash them: detects crashes from the outcome of attempts, and quarantines
+ * requests that keep crashing upstreams.
+ */
+final class CrashProtection {
+
+    private final CrashTracker tracker;
+    private final CrashDetector detector;
+    private final SharedQuarantines quarantines;
+
+    CrashProtection(ForwardingContext context, StoreCallTable store, StoreReplica replica) {
+        tracker = new CrashTracker(context);
+        detector = new CrashDetector(context, tracker);
+        quarantines = new SharedQuarantines(context, store, replica, tracker);
+    }
+
+    /** The crashes that routers tell each other. */
+    CrashTracker tracker() {
+        return tracker;
+    }
+
+    boolean isQuarantined(PendingCall pending) {
+        return quarantines.isQuarantined(pending.call.fingerprint());
+    }
+
+    /** The number of upstream incarnations that this router knows a request to have crashed. */
+    int knownCrashes(PendingCall pending) {
+        return tracker.knownCrashes(pending.call.fingerprint());
+    }
+
+    /** Records an event of the current attempt of a request. */
+    void recordEvent(PendingCall pending, AttemptEvent event) {
+        if (!(event instanceof AttemptEvent.Lost)) {
+            detector.recordAnswer(pending.incarnation);
+        }
+    }
+
+    /** Records that the current attempt of a request has no answer, although it may have been executed. */
+    void recordUnanswered(PendingCall pending) {
+        detector.recordUnanswered(pending.call.fingerprint(), pending.incarnation);
+    }
+
+    /** Records that an upstream executed a request to the end. */
+    void recordCompletion(PendingCall pending) {
+        tracker.recordCompletion(pending.call.fingerprint());
+    }
+
+    /** Records that an incarnation of an upstream has ended. */
+    void recordEnded(UpstreamId incarnation) {
+        detector.recordEnded(incarnation);
+    }
+
+    void run() {
+        detector.run();
+        tracker.run();
+        quarantines.run();
+    }
+}
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -25,9 +25,7 @@
     private final StoreWatcher storeWatcher;
     private final MemberRegistration memberRegistration;
     private final UpstreamTable upstreams;
-    private final CrashTracker crashTracker;
-    private final CrashDetector crashDetector;
-    private final SharedQuarantines quarantines;
+    private final CrashProtection crashProtection;
     private final CallSystem calls;
     private final OrderLease orderLease;
     private final WeightsRollout rollout;
@@ -49,22 +47,11 @@
         memberRegistration = new MemberRegistration(context, storeCalls);
         EngineProbes probes = new EngineProbes(context);
         upstreams = new UpstreamTable(context, storeCalls, probes);
-        crashTracker = new CrashTracker(context);
-        crashDetector = new CrashDetector(context, crashTracker);
-        quarantines = new SharedQuarantines(context, storeCalls, storeReplica, crashTracker);
+        crashProtection = new CrashProtection(context, storeCalls, storeReplica);
         RetryBudgets retryBudgets = new RetryBudgets(context, storeReplica);
         orderLease = new OrderLease(context, storeCalls, storeReplica);
-        gossip = new PeerGossip(context, storeReplica, upstreams, crashTracker);
-        calls = new CallSystem(
-                context,
-                storeReplica,
-                upstreams,
-                retryBudgets,
-                probes,
-                crashTracker,
-                crashDetector,
-                quarantines,
-                gossip);
+        gossip = new PeerGossip(context, storeReplica, upstreams, crashProtection.tracker());
+        calls = new CallSystem(context, storeReplica, upstreams, retryBudgets, probes, crashProtection, gossip);
         rollout = new WeightsRollout(context, storeReplica, upstreams, orderLease, probes, gossip::scheduleUpdate);
         gossip.setRollout(rollout);
         cacheEventReader = new CacheEventReader(context, storeReplica, upstreams, gossip);
@@ -80,10 +67,8 @@
         storeWatcher.run();
         memberRegistration.run();
         upstreams.run();
-        crashDetector.run();
-        crashTracker.run();
+        crashProtection.run();
         calls.run();
-        quarantines.run();
         orderLease.run();
         rollout.run();
         cacheEventReader.run();
@@ -103,7 +88,7 @@
                 if (answered.reply() instanceof OrderReply.ConnectionRefused) {
                     upstreams
                             .find(answered.engine())
-                            .ifPresent(engine -> crashDetector.recordEnded(engine.incarnationId()));
+                            .ifPresent(engine -> crashProtection.recordEnded(engine.incarnationId()));
                 }
                 rollout.receiveOrderReply(answered.engine(), answered.reply());
             }
