Take no answer of another process as proof that an upstream survived

Found while reading the new detector: an upstream that ended and returned at once under a new id answers 421 to requests for its predecessor, and that answer discarded the unanswered attempts, so the crash was not counted.

Only answers other than 421 count now. The new test of CrashTrackerTest failed before (0 crashes) and passes.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashProtection.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashProtection.java
@@ -35,11 +35,22 @@
 
     /** Records an event of the current attempt of a request. */
     void recordEvent(PendingCall pending, AttemptEvent event) {
-        if (!(event instanceof AttemptEvent.Lost)) {
+        if (comesFromExpectedUpstream(event)) {
             detector.recordAnswer(pending.incarnation);
         }
     }
 
+    /** A misdirected request was answered by another process, which may have replaced the upstream that ended. */
+    private static boolean comesFromExpectedUpstream(AttemptEvent event) {
+        return switch (event) {
+            case AttemptEvent.Answered answered -> answered.head().status() != CallTiming.MISDIRECTED_STATUS;
+            case AttemptEvent.Lost lost -> false;
+            case AttemptEvent.Started started -> true;
+            case AttemptEvent.Progressed progressed -> true;
+            case AttemptEvent.Finished finished -> true;
+        };
+    }
+
     /** Records that the current attempt of a request has no answer, although it may have been executed. */
     void recordUnanswered(PendingCall pending) {
         detector.recordUnanswered(pending.call.fingerprint(), pending.incarnation);
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashTrackerTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashTrackerTest.java
@@ -65,6 +65,20 @@
         assertThat(seenCrashes(singleUpstream)).isEqualTo(1);
     }
 
+    @Test
+    void should_count_a_crash_although_another_process_at_the_address_answered_as_misdirected() {
+        ForwardingFixture singleUpstream = new ForwardingFixture();
+        singleUpstream.configured().register(singleUpstream.recordService("u1")).start();
+        singleUpstream.lost(singleUpstream.send(singleUpstream.call("/issue/poison")), true, "");
+        singleUpstream.advanceTime(500);
+        ForwardingOutput.Send next = singleUpstream.send(singleUpstream.call("/issue/next"));
+        singleUpstream.deliverEvent(
+                next, new AttemptEvent.Answered(ForwardingFixture.head(CallTiming.MISDIRECTED_STATUS, false, true)));
+        singleUpstream.remove("servers/u1");
+        singleUpstream.advanceTime(100);
+        assertThat(seenCrashes(singleUpstream)).isEqualTo(1);
+    }
+
     private static long seenCrashes(ForwardingFixture fixture) {
         return fixture.all(ForwardingOutput.LogEvent.class).stream()
                 .filter(event -> event.message().equals("Upstream crash attributed to a request."))
