Recognise a crashing request by its customer rather than its key

Seen by callers: a request that is quarantined under one key of a customer was sent on under another, three more upstreams for each key. Cause: the fingerprint covered the key. It now covers the method, the path with its query and the body, and the core adds the customer that holds the key.

should_refuse_such_a_request_also_with_another_key_of_its_customer failed before and passes now; another customer's equal request is still sent.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardedCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardedCall.java
@@ -15,7 +15,7 @@
  * @param maximumOutputTokens the maximum number of tokens to generate, or 0
  * @param prompt the prompt parts in order; the last is specific to the request or its session
  * @param resumeAfterEventId the id of the last event that the caller received, or an empty string
- * @param fingerprint a hash that is the same for equal requests of one caller
+ * @param fingerprint a hash of the method, the path with its query, and the body
  */
 public record ForwardedCall(
         String callerAttemptId,
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashProtection.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashProtection.java
@@ -25,12 +25,12 @@
     }
 
     boolean isQuarantined(PendingCall pending) {
-        return quarantines.isQuarantined(pending.call.fingerprint());
+        return quarantines.isQuarantined(pending.fingerprint);
     }
 
     /** The number of upstream incarnations that this router knows a request to have crashed. */
     int knownCrashes(PendingCall pending) {
-        return tracker.knownCrashes(pending.call.fingerprint());
+        return tracker.knownCrashes(pending.fingerprint);
     }
 
     /** Records an event of the current attempt of a request. */
@@ -53,12 +53,12 @@
 
     /** Records that the current attempt of a request has no answer, although it may have been executed. */
     void recordUnanswered(PendingCall pending) {
-        detector.recordUnanswered(pending.call.fingerprint(), pending.incarnation);
+        detector.recordUnanswered(pending.fingerprint, pending.incarnation);
     }
 
     /** Records that an upstream executed a request to the end. */
     void recordCompletion(PendingCall pending) {
-        tracker.recordCompletion(pending.call.fingerprint());
+        tracker.recordCompletion(pending.fingerprint);
     }
 
     /** Records that an incarnation of an upstream has ended. */
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import org.fuchsiatrail.AttemptId;
 import org.fuchsiatrail.RequestId;
 import org.fuchsiatrail.UpstreamId;
@@ -33,6 +34,9 @@
     final String service;
     final long receivedAtMillis;
     final long deadlineAtMillis;
+    /** Identifies equal requests of one customer, whichever of its keys they carry. */
+    final long fingerprint;
+
     /** Upstreams that are not tried again for this request. */
     final Set<UpstreamId> excludedUpstreams = new HashSet<>();
 
@@ -70,9 +74,15 @@
         this.service = service;
         this.receivedAtMillis = receivedAtMillis;
         this.deadlineAtMillis = receivedAtMillis + Math.min(call.deadlineMillis(), route.timeoutMillis());
+        this.fingerprint = fingerprint(call, customer);
         this.lastEventId = call.resumeAfterEventId();
     }
 
+    private static long fingerprint(ForwardedCall call, Optional<CustomerEntry> customer) {
+        String owner = customer.map(entry -> entry.id().value()).orElse("");
+        return call.fingerprint() ^ Hashing.xxh3_64().hashCharsToLong(owner);
+    }
+
     boolean mayHaveRun() {
         return possibleExecutions > 0;
     }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashTrackerTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashTrackerTest.java
@@ -54,6 +54,17 @@
         assertThat(fixture.sends(fixture.call("/issue/harmless"))).hasSize(1);
     }
 
+    @Test
+    void should_refuse_such_a_request_also_with_another_key_of_its_customer() {
+        for (int index = 0; index < 3; index++) {
+            crashUpstream("/issue/poison");
+        }
+        RequestId sameCustomer = fixture.call("/issue/poison", ForwardingFixture.SECOND_KEY, List.of());
+        assertThat(fixture.sends(sameCustomer)).isEmpty();
+        RequestId otherCustomer = fixture.call("/issue/poison", "key-2", List.of());
+        assertThat(fixture.sends(otherCustomer)).hasSize(1);
+    }
+
     @Test
     void should_count_a_broken_connection_as_a_crash_when_the_upstream_then_refuses_connections() {
         ForwardingFixture singleUpstream = new ForwardingFixture();
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashingRequestSentOnTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashingRequestSentOnTest.java
@@ -183,7 +183,7 @@
         RequestId request = router.call("/read/crash");
         List<PeerMessage.SeenCrash> crashesElsewhere = IntStream.range(0, CRASHES_ALLOWED)
                 .mapToObj(number -> new PeerMessage.SeenCrash(
-                        "/read/crash".hashCode(), new UpstreamId("u-elsewhere-" + number + "@1")))
+                        ForwardingFixture.fingerprint("/read/crash"), new UpstreamId("u-elsewhere-" + number + "@1")))
                 .toList();
         router.tick(new ForwardingInput.PeerMessageReceived(
                 peer.self().id(),
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import org.fuchsiatrail.AttemptId;
 import org.fuchsiatrail.CustomerId;
 import org.fuchsiatrail.EntryVm;
@@ -38,6 +39,9 @@
 
     static final String HOST = "courses.example";
     static final String KEY = "key-1";
+    /** Another key of the same customer. */
+    static final String SECOND_KEY = "key-1b";
+
     static final String MODEL = "tutor";
 
     final DefaultForwardingCore core;
@@ -105,7 +109,8 @@
                         route("/mark/", RequestKind.STREAM, false, 1, "tutors")),
                 services,
                 List.of(
-                        new CustomerEntry(new CustomerId("huaman"), List.of(KEY), OptionalInt.empty(), false),
+                        new CustomerEntry(
+                                new CustomerId("huaman"), List.of(KEY, SECOND_KEY), OptionalInt.empty(), false),
                         new CustomerEntry(new CustomerId("apart"), List.of("key-2"), OptionalInt.empty(), true)),
                 CallerLimits.DEFAULTS);
     }
@@ -251,6 +256,11 @@
         return request;
     }
 
+    /** Returns the fingerprint of a request of the customer with the first key. */
+    static long fingerprint(String path) {
+        return path.hashCode() ^ Hashing.xxh3_64().hashCharsToLong("huaman");
+    }
+
     static List<ForwardedCall.PromptPart> prompt(String course, String session, String requestPart) {
         return List.of(
                 new ForwardedCall.PromptPart(course, 2_500),
