Tell callers of a quarantined request when to come back

The refusal came at once but without a time, while its text says to ask again after Retry-After. It now carries the time for which the quarantine lasts. The test of the fourth attempt also asserts the time and failed before (0).

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -101,8 +101,10 @@
             handleDeadline(pending);
             return;
         }
-        if (crashProtection.isQuarantined(pending)) {
-            refuseOrAbort(pending, ResultCode.UPSTREAM_FAILED, 0, "the request crashed several upstreams");
+        long quarantineMillis = crashProtection.quarantineMillisLeft(pending);
+        if (quarantineMillis > 0) {
+            refuseOrAbort(
+                    pending, ResultCode.UPSTREAM_FAILED, quarantineMillis, "the request crashed several upstreams");
             return;
         }
         Optional<UpstreamPlacement.Placement> placement = selector.select(pending);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashProtection.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashProtection.java
@@ -24,8 +24,9 @@
         return tracker;
     }
 
-    boolean isQuarantined(PendingCall pending) {
-        return quarantines.isQuarantined(pending.fingerprint);
+    /** Returns how much longer a request is quarantined, in milliseconds, or 0 when it is not. */
+    long quarantineMillisLeft(PendingCall pending) {
+        return quarantines.millisLeft(pending.fingerprint);
     }
 
     /** The number of upstream incarnations that this router knows a request to have crashed. */
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashTracker.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashTracker.java
@@ -121,6 +121,15 @@
         return knownCrashes(fingerprint) >= QUARANTINE_CRASHES;
     }
 
+    /** Returns how much longer a request is quarantined, in milliseconds, or 0 when it is not. */
+    long quarantineMillisLeft(long fingerprint) {
+        return isQuarantined(fingerprint) ? millisLeft(requests.get(fingerprint)) : 0;
+    }
+
+    private long millisLeft(RequestCrashes request) {
+        return Math.max(0, request.lastCrashAtMillis + RETENTION_MILLIS - context.now());
+    }
+
     /** The number of upstream incarnations that this router knows a request to have crashed. */
     int knownCrashes(long fingerprint) {
         RequestCrashes request = requests.get(fingerprint);
@@ -159,6 +168,6 @@
     }
 
     void run() {
-        requests.values().removeIf(request -> context.now() - request.lastCrashAtMillis > RETENTION_MILLIS);
+        requests.values().removeIf(request -> millisLeft(request) == 0);
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SharedQuarantines.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SharedQuarantines.java
@@ -50,9 +50,9 @@
         this.tracker = tracker;
     }
 
-    /** Returns whether a request is quarantined as far as this router or the store knows. */
-    boolean isQuarantined(long fingerprint) {
-        return tracker.isQuarantined(fingerprint) || replica.isQuarantined(fingerprint);
+    /** Returns how much longer a request is quarantined, in milliseconds, as far as this router or the store knows. */
+    long millisLeft(long fingerprint) {
+        return Math.max(tracker.quarantineMillisLeft(fingerprint), replica.quarantineMillisLeft(fingerprint));
     }
 
     /** Publishes quarantines that are due and revokes those of requests that were cleared meanwhile. */
@@ -79,7 +79,7 @@
     }
 
     private void publish(long fingerprint, Publication publication) {
-        if (replica.isQuarantined(fingerprint)) {
+        if (replica.quarantineMillisLeft(fingerprint) > 0) {
             publication.published = true;
             return;
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreReplica.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreReplica.java
@@ -213,10 +213,15 @@
         return Optional.empty();
     }
 
-    /** Returns whether the store quarantines a request; its lease has ended when that was learned long ago. */
-    boolean isQuarantined(long fingerprint) {
+    /**
+     * Returns for how much longer the store may quarantine a request, in milliseconds, or 0 when it does not. A cut-off
+     * router does not see the lease of a quarantine end.
+     */
+    long quarantineMillisLeft(long fingerprint) {
         Long learnedAtMillis = quarantinedAtMillis.get(fingerprint);
-        return learnedAtMillis != null && context.now() - learnedAtMillis < CrashTracker.RETENTION_MILLIS;
+        return learnedAtMillis == null
+                ? 0
+                : Math.max(0, learnedAtMillis + CrashTracker.RETENTION_MILLIS - context.now());
     }
 
     /** The number of routers registered in the store. */
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashTrackerTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashTrackerTest.java
@@ -51,6 +51,7 @@
         RequestId fourth = fixture.call("/issue/poison");
         assertThat(fixture.sends(fourth)).isEmpty();
         assertThat(fixture.refusal(fourth).orElseThrow().code()).isEqualTo(ResultCode.UPSTREAM_FAILED);
+        assertThat(fixture.refusal(fourth).orElseThrow().retryAfterMillis()).isBetween(119_000L, 120_000L);
         assertThat(fixture.sends(fixture.call("/issue/harmless"))).hasSize(1);
     }
 
