--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -1,13 +1,11 @@
 package org.fuchsiatrail.internal.forwarding;
 
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
-import java.util.PriorityQueue;
 
 import org.fuchsiatrail.AttemptId;
 import org.fuchsiatrail.RequestId;
@@ -42,11 +40,9 @@
     private final PeerGossip gossip;
     private final Map<RequestId, PendingCall> pendingCalls = new LinkedHashMap<>();
     private final Map<AttemptId, PendingCall> callsByAttempt = new HashMap<>();
-    private final PriorityQueue<Timer> timers = new PriorityQueue<>(Comparator.comparingLong(Timer::atMillis));
+    private final CallTimers timers;
     private long nextAttemptNumber = 1;
 
-    private record Timer(long atMillis, PendingCall pending) {}
-
     CallSystem(
             ForwardingContext context,
             StoreReplica storeReplica,
@@ -62,6 +58,7 @@
         this.probes = probes;
         this.crashProtection = crashProtection;
         this.gossip = gossip;
+        this.timers = new CallTimers(context);
         this.selector = new UpstreamSelector(context, storeReplica, upstreams, timing);
         this.intake = new CallIntake(context, storeReplica);
         this.log = new CallLog(context, storeReplica);
@@ -88,7 +85,7 @@
                         pending.receivedAtMillis + timing.placementTimeoutMillis(pending.route);
                 pendingCalls.put(request, pending);
                 retryBudgets.recordRequest(pending.service);
-                schedule(pending, pending.deadlineAtMillis);
+                timers.schedule(pending, pending.deadlineAtMillis);
                 place(pending);
             }
         }
@@ -136,7 +133,7 @@
     private void waitOrRefuse(PendingCall pending) {
         if (context.now() < pending.placementDeadlineMillis) {
             pending.state = PendingCall.State.WAITING;
-            schedule(
+            timers.schedule(
                     pending,
                     Math.min(pending.placementDeadlineMillis, context.now() + CallTiming.PLACEMENT_RETRY_MILLIS));
             return;
@@ -167,7 +164,7 @@
                         placement.predictedMillis(),
                         placement.newMemoryTokens() + pending.call.maximumOutputTokens()));
         if (pending.attemptTimeoutAtMillis < pending.deadlineAtMillis) {
-            schedule(pending, pending.attemptTimeoutAtMillis);
+            timers.schedule(pending, pending.attemptTimeoutAtMillis);
         }
         Dispatch dispatch = buildDispatch(pending, upstream, remainingMillis);
         log.sent(pending, dispatch, remainingMillis, crashProtection.knownCrashes(pending));
@@ -294,7 +291,7 @@
                 && pending.mayRetry()
                 && pending.possibleExecutions + 1 < pending.route.maximumAttempts()) {
             pending.attemptTimeoutAtMillis = context.now() + CallTiming.STREAM_IDLE_TIMEOUT_MILLIS;
-            schedule(pending, pending.attemptTimeoutAtMillis);
+            timers.schedule(pending, pending.attemptTimeoutAtMillis);
         }
     }
 
@@ -421,13 +418,9 @@
         startupQueue
                 .drain(storeReplica.routing().isPresent())
                 .forEach(queued -> admit(queued.request(), queued.call()));
-        while (!timers.isEmpty() && timers.peek().atMillis() <= context.now()) {
-            PendingCall pending = timers.poll().pending();
-            if (pending.state != PendingCall.State.FINISHED) {
-                pending.timerAtMillis = Long.MAX_VALUE;
-                handleTimer(pending);
-                scheduleNextTimer(pending);
-            }
+        for (Optional<PendingCall> due = timers.pollDue(); due.isPresent(); due = timers.pollDue()) {
+            handleTimer(due.get());
+            timers.scheduleNext(due.get());
         }
     }
 
@@ -441,7 +434,7 @@
             pending.attemptTimeoutAtMillis = Long.MAX_VALUE;
             if (late || context.uptimeMillis() < CallTiming.WARM_UP_MILLIS) {
                 pending.attemptTimeoutAtMillis = context.now() + CallTiming.LATE_TIMER_EXTENSION_MILLIS;
-                schedule(pending, pending.attemptTimeoutAtMillis);
+                timers.schedule(pending, pending.attemptTimeoutAtMillis);
                 return;
             }
             if (retryBudgets.mayRetry(pending.service) && selector.hasAlternative(pending)) {
@@ -509,23 +502,6 @@
         }
     }
 
-    private void scheduleNextTimer(PendingCall pending) {
-        if (pending.state != PendingCall.State.FINISHED) {
-            schedule(
-                    pending,
-                    Math.max(context.now() + 1, Math.min(pending.attemptTimeoutAtMillis, pending.deadlineAtMillis)));
-        }
-    }
-
-    /** Schedules a timer for a request unless an earlier one exists, which will schedule the next when it is due. */
-    private void schedule(PendingCall pending, long atMillis) {
-        if (atMillis < pending.timerAtMillis) {
-            pending.timerAtMillis = atMillis;
-            timers.add(new Timer(atMillis, pending));
-            context.wakeAt(atMillis);
-        }
-    }
-
     int openRequests() {
         return pendingCalls.size() + startupQueue.queuedCalls();
     }
