--- /dev/null
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashDetectorTest.java
@@ -0,0 +1,83 @@
+package org.fuchsiatrail.internal.forwarding;
+
+import org.fuchsiatrail.UpstreamId;
+import org.fuchsiatrail.forwarding.ForwardingSettings;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Guards against crashes that are missed because of the order or the time in which they are noticed. */
+class CrashDetectorTest {
+
+    private static final long REQUEST = 7;
+    private static final UpstreamId INCARNATION = new UpstreamId("u1@1");
+
+    private final ForwardingContext context = new ForwardingContext(
+            ForwardingSettings.builder().self(new ForwardingFixture().self()).build());
+    private final CrashTracker tracker = new CrashTracker(context);
+    private final CrashDetector detector = new CrashDetector(context, tracker);
+    private long now = 1_000;
+
+    @BeforeEach
+    void begin() {
+        context.beginTick(now);
+    }
+
+    private void advanceTime(long millis) {
+        now += millis;
+        context.beginTick(now);
+        detector.run();
+    }
+
+    @Test
+    void should_count_a_crash_when_the_end_of_the_upstream_is_noticed_seconds_later() {
+        detector.recordUnanswered(REQUEST, INCARNATION);
+        advanceTime(10_000);
+        detector.recordEnded(INCARNATION);
+        assertThat(tracker.knownCrashes(REQUEST)).isEqualTo(1);
+    }
+
+    @Test
+    void should_count_a_crash_when_the_end_of_the_upstream_is_noticed_first() {
+        detector.recordEnded(INCARNATION);
+        advanceTime(16_000);
+        detector.recordUnanswered(REQUEST, INCARNATION);
+        assertThat(tracker.knownCrashes(REQUEST)).isEqualTo(1);
+    }
+
+    @Test
+    void should_not_count_an_upstream_that_answered_in_between() {
+        detector.recordUnanswered(REQUEST, INCARNATION);
+        advanceTime(300);
+        detector.recordAnswer(INCARNATION);
+        detector.recordEnded(INCARNATION);
+        assertThat(tracker.knownCrashes(REQUEST)).isZero();
+    }
+
+    @Test
+    void should_count_a_crash_although_an_answer_was_still_on_its_way() {
+        detector.recordUnanswered(REQUEST, INCARNATION);
+        advanceTime(50);
+        detector.recordAnswer(INCARNATION);
+        detector.recordEnded(INCARNATION);
+        assertThat(tracker.knownCrashes(REQUEST)).isEqualTo(1);
+    }
+
+    @Test
+    void should_not_count_attempts_on_an_upstream_that_answers_again_after_a_refused_connection() {
+        detector.recordEnded(INCARNATION);
+        advanceTime(1_000);
+        detector.recordAnswer(INCARNATION);
+        detector.recordUnanswered(REQUEST, INCARNATION);
+        assertThat(tracker.knownCrashes(REQUEST)).isZero();
+    }
+
+    @Test
+    void should_forget_an_attempt_whose_upstream_is_not_seen_to_end() {
+        detector.recordUnanswered(REQUEST, INCARNATION);
+        advanceTime(20_000);
+        detector.recordEnded(INCARNATION);
+        assertThat(tracker.knownCrashes(REQUEST)).isZero();
+    }
+}
