Forget attempts on engines that end while they are started

Cause: an attempt was registered after it was started; one that ended in between, on another thread, was removed before it was there and stayed for ever. It is now registered first, in a class of its own.

--- a/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/OutputHandler.java
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/OutputHandler.java
@@ -1,6 +1,5 @@
 package org.fuchsiatrail.daemon;
 
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
@@ -8,7 +7,6 @@
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.SpanKind;
 import org.asynchttpclient.AsyncHttpClient;
-import org.fuchsiatrail.AttemptId;
 import org.fuchsiatrail.Clock;
 import org.fuchsiatrail.EngineCall;
 import org.fuchsiatrail.EngineEvent;
@@ -41,7 +39,7 @@
     private final RouterMetrics metrics;
     private final Traces traces;
     private final Runnable onStopped;
-    private final Map<AttemptId, EngineClient.RunningAttempt> runningAttempts = new ConcurrentHashMap<>();
+    private final RunningAttempts runningAttempts = new RunningAttempts();
     private final Set<UpstreamId> pendingCacheEventReads = ConcurrentHashMap.newKeySet();
 
     OutputHandler(
@@ -93,15 +91,16 @@
         EngineCall originalCall = start.call();
         Span span = traces.beginSpan("attempt " + start.engine(), SpanKind.CLIENT, originalCall.traceparent());
         EngineCall tracedCall = withTraceparent(originalCall, Traces.traceparent(span, originalCall.traceparent()));
-        EngineClient.RunningAttempt attempt = engineClient.start(start.address(), tracedCall, event -> {
-            boolean last = !(event instanceof EngineEvent.Started || event instanceof EngineEvent.Token);
-            if (last) {
-                runningAttempts.remove(start.attempt());
-                span.end();
-            }
-            inputs.accept(new Input.EngineSpoke(start.attempt(), event));
-        });
-        runningAttempts.put(start.attempt(), attempt);
+        runningAttempts.start(
+                start.attempt(),
+                onEnd -> engineClient.start(start.address(), tracedCall, event -> {
+                    boolean last = !(event instanceof EngineEvent.Started || event instanceof EngineEvent.Token);
+                    if (last) {
+                        onEnd.run();
+                        span.end();
+                    }
+                    inputs.accept(new Input.EngineSpoke(start.attempt(), event));
+                }));
     }
 
     private static EngineCall withTraceparent(EngineCall call, String traceparent) {
@@ -120,10 +119,7 @@
     }
 
     private void cancelEngine(Output.CancelEngine cancel) {
-        EngineClient.RunningAttempt attempt = runningAttempts.remove(cancel.attempt());
-        if (attempt != null) {
-            attempt.abort();
-        }
+        runningAttempts.abort(cancel.attempt());
         engineClient.cancel(cancel.address(), cancel.request());
     }
 
