Clear a request of crashes that are noticed after it completed

Cause: a completion cleared only the crashes known by then. An attempt given up on a silent upstream is attributed seconds later, when the store drops the entry, although the request has completed elsewhere meanwhile.

Change: a router remembers for 30 s which requests completed there, clears them of crashes that it learns of later, sends them in spite of a quarantine, and objects to a quarantine in the store, which its publisher then revokes.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/StoreItemContent.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/StoreItemContent.java
@@ -1,6 +1,9 @@
 package org.fuchsiatrail.forwarding;
 
+import java.util.List;
+
 import org.fuchsiatrail.EntryVm;
+import org.fuchsiatrail.UpstreamId;
 
 /** The parsed content of an item of the platform's store. */
 public sealed interface StoreItemContent {
@@ -45,8 +48,9 @@
      * A quarantined request, which no router sends to an upstream.
      *
      * @param fingerprint the fingerprint of the request
+     * @param crashedUpstreams the incarnations of upstreams that it is said to have crashed
      */
-    record Quarantine(long fingerprint) implements StoreItemContent {}
+    record Quarantine(long fingerprint, List<UpstreamId> crashedUpstreams) implements StoreItemContent {}
 
     /**
      * The value of the item cannot be parsed, so the item provides no content.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashTracker.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashTracker.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,9 +14,9 @@
 /**
  * Records which upstreams a request has crashed, and quarantines requests that keep crashing upstreams.
  *
- * <p>All requests that were running on an upstream are suspected of its crash. One that completes later is cleared of
- * all crashes so far, since a request that crashes upstreams never completes. Routers share crashes and clearances,
- * since a request may be retried at any of them.
+ * <p>All requests that were running on an upstream are suspected of its crash. One that completes is cleared of all
+ * crashes so far and of those that are noticed within some time afterwards, since a request that crashes upstreams
+ * never completes. Routers share crashes and clearances, since a request may be retried at any of them.
  */
 final class CrashTracker {
 
@@ -25,11 +26,20 @@
     /** How long crashes are remembered after the last one of a request, in milliseconds. */
     static final long RETENTION_MILLIS = 120_000;
 
-    /** The most requests whose crashes are remembered; the oldest are forgotten first. */
+    /**
+     * How long a completion clears a request of crashes that are noticed later, in milliseconds; longer than an
+     * unanswered attempt waits for its upstream's end.
+     */
+    private static final long COMPLETION_RETENTION_MILLIS = 30_000;
+
+    /** The most requests whose crashes or completions are remembered; the oldest are forgotten first. */
     private static final int MAXIMUM_REQUESTS = 10_000;
 
     private final ForwardingContext context;
     private final Map<Long, RequestCrashes> requests = new LinkedHashMap<>();
+    /** When each request last completed at this router, in milliseconds, in the order of these times. */
+    private final Map<Long, Long> completedAtMillis = new LinkedHashMap<>();
+
     private List<PeerMessage.SeenCrash> unsentCrashes = new ArrayList<>();
     private List<PeerMessage.SeenCrash> unsentClearances = new ArrayList<>();
     private List<Quarantine> newQuarantines = new ArrayList<>();
@@ -61,6 +71,10 @@
     }
 
     private boolean recordCrash(PeerMessage.SeenCrash crash, boolean detectedHere) {
+        if (completedRecently(crash.fingerprint())) {
+            clearAndShare(crash);
+            return false;
+        }
         RequestCrashes request = crashesOf(crash.fingerprint());
         if (request.cleared.contains(crash.upstream()) || !request.crashed.add(crash.upstream())) {
             return false;
@@ -86,21 +100,38 @@
 
     private RequestCrashes crashesOf(long fingerprint) {
         RequestCrashes request = requests.computeIfAbsent(fingerprint, key -> new RequestCrashes());
-        if (requests.size() > MAXIMUM_REQUESTS) {
-            requests.remove(requests.keySet().iterator().next());
-        }
+        trim(requests);
         return request;
     }
 
-    /** Clears a request that an upstream executed to the end of all crashes that are known so far. */
+    private static <V> void trim(Map<Long, V> entries) {
+        if (entries.size() > MAXIMUM_REQUESTS) {
+            entries.remove(entries.keySet().iterator().next());
+        }
+    }
+
+    /** Clears a request that an upstream executed to the end. */
     void recordCompletion(long fingerprint) {
+        completedAtMillis.remove(fingerprint);
+        completedAtMillis.put(fingerprint, context.now());
+        trim(completedAtMillis);
         RequestCrashes request = requests.get(fingerprint);
         if (request == null) {
             return;
         }
         for (UpstreamId incarnation : List.copyOf(request.crashed)) {
-            PeerMessage.SeenCrash crash = new PeerMessage.SeenCrash(fingerprint, incarnation);
-            clearCrash(crash);
+            clearAndShare(new PeerMessage.SeenCrash(fingerprint, incarnation));
+        }
+    }
+
+    /** Returns whether this router saw a request complete recently. */
+    boolean completedRecently(long fingerprint) {
+        return completedAtMillis.containsKey(fingerprint);
+    }
+
+    /** Clears a request of a crash, and sends the clearance to peers if it is new. */
+    void clearAndShare(PeerMessage.SeenCrash crash) {
+        if (clearCrash(crash)) {
             unsentClearances.add(crash);
         }
     }
@@ -168,6 +199,11 @@
     }
 
     void run() {
+        long expiredBeforeMillis = context.now() - COMPLETION_RETENTION_MILLIS;
+        Iterator<Long> completions = completedAtMillis.values().iterator();
+        while (completions.hasNext() && completions.next() < expiredBeforeMillis) {
+            completions.remove();
+        }
         requests.values().removeIf(request -> millisLeft(request) == 0);
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SharedQuarantines.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SharedQuarantines.java
@@ -4,7 +4,9 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
+import org.fuchsiatrail.PeerMessage;
 import org.fuchsiatrail.forwarding.StoreCall;
+import org.fuchsiatrail.forwarding.StoreItemContent;
 import org.fuchsiatrail.forwarding.StoreReply;
 
 /**
@@ -52,11 +54,15 @@
 
     /** Returns how much longer a request is quarantined, in milliseconds, as far as this router or the store knows. */
     long millisLeft(long fingerprint) {
+        if (tracker.completedRecently(fingerprint)) {
+            return 0;
+        }
         return Math.max(tracker.quarantineMillisLeft(fingerprint), replica.quarantineMillisLeft(fingerprint));
     }
 
     /** Publishes quarantines that are due and revokes those of requests that were cleared meanwhile. */
     void run() {
+        replica.drainNewQuarantines().forEach(this::objectIfCompleted);
         for (CrashTracker.Quarantine quarantine : tracker.drainNewQuarantines()) {
             long delayMillis = quarantine.detectedHere() ? 0 : context.random().nextLong(MAXIMUM_DELAY_MILLIS);
             publications.putIfAbsent(quarantine.fingerprint(), new Publication(context.now() + delayMillis));
@@ -78,6 +84,16 @@
         }
     }
 
+    /** Clears a request that completed here, so that the router that published its quarantine revokes it. */
+    private void objectIfCompleted(StoreItemContent.Quarantine quarantine) {
+        if (tracker.completedRecently(quarantine.fingerprint())) {
+            quarantine
+                    .crashedUpstreams()
+                    .forEach(upstream ->
+                            tracker.clearAndShare(new PeerMessage.SeenCrash(quarantine.fingerprint(), upstream)));
+        }
+    }
+
     private void publish(long fingerprint, Publication publication) {
         if (replica.quarantineMillisLeft(fingerprint) > 0) {
             publication.published = true;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreReplica.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreReplica.java
@@ -38,6 +38,8 @@
     /** The quarantined requests, with the time at which this router learned of each, in milliseconds. */
     private final Map<Long, Long> quarantinedAtMillis = new HashMap<>();
 
+    private List<StoreItemContent.Quarantine> newQuarantines = new ArrayList<>();
+
     private BiConsumer<StoreItemContent, StoreItem> listener = (previousContent, item) -> {};
     private RoutingTable routing;
     private long revision;
@@ -95,6 +97,7 @@
                         "orders", "Order lease holder set.", "holder", holder.holder(), "revision", item.revision());
             case StoreItemContent.Quarantine quarantine -> {
                 quarantinedAtMillis.putIfAbsent(quarantine.fingerprint(), context.now());
+                newQuarantines.add(quarantine);
                 context.log(
                         "quarantine",
                         "Quarantine in force.",
@@ -224,6 +227,13 @@
                 : Math.max(0, learnedAtMillis + CrashTracker.RETENTION_MILLIS - context.now());
     }
 
+    /** Removes and returns the quarantines that were received since the last call. */
+    List<StoreItemContent.Quarantine> drainNewQuarantines() {
+        List<StoreItemContent.Quarantine> drained = newQuarantines;
+        newQuarantines = new ArrayList<>();
+        return drained;
+    }
+
     /** The number of routers registered in the store. */
     int memberCount() {
         return memberCount;
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -154,7 +154,9 @@
     }
 
     void putQuarantine(StoreCall.PublishQuarantine quarantine) {
-        put("quarantine/" + quarantine.fingerprint(), new StoreItemContent.Quarantine(quarantine.fingerprint()));
+        put(
+                "quarantine/" + quarantine.fingerprint(),
+                new StoreItemContent.Quarantine(quarantine.fingerprint(), quarantine.crashedUpstreams()));
     }
 
     /** Returns a router that replaces this one, with the same store and without any other state. */
