--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardedCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardedCall.java
@@ -30,6 +30,15 @@
         String resumeAfterEventId,
         long fingerprint) {
 
+    /**
+     * Returns the prompt parts that other requests may share.
+     *
+     * @return all parts except the last
+     */
+    public List<PromptPart> sharedParts() {
+        return prompt.isEmpty() ? prompt : prompt.subList(0, prompt.size() - 1);
+    }
+
     /**
      * A prompt part. Prompts with equal parts at the same positions can share them in an engine's cache.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
@@ -1,5 +1,7 @@
 package org.fuchsiatrail.internal.forwarding;
 
+import java.util.stream.Collectors;
+
 import org.fuchsiatrail.ResultCode;
 import org.fuchsiatrail.forwarding.AttemptEvent;
 import org.fuchsiatrail.forwarding.Dispatch;
@@ -39,6 +41,8 @@
                 pending.sends,
                 "fingerprint",
                 Long.toHexString(pending.fingerprint),
+                "sharedParts",
+                sharedPartIds(pending.call),
                 "knownCrashes",
                 knownCrashes,
                 "predictedMillis",
@@ -57,6 +61,10 @@
                 configurationVersion());
     }
 
+    private static String sharedPartIds(ForwardedCall call) {
+        return call.sharedParts().stream().map(ForwardedCall.PromptPart::id).collect(Collectors.joining(" "));
+    }
+
     void failedByUpstream(PendingCall pending, AttemptEvent.Head head) {
         context.log(
                 COMPONENT,
