Reproduce requests that share a crashing prompt part

Callers see engines crash one after the other: each request with the part is new, so none is ever counted three times, and each ends the streams beside it too.

--- /dev/null
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -0,0 +1,316 @@
+package org.fuchsiatrail.internal.forwarding;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+
+import org.fuchsiatrail.AttemptId;
+import org.fuchsiatrail.EntryVmId;
+import org.fuchsiatrail.RequestId;
+import org.fuchsiatrail.ResultCode;
+import org.fuchsiatrail.UpstreamId;
+import org.fuchsiatrail.forwarding.AttemptEvent;
+import org.fuchsiatrail.forwarding.ForwardedCall;
+import org.fuchsiatrail.forwarding.ForwardingInput;
+import org.fuchsiatrail.forwarding.ForwardingOutput;
+import org.fuchsiatrail.forwarding.OrderReply;
+import org.fuchsiatrail.forwarding.StoreItemContent;
+import org.fuchsiatrail.forwarding.UpstreamLoad;
+
+/**
+ * Routers and model engines on virtual time. An engine crashes when it starts to answer a prompt with a certain part,
+ * and returns under a new id.
+ */
+final class EngineFleet {
+
+    static final long STEP_MILLIS = 50;
+    private static final int STREAM_MILLIS = 800;
+    private static final int START_MILLIS = 60;
+    private static final long ENTRY_DROPPED_MILLIS = 3_300;
+    private static final long RETURN_MILLIS = 4_000;
+    private static final long CONNECT_TIMEOUT_MILLIS = 400;
+    private static final int SLOTS = 64;
+    private static final int FAILURE_DOMAINS = 3;
+
+    final List<ForwardingFixture> routers = new ArrayList<>();
+    final SplittableRandom random;
+    /** When each engine crashed, in milliseconds, in order. */
+    final List<Long> crashesAtMillis = new ArrayList<>();
+
+    private final Map<String, Engine> engines = new LinkedHashMap<>();
+    private final Map<AttemptId, Attempt> openAttempts = new LinkedHashMap<>();
+    private final Map<String, Request> requests = new HashMap<>();
+    private final Map<EntryVmId, Long> cutOffUntilMillis = new HashMap<>();
+    private final PriorityQueue<Change> changes =
+            new PriorityQueue<>(Comparator.comparingLong(Change::atMillis).thenComparingLong(Change::number));
+    private final List<Arrival> arrivals = new ArrayList<>();
+    private String crashingPart = "";
+    private boolean endsSilently;
+    private int lastEngineNumber;
+    private long lastChangeNumber;
+
+    private record Change(long atMillis, long number, Runnable action) {}
+
+    /** A request that reached an engine. */
+    record Arrival(long atMillis, EntryVmId router, String engine, Request request, int send) {}
+
+    /** A request of a caller, with its outcome. */
+    static final class Request {
+        final long sentAtMillis;
+        final List<ForwardedCall.PromptPart> prompt;
+        int sends;
+        /** Whether the first attempt began to answer. */
+        boolean startedFirst;
+
+        boolean finished;
+        ResultCode refusal;
+
+        Request(long sentAtMillis, List<ForwardedCall.PromptPart> prompt) {
+            this.sentAtMillis = sentAtMillis;
+            this.prompt = prompt;
+        }
+
+        boolean contains(String part) {
+            return prompt.stream().anyMatch(candidate -> candidate.id().equals(part));
+        }
+    }
+
+    private static final class Engine {
+        final String id;
+        boolean ended;
+        OptionalDouble limit = OptionalDouble.empty();
+
+        Engine(String id) {
+            this.id = id;
+        }
+    }
+
+    private record Attempt(ForwardingFixture router, Request request, Engine engine, ForwardingOutput.Send send) {}
+
+    EngineFleet(long seed, int routerCount, int engineCount) {
+        random = new SplittableRandom(seed);
+        for (int number = 1; number <= routerCount; number++) {
+            routers.add(new ForwardingFixture("vm-" + number, "domain-" + number % FAILURE_DOMAINS));
+        }
+        List<StoreItemContent.Member> members = routers.stream()
+                .map(router -> new StoreItemContent.Member(router.self()))
+                .toList();
+        for (ForwardingFixture router : routers) {
+            router.configured();
+            members.forEach(member -> router.put("members/" + member.vm().id(), member));
+        }
+        routers.forEach(this::connectToStore);
+        for (int number = 0; number < engineCount; number++) {
+            startEngine();
+        }
+        routers.forEach(ForwardingFixture::start);
+    }
+
+    private void connectToStore(ForwardingFixture router) {
+        router.quarantineListener = quarantine -> routers.forEach(other -> other.putQuarantine(quarantine));
+    }
+
+    /** Makes engines crash that start to answer a prompt with this part. */
+    void crashOn(String part, boolean silently) {
+        crashingPart = part;
+        endsSilently = silently;
+    }
+
+    long now() {
+        return routers.getFirst().now;
+    }
+
+    private String startEngine() {
+        String id = "e" + ++lastEngineNumber;
+        engines.put(id, new Engine(id));
+        String domain = "domain-" + lastEngineNumber % FAILURE_DOMAINS;
+        routers.forEach(router -> router.register(
+                ForwardingFixture.entry(id, "tutors", SLOTS, Map.of(ForwardingFixture.MODEL, 1L), false, 1, domain)));
+        return id;
+    }
+
+    /** Makes the first engines name a limit of requests a second in their answers, or none. */
+    void limitEngines(int count, OptionalDouble limit) {
+        engines.values().stream().filter(engine -> !engine.ended).limit(count).forEach(engine -> engine.limit = limit);
+    }
+
+    /** Ends some engines at once, for a reason that has nothing to do with their requests. */
+    void endEngines(int count) {
+        engines.values().stream()
+                .filter(engine -> !engine.ended)
+                .limit(count)
+                .toList()
+                .forEach(engine -> end(engine, false));
+    }
+
+    /** Sends a request to a random router. */
+    Request send(ForwardedCall.PromptPart... prompt) {
+        return send(routers.get(random.nextInt(routers.size())), prompt);
+    }
+
+    private Request send(ForwardingFixture router, ForwardedCall.PromptPart... prompt) {
+        Request request = new Request(now(), List.of(prompt));
+        RequestId id = router.call("/ask/lesson", ForwardingFixture.KEY, request.prompt);
+        requests.put(router.self().id() + "/" + id, request);
+        execute(router);
+        return request;
+    }
+
+    /** Isolates a router from its peers. */
+    void cutOff(ForwardingFixture router, long millis) {
+        cutOffUntilMillis.put(router.self().id(), now() + millis);
+    }
+
+    boolean isCutOff(ForwardingFixture router) {
+        return now() < cutOffUntilMillis.getOrDefault(router.self().id(), 0L);
+    }
+
+    /** Restarts a router; its open attempts are lost with it. */
+    void restart(int index) {
+        ForwardingFixture router = routers.get(index);
+        openAttempts.values().removeIf(attempt -> attempt.router() == router);
+        ForwardingFixture successor = router.restarted();
+        routers.set(index, successor);
+        connectToStore(successor);
+    }
+
+    void setStoreAnswers(boolean answers) {
+        routers.forEach(router -> router.storeAnswers = answers);
+    }
+
+    /** The requests that reached engines, in order. */
+    List<Arrival> arrivals() {
+        return arrivals;
+    }
+
+    void advanceTime() {
+        routers.forEach(router -> router.advanceTime(STEP_MILLIS));
+        while (!changes.isEmpty() && changes.peek().atMillis() <= now()) {
+            changes.poll().action().run();
+        }
+        List.copyOf(routers).forEach(this::execute);
+    }
+
+    private void after(long millis, Runnable action) {
+        changes.add(new Change(now() + millis, ++lastChangeNumber, action));
+    }
+
+    private void execute(ForwardingFixture router) {
+        while (!router.outputs.isEmpty()) {
+            List<ForwardingOutput> outputs = List.copyOf(router.outputs);
+            router.outputs.clear();
+            outputs.forEach(output -> execute(router, output));
+        }
+    }
+
+    private void execute(ForwardingFixture router, ForwardingOutput output) {
+        switch (output) {
+            case ForwardingOutput.Send send -> receive(router, send);
+            case ForwardingOutput.Cancel cancel -> openAttempts.remove(cancel.attempt());
+            case ForwardingOutput.Refuse refuse ->
+                requests.get(router.self().id() + "/" + refuse.request()).refusal = refuse.code();
+            case ForwardingOutput.QueryEngineState query -> answerProbe(router, query);
+            case ForwardingOutput.SendToPeer message -> deliver(router, message);
+            default -> {}
+        }
+    }
+
+    private void receive(ForwardingFixture router, ForwardingOutput.Send send) {
+        Request request = requests.get(router.self().id() + "/" + send.request());
+        request.sends++;
+        Engine engine = engines.get(send.dispatch().upstream().value());
+        Attempt attempt = new Attempt(router, request, engine, send);
+        openAttempts.put(send.attempt(), attempt);
+        if (engine.ended) {
+            after(
+                    endsSilently ? CONNECT_TIMEOUT_MILLIS : 0,
+                    () -> close(attempt, new AttemptEvent.Lost(false, false, "", "not connected")));
+            return;
+        }
+        arrivals.add(new Arrival(now(), router.self().id(), engine.id, request, request.sends));
+        after(START_MILLIS, () -> start(attempt));
+    }
+
+    private void start(Attempt attempt) {
+        if (!openAttempts.containsKey(attempt.send().attempt())) {
+            return;
+        }
+        if (attempt.request().contains(crashingPart)) {
+            crashesAtMillis.add(now());
+            end(attempt.engine(), endsSilently);
+            return;
+        }
+        attempt.request().startedFirst |= attempt.request().sends == 1;
+        deliver(attempt, new AttemptEvent.Started(head(attempt.engine()), "1"));
+        after(STREAM_MILLIS, () -> finish(attempt));
+    }
+
+    private void finish(Attempt attempt) {
+        if (openAttempts.containsKey(attempt.send().attempt())) {
+            attempt.request().finished = true;
+            close(attempt, new AttemptEvent.Finished());
+        }
+    }
+
+    private static AttemptEvent.Head head(Engine engine) {
+        return new AttemptEvent.Head(
+                200, true, false, Optional.of(new UpstreamLoad(1, 0, SLOTS)), OptionalLong.empty());
+    }
+
+    private void end(Engine engine, boolean silently) {
+        engine.ended = true;
+        List<Attempt> running = openAttempts.values().stream()
+                .filter(attempt -> attempt.engine() == engine)
+                .toList();
+        if (!silently) {
+            running.forEach(attempt -> close(attempt, new AttemptEvent.Lost(true, true, "", "Remotely closed")));
+        }
+        after(ENTRY_DROPPED_MILLIS, () -> routers.forEach(router -> router.remove("servers/" + engine.id)));
+        after(RETURN_MILLIS, this::startEngine);
+    }
+
+    private void close(Attempt attempt, AttemptEvent event) {
+        if (openAttempts.remove(attempt.send().attempt()) != null) {
+            deliver(attempt, event);
+        }
+    }
+
+    private void deliver(Attempt attempt, AttemptEvent event) {
+        attempt.router().deliverEvent(attempt.send(), event);
+        execute(attempt.router());
+    }
+
+    private void answerProbe(ForwardingFixture router, ForwardingOutput.QueryEngineState query) {
+        boolean ended = engines.get(query.engine().value()).ended;
+        if (ended && endsSilently) {
+            return;
+        }
+        OrderReply reply = ended
+                ? new OrderReply.ConnectionRefused("refused")
+                : new OrderReply.State(false, 0, Map.of(ForwardingFixture.MODEL, 1L));
+        UpstreamId engine = query.engine();
+        after(1, () -> router.tick(new ForwardingInput.OrderAnswered(engine, reply)));
+    }
+
+    private void deliver(ForwardingFixture sender, ForwardingOutput.SendToPeer message) {
+        after(
+                1,
+                () -> routers.stream()
+                        .filter(router -> router.self().id().equals(message.to()))
+                        .filter(router -> !isCutOff(router) && !isCutOff(sender))
+                        .findFirst()
+                        .ifPresent(router -> {
+                            router.now = Math.max(router.now, now());
+                            router.tick(new ForwardingInput.PeerMessageReceived(
+                                    sender.self().id(), message.message()));
+                        }));
+    }
+}
