Quarantine prompt parts that crash upstreams

Callers saw engines end one after the other, and their own streams with them: each request with the part is new, and crashes were counted by a fingerprint of the whole request (customer, path, query, body).

Routers now also count crashes by the shared parts of the prompts that were running, and send each other these parts with the crashes. The part that explains the most crashes is the cause, from three crashes of two requests on; what it explains counts against no other part. Parts of completed requests are cleared, at all routers; a part that completed lately, or that explains no more than another one, needs five crashes. Ruled out: attributions that are missed (all ended engines are attributed within 0.3 s of their end), and quarantines that are not applied (no attempt was sent with three known crashes).

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ForwardingNewsBuilder.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ForwardingNewsBuilder.java
@@ -15,6 +15,7 @@
     private List<PeerMessage.Switching> switching = List.of();
     private List<PeerMessage.SeenCrash> crashes = List.of();
     private List<PeerMessage.SeenCrash> clearedCrashes = List.of();
+    private List<Long> clearedParts = List.of();
     private List<PeerMessage.ReadParts> reads = List.of();
     private List<PeerMessage.DomainWork> domains = List.of();
     private List<PeerMessage.CacheChanges> caches = List.of();
@@ -102,6 +103,17 @@
         return this;
     }
 
+    /**
+     * Sets the prompt parts that crash no upstream, since requests with them completed.
+     *
+     * @param cleared the keys of the parts
+     * @return this builder
+     */
+    public ForwardingNewsBuilder clearedParts(List<Long> cleared) {
+        clearedParts = cleared;
+        return this;
+    }
+
     /**
      * Sets the prompt parts that engines have prefilled.
      *
@@ -154,6 +166,7 @@
                 reads,
                 domains,
                 caches,
-                clearedCrashes);
+                clearedCrashes,
+                clearedParts);
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
@@ -184,6 +184,7 @@
      * @param domains the total work that all routers of a failure domain have in flight, as sent by a relay
      * @param caches changes in the caches whose events the sender reads
      * @param clearedCrashes crashes that requests did not cause, since they completed afterwards
+     * @param clearedParts keys of prompt parts that crash no upstream, since requests with them completed
      */
     record ForwardingNews(
             EntryVm vm,
@@ -198,7 +199,8 @@
             List<ReadParts> reads,
             List<DomainWork> domains,
             List<CacheChanges> caches,
-            List<SeenCrash> clearedCrashes)
+            List<SeenCrash> clearedCrashes,
+            List<Long> clearedParts)
             implements PeerMessage {
 
         /** Replaces missing lists with empty ones. */
@@ -212,6 +214,7 @@
             domains = domains == null ? List.of() : domains;
             caches = caches == null ? List.of() : caches;
             clearedCrashes = clearedCrashes == null ? List.of() : clearedCrashes;
+            clearedParts = clearedParts == null ? List.of() : clearedParts;
         }
 
         /**
@@ -319,6 +322,24 @@
      *
      * @param fingerprint the fingerprint of the request
      * @param upstream the incarnation of the upstream that ended
+     * @param sharedParts the keys of the prompt parts that may be the cause, in the order of the prompt
      */
-    record SeenCrash(long fingerprint, UpstreamId upstream) {}
+    record SeenCrash(long fingerprint, UpstreamId upstream, long[] sharedParts) {
+
+        /** Replaces missing parts with none. */
+        public SeenCrash {
+            sharedParts = sharedParts == null ? new long[0] : sharedParts;
+        }
+
+        /**
+         * Creates a crash or clearance that concerns only the request as a whole.
+         *
+         * @param fingerprint the fingerprint of the request
+         * @param upstream the incarnation of the upstream
+         * @return the crash
+         */
+        public static SeenCrash ofRequest(long fingerprint, UpstreamId upstream) {
+            return new SeenCrash(fingerprint, upstream, new long[0]);
+        }
+    }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -101,10 +101,13 @@
             handleDeadline(pending);
             return;
         }
-        long quarantineMillis = crashProtection.quarantineMillisLeft(pending);
-        if (quarantineMillis > 0) {
+        Optional<CrashProtection.Quarantine> quarantine = crashProtection.quarantine(pending);
+        if (quarantine.isPresent()) {
             refuseOrAbort(
-                    pending, ResultCode.UPSTREAM_FAILED, quarantineMillis, "the request crashed several upstreams");
+                    pending,
+                    ResultCode.UPSTREAM_FAILED,
+                    quarantine.get().millisLeft(),
+                    quarantine.get().reason());
             return;
         }
         Optional<UpstreamPlacement.Placement> placement = selector.select(pending);
@@ -151,6 +154,8 @@
         pending.upstream = upstream;
         pending.incarnation = upstream.incarnationId();
         pending.sends++;
+        pending.firstEventAtMillis = context.now();
+        pending.lastEventAtMillis = context.now();
         pending.attempt = new AttemptId(context.settings().self().id() + "-" + nextAttemptNumber++);
         pending.attemptTimeoutAtMillis =
                 pending.mayRetry() && pending.possibleExecutions + 1 < pending.route.maximumAttempts()
@@ -283,11 +288,13 @@
         }
         upstreams.recordSuccess(pending.upstream);
         pending.state = PendingCall.State.DELIVERING;
+        pending.firstEventAtMillis = context.now();
         context.emit(new ForwardingOutput.Deliver(pending.request, pending.attempt));
         handleProgress(pending, started.firstEventId());
     }
 
     private void handleProgress(PendingCall pending, String eventId) {
+        pending.lastEventAtMillis = context.now();
         if (!eventId.isEmpty()) {
             pending.lastEventId = eventId;
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashDetector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashDetector.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 
 import org.fuchsiatrail.AttemptId;
+import org.fuchsiatrail.PeerMessage;
 import org.fuchsiatrail.UpstreamId;
 
 /**
@@ -42,7 +43,7 @@
     private final Map<UpstreamId, Long> endedAtMillis = new HashMap<>();
 
     /** An attempt without an answer; {@code sent} tells whether its request is known to have been sent. */
-    private record UnansweredAttempt(AttemptId attempt, long fingerprint, long atMillis, boolean sent) {}
+    private record UnansweredAttempt(AttemptId attempt, PeerMessage.SeenCrash crash, long atMillis, boolean sent) {}
 
     CrashDetector(ForwardingContext context, CrashTracker tracker) {
         this.context = context;
@@ -50,20 +51,21 @@
     }
 
     /** Records that an attempt was sent to an incarnation of an upstream and lost without an answer. */
-    void recordLost(AttemptId attempt, long fingerprint, UpstreamId incarnation) {
-        add(incarnation, new UnansweredAttempt(attempt, fingerprint, context.now(), true));
+    void recordLost(AttemptId attempt, PeerMessage.SeenCrash possibleCrash) {
+        add(new UnansweredAttempt(attempt, possibleCrash, context.now(), true));
     }
 
     /**
      * Records that an attempt without an answer was given up. {@link #recordNotSent} withdraws it if its request had
      * not been sent.
      */
-    void recordGivenUp(AttemptId attempt, long fingerprint, UpstreamId incarnation) {
-        add(incarnation, new UnansweredAttempt(attempt, fingerprint, context.now(), false));
+    void recordGivenUp(AttemptId attempt, PeerMessage.SeenCrash possibleCrash) {
+        add(new UnansweredAttempt(attempt, possibleCrash, context.now(), false));
         context.wakeAt(context.now() + SETTLING_MILLIS);
     }
 
-    private void add(UpstreamId incarnation, UnansweredAttempt attempt) {
+    private void add(UnansweredAttempt attempt) {
+        UpstreamId incarnation = attempt.crash().upstream();
         unansweredByIncarnation
                 .computeIfAbsent(incarnation, key -> new ArrayList<>())
                 .add(attempt);
@@ -86,7 +88,7 @@
         unanswered.removeIf(attempt -> {
             boolean settled = attempt.sent() || context.now() - attempt.atMillis() >= SETTLING_MILLIS;
             if (settled) {
-                tracker.reportCrash(attempt.fingerprint(), incarnation);
+                tracker.reportCrash(attempt.crash());
             }
             return settled;
         });
@@ -136,7 +138,7 @@
                     "quarantine",
                     "Unanswered attempt not attributed to a crash; its upstream was not seen to end.",
                     "fingerprint",
-                    Long.toHexString(attempt.fingerprint()),
+                    Long.toHexString(attempt.crash().fingerprint()),
                     "upstream",
                     incarnation);
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashProtection.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashProtection.java
@@ -1,33 +1,73 @@
 package org.fuchsiatrail.internal.forwarding;
 
+import java.util.List;
+import java.util.Optional;
+
 import org.fuchsiatrail.AttemptId;
+import org.fuchsiatrail.PeerMessage;
 import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.AttemptEvent;
 
 /**
  * Protects upstreams from requests that crash them: detects crashes from the outcome of attempts, and quarantines
- * requests that keep crashing upstreams.
+ * requests and prompt parts that keep crashing upstreams.
  */
 final class CrashProtection {
 
+    /**
+     * How long a stream must have produced events for its prompt parts not to be suspected, in milliseconds; a crashing
+     * part ends the engine when that begins to answer.
+     */
+    private static final long HARMLESS_STREAM_MILLIS = 1_000;
+
+    private static final long[] NO_PARTS = {};
+
+    private final PromptPartTracker promptParts;
     private final CrashTracker tracker;
     private final CrashDetector detector;
     private final SharedQuarantines quarantines;
 
     CrashProtection(ForwardingContext context, StoreCallTable store, StoreReplica replica) {
-        tracker = new CrashTracker(context);
+        promptParts = new PromptPartTracker(context);
+        tracker = new CrashTracker(context, promptParts);
         detector = new CrashDetector(context, tracker);
-        quarantines = new SharedQuarantines(context, store, replica, tracker);
+        quarantines = new SharedQuarantines(context, store, replica, List.of(tracker, promptParts));
     }
 
-    /** The crashes that routers tell each other. */
+    /**
+     * The reason why a request is sent to no upstream.
+     *
+     * @param millisLeft how much longer it applies, in milliseconds
+     * @param reason a description for the log
+     */
+    record Quarantine(long millisLeft, String reason) {}
+
+    /** The crashes of requests that routers send each other. */
     CrashTracker tracker() {
         return tracker;
     }
 
-    /** Returns how much longer a request is quarantined, in milliseconds, or 0 when it is not. */
-    long quarantineMillisLeft(PendingCall pending) {
-        return quarantines.millisLeft(pending.fingerprint);
+    /** The prompt parts that routers clear for each other. */
+    PromptPartTracker promptParts() {
+        return promptParts;
+    }
+
+    /** Returns the quarantine of a request or of a part of its prompt, if there is one. */
+    Optional<Quarantine> quarantine(PendingCall pending) {
+        long requestMillisLeft = quarantines.millisLeft(tracker, pending.fingerprint);
+        if (requestMillisLeft > 0) {
+            return Optional.of(new Quarantine(requestMillisLeft, "the request crashed several upstreams"));
+        }
+        long[] parts = pending.sharedPartKeys;
+        for (int index = 0; index < parts.length; index++) {
+            long partMillisLeft = quarantines.millisLeft(promptParts, parts[index]);
+            if (partMillisLeft > 0) {
+                String partId = pending.call.sharedParts().get(index).id();
+                return Optional.of(
+                        new Quarantine(partMillisLeft, "prompt part " + partId + " crashed several upstreams"));
+            }
+        }
+        return Optional.empty();
     }
 
     /** The number of upstream incarnations that this router knows a request to have crashed. */
@@ -55,12 +95,18 @@
 
     /** Records that the current attempt of a request was sent and lost without an answer. */
     void recordLost(PendingCall pending) {
-        detector.recordLost(pending.attempt, pending.fingerprint, pending.incarnation);
+        detector.recordLost(pending.attempt, possibleCrash(pending));
     }
 
     /** Records that the current attempt of a request was given up without an answer. */
     void recordGivenUp(PendingCall pending) {
-        detector.recordGivenUp(pending.attempt, pending.fingerprint, pending.incarnation);
+        detector.recordGivenUp(pending.attempt, possibleCrash(pending));
+    }
+
+    private static PeerMessage.SeenCrash possibleCrash(PendingCall pending) {
+        boolean streamedLong = pending.lastEventAtMillis - pending.firstEventAtMillis >= HARMLESS_STREAM_MILLIS;
+        return new PeerMessage.SeenCrash(
+                pending.fingerprint, pending.incarnation, streamedLong ? NO_PARTS : pending.sharedPartKeys);
     }
 
     /** Records an event of an attempt that was given up. */
@@ -73,6 +119,7 @@
     /** Records that an upstream executed a request to the end. */
     void recordCompletion(PendingCall pending) {
         tracker.recordCompletion(pending.fingerprint);
+        promptParts.recordCompletion(pending.sharedPartKeys);
     }
 
     /** Records that an incarnation of an upstream has ended. */
@@ -83,6 +130,7 @@
     void run() {
         detector.run();
         tracker.run();
+        promptParts.run();
         quarantines.run();
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashTracker.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashTracker.java
@@ -10,6 +10,7 @@
 
 import org.fuchsiatrail.PeerMessage;
 import org.fuchsiatrail.UpstreamId;
+import org.fuchsiatrail.forwarding.StoreItemContent;
 
 /**
  * Records which upstreams a request has crashed, and quarantines requests that keep crashing upstreams.
@@ -18,7 +19,7 @@
  * crashes so far and of those that are noticed within some time afterwards, since a request that crashes upstreams
  * never completes. Routers share crashes and clearances, since a request may be retried at any of them.
  */
-final class CrashTracker {
+final class CrashTracker implements QuarantineSource {
 
     /** The number of upstream incarnations that a request must have crashed before it is refused. */
     private static final int QUARANTINE_CRASHES = 3;
@@ -36,6 +37,7 @@
     private static final int MAXIMUM_REQUESTS = 10_000;
 
     private final ForwardingContext context;
+    private final PromptPartTracker promptParts;
     private final Map<Long, RequestCrashes> requests = new LinkedHashMap<>();
     /** When each request last completed at this router, in milliseconds, in the order of these times. */
     private final Map<Long, Long> completedAtMillis = new LinkedHashMap<>();
@@ -44,22 +46,19 @@
     private List<PeerMessage.SeenCrash> unsentClearances = new ArrayList<>();
     private List<Quarantine> newQuarantines = new ArrayList<>();
 
-    /** The beginning of a quarantine, and whether this router detected the last of the crashes. */
-    record Quarantine(long fingerprint, boolean detectedHere) {}
-
     private static final class RequestCrashes {
         private final Set<UpstreamId> crashed = new HashSet<>();
         private final Set<UpstreamId> cleared = new HashSet<>();
         private long lastCrashAtMillis;
     }
 
-    CrashTracker(ForwardingContext context) {
+    CrashTracker(ForwardingContext context, PromptPartTracker promptParts) {
         this.context = context;
+        this.promptParts = promptParts;
     }
 
     /** Records a crash that this router detected, and sends it to peers if it was not known before. */
-    void reportCrash(long fingerprint, UpstreamId incarnation) {
-        PeerMessage.SeenCrash crash = new PeerMessage.SeenCrash(fingerprint, incarnation);
+    void reportCrash(PeerMessage.SeenCrash crash) {
         if (recordCrash(crash, true)) {
             unsentCrashes.add(crash);
         }
@@ -80,6 +79,7 @@
             return false;
         }
         request.lastCrashAtMillis = context.now();
+        promptParts.recordCrash(crash);
         context.count("crashes.attributed");
         context.log(
                 "quarantine",
@@ -120,12 +120,12 @@
             return;
         }
         for (UpstreamId incarnation : List.copyOf(request.crashed)) {
-            clearAndShare(new PeerMessage.SeenCrash(fingerprint, incarnation));
+            clearAndShare(PeerMessage.SeenCrash.ofRequest(fingerprint, incarnation));
         }
     }
 
-    /** Returns whether this router saw a request complete recently. */
-    boolean completedRecently(long fingerprint) {
+    @Override
+    public boolean completedRecently(long fingerprint) {
         return completedAtMillis.containsKey(fingerprint);
     }
 
@@ -148,12 +148,13 @@
         return cleared;
     }
 
-    boolean isQuarantined(long fingerprint) {
+    @Override
+    public boolean isQuarantined(long fingerprint) {
         return knownCrashes(fingerprint) >= QUARANTINE_CRASHES;
     }
 
-    /** Returns how much longer a request is quarantined, in milliseconds, or 0 when it is not. */
-    long quarantineMillisLeft(long fingerprint) {
+    @Override
+    public long quarantineMillisLeft(long fingerprint) {
         return isQuarantined(fingerprint) ? millisLeft(requests.get(fingerprint)) : 0;
     }
 
@@ -167,19 +168,30 @@
         return request == null ? 0 : request.crashed.size();
     }
 
-    /** The upstream incarnations that this router knows a request to have crashed. */
-    List<UpstreamId> crashedUpstreams(long fingerprint) {
+    @Override
+    public List<UpstreamId> crashedUpstreams(long fingerprint) {
         RequestCrashes request = requests.get(fingerprint);
         return request == null ? List.of() : List.copyOf(request.crashed);
     }
 
-    /** Removes and returns the quarantines that began since the last call. */
-    List<Quarantine> drainNewQuarantines() {
+    @Override
+    public List<Quarantine> drainNewQuarantines() {
         List<Quarantine> drained = newQuarantines;
         newQuarantines = new ArrayList<>();
         return drained;
     }
 
+    /** Clears a request that completed here, so that the router that published its quarantine revokes it. */
+    @Override
+    public void quarantinePublished(StoreItemContent.Quarantine quarantine) {
+        if (completedRecently(quarantine.fingerprint())) {
+            quarantine
+                    .crashedUpstreams()
+                    .forEach(upstream ->
+                            clearAndShare(PeerMessage.SeenCrash.ofRequest(quarantine.fingerprint(), upstream)));
+        }
+    }
+
     /** Removes and returns the crashes that have not been sent to peers yet. */
     List<PeerMessage.SeenCrash> drainUnsentCrashes() {
         List<PeerMessage.SeenCrash> drained = unsentCrashes;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -50,7 +50,7 @@
         crashProtection = new CrashProtection(context, storeCalls, storeReplica);
         RetryBudgets retryBudgets = new RetryBudgets(context, storeReplica);
         orderLease = new OrderLease(context, storeCalls, storeReplica);
-        gossip = new PeerGossip(context, storeReplica, upstreams, crashProtection.tracker());
+        gossip = new PeerGossip(context, storeReplica, upstreams, crashProtection);
         calls = new CallSystem(context, storeReplica, upstreams, retryBudgets, probes, crashProtection, gossip);
         rollout = new WeightsRollout(context, storeReplica, upstreams, orderLease, probes, gossip::scheduleUpdate);
         gossip.setRollout(rollout);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/GossipBuffer.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/GossipBuffer.java
@@ -22,12 +22,14 @@
         final List<PeerMessage.ReadParts> prefilledParts = new ArrayList<>();
         final List<PeerMessage.SeenCrash> crashes = new ArrayList<>();
         final List<PeerMessage.SeenCrash> clearedCrashes = new ArrayList<>();
+        final List<Long> clearedParts = new ArrayList<>();
         final List<PeerMessage.Switching> switching = new ArrayList<>();
 
         private void clear() {
             prefilledParts.clear();
             crashes.clear();
             clearedCrashes.clear();
+            clearedParts.clear();
             switching.clear();
         }
     }
@@ -55,6 +57,7 @@
         update.reads(List.copyOf(local.prefilledParts))
                 .crashes(List.copyOf(local.crashes))
                 .clearedCrashes(List.copyOf(local.clearedCrashes))
+                .clearedParts(List.copyOf(local.clearedParts))
                 .switching(List.copyOf(local.switching));
     }
 
@@ -66,6 +69,8 @@
                         .toList())
                 .clearedCrashes(Stream.concat(local.clearedCrashes.stream(), remote.clearedCrashes.stream())
                         .toList())
+                .clearedParts(Stream.concat(local.clearedParts.stream(), remote.clearedParts.stream())
+                        .toList())
                 .switching(Stream.concat(local.switching.stream(), remote.switching.stream())
                         .toList())
                 .caches(List.copyOf(cacheReports));
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
@@ -55,6 +55,7 @@
     private final StoreReplica replica;
     private final UpstreamTable upstreams;
     private final CrashTracker crashes;
+    private final PromptPartTracker promptParts;
     private final GossipTopology topology;
     private final ItemRelay itemRelay;
     private final GossipBuffer buffer = new GossipBuffer();
@@ -68,11 +69,13 @@
     private long nextHeartbeatAtMillis;
     private long pushAtMillis = Long.MAX_VALUE;
 
-    PeerGossip(ForwardingContext context, StoreReplica replica, UpstreamTable upstreams, CrashTracker crashes) {
+    PeerGossip(
+            ForwardingContext context, StoreReplica replica, UpstreamTable upstreams, CrashProtection crashProtection) {
         this.context = context;
         this.replica = replica;
         this.upstreams = upstreams;
-        this.crashes = crashes;
+        this.crashes = crashProtection.tracker();
+        this.promptParts = crashProtection.promptParts();
         this.topology = new GossipTopology(context.settings().self());
         this.itemRelay = new ItemRelay(context, replica);
     }
@@ -121,7 +124,7 @@
     }
 
     void run() {
-        if (crashes.hasUnsent()) {
+        if (crashes.hasUnsent() || promptParts.hasUnsent()) {
             scheduleUpdate();
         }
         if (context.now() < nextHeartbeatAtMillis && context.now() < pushAtMillis) {
@@ -143,6 +146,7 @@
         isRelay = recipients.isRelay();
         buffer.local().crashes.addAll(crashes.drainUnsentCrashes());
         buffer.local().clearedCrashes.addAll(crashes.drainUnsentClearances());
+        buffer.local().clearedParts.addAll(promptParts.drainUnsentClearances());
         for (UpstreamId engine : rollout.switchingEngines()) {
             buffer.local().switching.add(new PeerMessage.Switching(engine, SWITCHING_VALIDITY_MILLIS));
         }
@@ -269,6 +273,12 @@
                 scheduleUpdate();
             }
         }
+        for (long part : update.clearedParts()) {
+            if (promptParts.clear(part) && isRelay) {
+                updates.clearedParts.add(part);
+                scheduleUpdate();
+            }
+        }
     }
 
     private void applyCacheChanges(PeerMessage.CacheChanges changes) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
@@ -37,6 +37,9 @@
     /** Identifies equal requests of one customer, whichever of its keys they carry. */
     final long fingerprint;
 
+    /** Identify the parts of the prompt that other requests may share, in order. */
+    final long[] sharedPartKeys;
+
     /** Upstreams that are not tried again for this request. */
     final Set<UpstreamId> excludedUpstreams = new HashSet<>();
 
@@ -59,6 +62,10 @@
     int possibleExecutions;
 
     String lastEventId;
+    /** When the current attempt's first and last events were received, in milliseconds; equal before the first. */
+    long firstEventAtMillis;
+
+    long lastEventAtMillis;
 
     PendingCall(
             RequestId request,
@@ -75,6 +82,9 @@
         this.receivedAtMillis = receivedAtMillis;
         this.deadlineAtMillis = receivedAtMillis + Math.min(call.deadlineMillis(), route.timeoutMillis());
         this.fingerprint = fingerprint(call, customer);
+        this.sharedPartKeys = call.sharedParts().stream()
+                .mapToLong(part -> PromptChain.key("", call.model(), part.id()))
+                .toArray();
         this.lastEventId = call.resumeAfterEventId();
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SharedQuarantines.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SharedQuarantines.java
@@ -2,16 +2,16 @@
 
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
-import org.fuchsiatrail.PeerMessage;
 import org.fuchsiatrail.forwarding.StoreCall;
-import org.fuchsiatrail.forwarding.StoreItemContent;
 import org.fuchsiatrail.forwarding.StoreReply;
 
 /**
- * Publishes quarantined requests in the platform's store, so that they stay quarantined at routers that start later or
- * missed the peer updates with the crashes. Each entry is bound to a lease, with which the quarantine ends.
+ * Publishes quarantined requests and prompt parts in the platform's store, so that they stay quarantined at routers
+ * that start later or missed the peer updates with the crashes. Each entry is bound to a lease, with which the
+ * quarantine ends.
  */
 final class SharedQuarantines {
 
@@ -30,44 +30,44 @@
     private final ForwardingContext context;
     private final StoreCallTable store;
     private final StoreReplica replica;
-    private final CrashTracker tracker;
+    private final List<QuarantineSource> sources;
     private final Map<Long, Publication> publications = new LinkedHashMap<>();
     private boolean callPending;
     private long nextCallAtMillis;
 
     private static final class Publication {
+        private final QuarantineSource source;
         private final long dueAtMillis;
         private long leaseId;
         private boolean published;
 
-        private Publication(long dueAtMillis) {
+        private Publication(QuarantineSource source, long dueAtMillis) {
+            this.source = source;
             this.dueAtMillis = dueAtMillis;
         }
     }
 
-    SharedQuarantines(ForwardingContext context, StoreCallTable store, StoreReplica replica, CrashTracker tracker) {
+    SharedQuarantines(
+            ForwardingContext context, StoreCallTable store, StoreReplica replica, List<QuarantineSource> sources) {
         this.context = context;
         this.store = store;
         this.replica = replica;
-        this.tracker = tracker;
+        this.sources = sources;
     }
 
-    /** Returns how much longer a request is quarantined, in milliseconds, as far as this router or the store knows. */
-    long millisLeft(long fingerprint) {
-        if (tracker.completedRecently(fingerprint)) {
+    /** Returns how much longer a quarantine lasts, in milliseconds, as far as this router or the store knows. */
+    long millisLeft(QuarantineSource source, long fingerprint) {
+        if (source.completedRecently(fingerprint)) {
             return 0;
         }
-        return Math.max(tracker.quarantineMillisLeft(fingerprint), replica.quarantineMillisLeft(fingerprint));
+        return Math.max(source.quarantineMillisLeft(fingerprint), replica.quarantineMillisLeft(fingerprint));
     }
 
-    /** Publishes quarantines that are due and revokes those of requests that were cleared meanwhile. */
+    /** Publishes quarantines that are due and revokes those that were cleared meanwhile. */
     void run() {
-        replica.drainNewQuarantines().forEach(this::objectIfCompleted);
-        for (CrashTracker.Quarantine quarantine : tracker.drainNewQuarantines()) {
-            long delayMillis = quarantine.detectedHere() ? 0 : context.random().nextLong(MAXIMUM_DELAY_MILLIS);
-            publications.putIfAbsent(quarantine.fingerprint(), new Publication(context.now() + delayMillis));
-            context.wakeAt(context.now() + delayMillis);
-        }
+        replica.drainNewQuarantines()
+                .forEach(published -> sources.forEach(source -> source.quarantinePublished(published)));
+        sources.forEach(this::schedulePublications);
         if (callPending || context.now() < nextCallAtMillis) {
             return;
         }
@@ -75,7 +75,7 @@
         while (entries.hasNext() && !callPending) {
             Map.Entry<Long, Publication> entry = entries.next();
             Publication publication = entry.getValue();
-            if (!tracker.isQuarantined(entry.getKey())) {
+            if (!publication.source.isQuarantined(entry.getKey())) {
                 entries.remove();
                 revoke(publication);
             } else if (!publication.published && context.now() >= publication.dueAtMillis) {
@@ -84,13 +84,11 @@
         }
     }
 
-    /** Clears a request that completed here, so that the router that published its quarantine revokes it. */
-    private void objectIfCompleted(StoreItemContent.Quarantine quarantine) {
-        if (tracker.completedRecently(quarantine.fingerprint())) {
-            quarantine
-                    .crashedUpstreams()
-                    .forEach(upstream ->
-                            tracker.clearAndShare(new PeerMessage.SeenCrash(quarantine.fingerprint(), upstream)));
+    private void schedulePublications(QuarantineSource source) {
+        for (QuarantineSource.Quarantine quarantine : source.drainNewQuarantines()) {
+            long delayMillis = quarantine.detectedHere() ? 0 : context.random().nextLong(MAXIMUM_DELAY_MILLIS);
+            publications.putIfAbsent(quarantine.fingerprint(), new Publication(source, context.now() + delayMillis));
+            context.wakeAt(context.now() + delayMillis);
         }
     }
 
@@ -111,7 +109,7 @@
         }
         store.call(
                 new StoreCall.PublishQuarantine(
-                        fingerprint, tracker.crashedUpstreams(fingerprint), publication.leaseId),
+                        fingerprint, publication.source.crashedUpstreams(fingerprint), publication.leaseId),
                 CALL_TIMEOUT_MILLIS,
                 reply -> {
                     finishCall(reply);
