Notice the silent end of an engine by a probe that cannot connect

A refused probe counted as an end, one whose connection timed out did not, and an engine was probed only after a loss, so a request on its last attempt waited.

A probe that cannot connect now counts as a refused one does for attempts, an engine that leaves requests without a response for 0.9 s is probed, and what is in flight on it is suspected as when its entry is dropped.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/OrderReply.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/OrderReply.java
@@ -22,11 +22,11 @@
     record Failed(String reason) implements OrderReply {}
 
     /**
-     * The engine refused the connection, so no process runs at its address.
+     * No connection to the engine could be made, so it has probably ended.
      *
      * @param reason the error
      */
-    record ConnectionRefused(String reason) implements OrderReply {}
+    record NotConnected(String reason) implements OrderReply {}
 
     /**
      * The engine's state, which is some hundred milliseconds old.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -85,10 +85,8 @@
                 calls.receiveAttemptEvent(received.attempt(), received.event());
             case ForwardingInput.StoreAnswered answered -> storeCalls.answer(answered.call(), answered.reply());
             case ForwardingInput.OrderAnswered answered -> {
-                if (answered.reply() instanceof OrderReply.ConnectionRefused) {
-                    upstreams
-                            .find(answered.engine())
-                            .ifPresent(engine -> crashProtection.recordEnded(engine.incarnationId()));
+                if (answered.reply() instanceof OrderReply.NotConnected) {
+                    upstreams.find(answered.engine()).ifPresent(engine -> calls.upstreamEnded(engine.incarnationId()));
                 }
                 rollout.receiveOrderReply(answered.engine(), answered.reply());
             }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
@@ -280,6 +280,11 @@
         return awaitsProbe || nowMillis < suspectUntilMillis || millisWithoutResponse(nowMillis) > timeoutMillis;
     }
 
+    /** Returns whether an engine has left requests without a response for so long that it may have ended silently. */
+    boolean isUnresponsiveEngine(long nowMillis) {
+        return !weightVersions.isEmpty() && millisWithoutResponse(nowMillis) > SINGLE_REQUEST_TIMEOUT_MILLIS;
+    }
+
     /** Updates the failure rate with the outcome of an attempt. */
     void recordOutcome(boolean failed) {
         failureRate += FAILURE_RATE_SMOOTHING * ((failed ? 1 : 0) - failureRate);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
@@ -133,11 +133,12 @@
                 upstream.removalAtMillis - context.now());
     }
 
-    /** Probes engines that await a probe, and drops removed upstreams without requests of this router in flight. */
+    /** Probes engines that await a probe or do not respond, and drops removed upstreams without requests of this router in flight. */
     void run() {
         for (UpstreamState upstream : upstreams.values()) {
             boolean registered = !upstream.entry.draining() && context.now() < upstream.removalAtMillis;
-            if (upstream.awaitsProbe && registered && context.now() >= upstream.nextProbeAtMillis) {
+            boolean needsProbe = upstream.awaitsProbe || upstream.isUnresponsiveEngine(context.now());
+            if (needsProbe && registered && context.now() >= upstream.nextProbeAtMillis) {
                 upstream.nextProbeAtMillis = context.now() + PROBE_INTERVAL_MILLIS;
                 context.wakeAt(upstream.nextProbeAtMillis);
                 probes.send(upstream);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WeightsRollout.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WeightsRollout.java
@@ -222,7 +222,7 @@
                 logOrderReply(engine, state, "busy");
             }
             case OrderReply.Failed failed -> handleFailure(engine, state, failed.reason());
-            case OrderReply.ConnectionRefused refused -> handleFailure(engine, state, refused.reason());
+            case OrderReply.NotConnected notConnected -> handleFailure(engine, state, notConnected.reason());
         }
     }
 
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -16,7 +16,6 @@
 import org.fuchsiatrail.EntryVmId;
 import org.fuchsiatrail.RequestId;
 import org.fuchsiatrail.ResultCode;
-import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.AttemptEvent;
 import org.fuchsiatrail.forwarding.ForwardedCall;
 import org.fuchsiatrail.forwarding.ForwardingInput;
@@ -37,6 +36,9 @@
     private static final long ENTRY_DROPPED_MILLIS = 3_300;
     private static final long RETURN_MILLIS = 4_000;
     private static final long CONNECT_TIMEOUT_MILLIS = 400;
+    /** A probe that waits in vain on an open connection, and the next one that cannot connect, in milliseconds. */
+    private static final long SILENT_PROBE_MILLIS = 1_100;
+
     private static final int SLOTS = 64;
     private static final int FAILURE_DOMAINS = 3;
 
@@ -116,7 +118,17 @@
     }
 
     private void connectToStore(ForwardingFixture router) {
-        router.quarantineListener = quarantine -> routers.forEach(other -> other.putQuarantine(quarantine));
+        Map<Long, String> keysByLease = new HashMap<>();
+        router.quarantineListener = quarantine -> {
+            keysByLease.put(quarantine.lease(), ForwardingFixture.quarantineKey(quarantine));
+            routers.forEach(other -> other.putQuarantine(quarantine));
+        };
+        router.leaseEndListener = lease -> {
+            String key = keysByLease.remove(lease);
+            if (key != null) {
+                routers.forEach(other -> other.remove(key));
+            }
+        };
     }
 
     /** Makes engines crash that start to answer a prompt with this part. */
@@ -290,15 +302,12 @@
     }
 
     private void answerProbe(ForwardingFixture router, ForwardingOutput.QueryEngineState query) {
-        boolean ended = engines.get(query.engine().value()).ended;
-        if (ended && endsSilently) {
-            return;
-        }
-        OrderReply reply = ended
-                ? new OrderReply.ConnectionRefused("refused")
+        Engine engine = engines.get(query.engine().value());
+        OrderReply reply = engine.ended
+                ? new OrderReply.NotConnected("not connected")
                 : new OrderReply.State(false, 0, Map.of(ForwardingFixture.MODEL, 1L));
-        UpstreamId engine = query.engine();
-        after(1, () -> router.tick(new ForwardingInput.OrderAnswered(engine, reply)));
+        long millis = engine.ended && endsSilently ? SILENT_PROBE_MILLIS : 1;
+        after(millis, () -> router.tick(new ForwardingInput.OrderAnswered(query.engine(), reply)));
     }
 
     private void deliver(ForwardingFixture sender, ForwardingOutput.SendToPeer message) {
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -50,7 +50,9 @@
     boolean storeAnswers = true;
     boolean orderLeaseTaken = true;
     Consumer<StoreCall.PublishQuarantine> quarantineListener = this::putQuarantine;
+    Consumer<Long> leaseEndListener = lease -> {};
     long now = 1_000_000;
+    private long nextLease = 9;
     private final EntryVm self;
     private long revision;
     private long nextRequest = 1;
@@ -168,9 +170,13 @@
         answerWatch();
     }
 
+    static String quarantineKey(StoreCall.PublishQuarantine quarantine) {
+        return "quarantine/" + quarantine.fingerprint();
+    }
+
     void putQuarantine(StoreCall.PublishQuarantine quarantine) {
         put(
-                "quarantine/" + quarantine.fingerprint(),
+                quarantineKey(quarantine),
                 new StoreItemContent.Quarantine(quarantine.fingerprint(), quarantine.crashedUpstreams()));
     }
 
@@ -230,9 +236,12 @@
                         openWatch = call.call();
                         yield watch.afterRevision() < revision ? changes() : null;
                     }
-                    case StoreCall.GrantLease grant -> new StoreReply.LeaseGranted(9, grant.lifetimeMillis());
+                    case StoreCall.GrantLease grant -> new StoreReply.LeaseGranted(nextLease++, grant.lifetimeMillis());
                     case StoreCall.KeepLease keep -> new StoreReply.LeaseRenewed();
-                    case StoreCall.EndLease end -> new StoreReply.LeaseExpired();
+                    case StoreCall.EndLease end -> {
+                        leaseEndListener.accept(end.lease());
+                        yield new StoreReply.LeaseExpired();
+                    }
                     case StoreCall.AnnounceMember member -> new StoreReply.Written(1);
                     case StoreCall.PublishQuarantine quarantine -> {
                         quarantineListener.accept(quarantine);
