Do not quarantine a common prompt part for engines that end by other causes

A router that saw a part complete within 30 s now contradicts its quarantine unless it knows of five crashes itself; engines that end within a second count as one crash against such a part; and a published quarantine that explains all crashes of another part, and more, replaces it.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PromptPartTracker.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PromptPartTracker.java
@@ -1,6 +1,7 @@
 package org.fuchsiatrail.internal.forwarding;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -24,7 +25,7 @@
     /** The number of otherwise unexplained crashes for which a part is quarantined. */
     private static final int QUARANTINE_CRASHES = 3;
 
-    /** The same when several parts explain equally many crashes, or the part completed before them. */
+    /** The same when several parts explain equally many crashes, or the part may have completed before them. */
     private static final int UNCERTAIN_QUARANTINE_CRASHES = 5;
 
     /** The least number of requests in these crashes; a single one is quarantined by itself. */
@@ -33,6 +34,9 @@
     /** How long routers collect the suspects of a crash before it counts, in milliseconds; three peer updates. */
     private static final long SETTLING_MILLIS = 1_000;
 
+    /** The least time between crashes of a part that completed before, in milliseconds. */
+    private static final long SEPARATION_MILLIS = 1_000;
+
     /** How long a quarantine lasts after the last crash, and how long crashes are remembered, in milliseconds. */
     private static final long RETENTION_MILLIS = CrashTracker.RETENTION_MILLIS;
 
@@ -60,11 +64,16 @@
     private final Map<Long, Suspect> suspects = new LinkedHashMap<>();
     private final Map<Long, Long> completedAtMillis = new LinkedHashMap<>();
     private final Map<Long, Long> clearanceSentAtMillis = new LinkedHashMap<>();
+    /** The parts and requests that other routers have published as quarantined. */
+    private final Map<Long, Published> published = new LinkedHashMap<>();
+
     private final Set<Long> unsentClearances = new HashSet<>();
     private List<Quarantine> newQuarantines = new ArrayList<>();
     private long nextVerdictAtMillis = Long.MAX_VALUE;
     private long nextExpiryAtMillis;
 
+    private record Published(Set<UpstreamId> crashes, long atMillis) {}
+
     private static final class Suspect {
         private final Map<UpstreamId, Crash> crashes = new HashMap<>();
         /** The position of the part in the prompt; parts that fewer requests share come later. */
@@ -72,7 +81,6 @@
 
         private long lastCrashAtMillis;
         private long quarantinedAtMillis = NEVER;
-        private boolean publishedByPeer;
 
         private boolean wasQuarantined() {
             return quarantinedAtMillis != NEVER;
@@ -159,6 +167,7 @@
         completedAtMillis.remove(part);
         completedAtMillis.put(part, context.now());
         trim(completedAtMillis);
+        published.remove(part);
         boolean cleared = suspects.remove(part) != null;
         if (cleared) {
             context.count("crashes.parts-cleared");
@@ -220,14 +229,42 @@
 
     @Override
     public void quarantinePublished(StoreItemContent.Quarantine quarantine) {
-        if (completedRecently(quarantine.fingerprint())) {
+        if (contradicts(quarantine)) {
             shareClearance(quarantine.fingerprint());
             return;
         }
-        Suspect suspect = suspects.get(quarantine.fingerprint());
-        if (suspect != null) {
-            suspect.publishedByPeer = true;
-        }
+        published.put(
+                quarantine.fingerprint(), new Published(Set.copyOf(quarantine.crashedUpstreams()), context.now()));
+        trim(published);
+        suspects.forEach((part, suspect) -> {
+            if (suspect.wasQuarantined() && isExplainedElsewhere(part, suspect)) {
+                suspect.quarantinedAtMillis = NEVER;
+                context.log(
+                        "quarantine",
+                        "Quarantine of a prompt part withdrawn; a published one explains its crashes.",
+                        "fingerprint",
+                        Long.toHexString(part),
+                        "published",
+                        Long.toHexString(quarantine.fingerprint()));
+            }
+        });
+    }
+
+    /** Returns whether this router saw the part complete and knows of too few crashes since. */
+    private boolean contradicts(StoreItemContent.Quarantine quarantine) {
+        long part = quarantine.fingerprint();
+        Suspect suspect = suspects.get(part);
+        boolean fewCrashes =
+                suspect == null || separateCrashes(suspect.crashes.values()) < UNCERTAIN_QUARANTINE_CRASHES;
+        return completedWithin(part, fewCrashes ? COMPLETION_RETENTION_MILLIS : PROTECTION_MILLIS);
+    }
+
+    /** Returns whether another quarantined part explains all crashes of a part, and more. */
+    private boolean isExplainedElsewhere(long part, Suspect suspect) {
+        return published.entrySet().stream()
+                .anyMatch(other -> other.getKey() != part
+                        && other.getValue().crashes().size() > suspect.crashes.size()
+                        && other.getValue().crashes().containsAll(suspect.crashes.keySet()));
     }
 
     /** Removes and returns the parts whose clearance has not been sent to peers yet. */
@@ -261,6 +298,7 @@
 
     private void forgetExpired() {
         completedAtMillis.values().removeIf(atMillis -> context.now() - atMillis > COMPLETION_RETENTION_MILLIS);
+        published.values().removeIf(other -> context.now() - other.atMillis() > RETENTION_MILLIS);
         suspects.values().removeIf(suspect -> {
             suspect.crashes.values().removeIf(crash -> context.now() - crash.noticedAtMillis > RETENTION_MILLIS);
             boolean mayRepeat =
@@ -275,11 +313,11 @@
 
     private void quarantineCauses() {
         Set<UpstreamId> explained = new HashSet<>();
-        for (Suspect suspect : suspects.values()) {
-            if (suspect.publishedByPeer || millisLeft(suspect) > 0) {
+        suspects.forEach((part, suspect) -> {
+            if (isCause(part, suspect)) {
                 explained.addAll(suspect.crashes.keySet());
             }
-        }
+        });
         for (List<Candidate> best = bestCandidates(explained); !best.isEmpty(); best = bestCandidates(explained)) {
             Candidate cause = best.getFirst();
             boolean certain = best.size() == 1 && !cause.hasCompleted();
@@ -293,16 +331,21 @@
                         cause.crashes());
                 return;
             }
+            suspects.get(cause.part()).crashes.keySet().removeAll(explained);
             quarantine(cause, best.size());
             explained.addAll(suspects.get(cause.part()).crashes.keySet());
         }
     }
 
+    private boolean isCause(long part, Suspect suspect) {
+        return published.containsKey(part) || millisLeft(suspect) > 0;
+    }
+
     /** Returns the most likely cause of crashes that are not explained, with those that are as likely after it. */
     private List<Candidate> bestCandidates(Set<UpstreamId> explained) {
         List<Candidate> best = new ArrayList<>();
         suspects.forEach((part, suspect) -> {
-            if (suspect.publishedByPeer || millisLeft(suspect) > 0) {
+            if (isCause(part, suspect) || isExplainedElsewhere(part, suspect)) {
                 return;
             }
             Candidate candidate = candidate(part, suspect, explained);
@@ -322,17 +365,35 @@
     }
 
     private Candidate candidate(long part, Suspect suspect, Set<UpstreamId> explained) {
-        int crashes = 0;
+        List<Crash> crashes = new ArrayList<>();
         Set<Long> requests = new HashSet<>();
-        for (Map.Entry<UpstreamId, Crash> crash : suspect.crashes.entrySet()) {
-            if (!explained.contains(crash.getKey()) && isSettled(crash.getValue())) {
-                crashes++;
-                requests.addAll(crash.getValue().requests);
+        suspect.crashes.forEach((incarnation, crash) -> {
+            if (!explained.contains(incarnation) && isSettled(crash)) {
+                crashes.add(crash);
+                requests.addAll(crash.requests);
             }
-        }
+        });
         boolean oneRequestOnly = requests.size() < MINIMUM_REQUESTS && !suspect.wasQuarantined();
-        return new Candidate(
-                part, oneRequestOnly ? 0 : crashes, completedAtMillis.getOrDefault(part, NEVER), suspect.depth);
+        long lastCompletionMillis = completedAtMillis.getOrDefault(part, NEVER);
+        int counted = lastCompletionMillis == NEVER ? crashes.size() : separateCrashes(crashes);
+        return new Candidate(part, oneRequestOnly ? 0 : counted, lastCompletionMillis, suspect.depth);
+    }
+
+    /** Counts upstreams that ended at about the same time as one, since they probably have another cause in common. */
+    private static int separateCrashes(Collection<Crash> crashes) {
+        long[] noticedAtMillis = crashes.stream()
+                .mapToLong(crash -> crash.noticedAtMillis)
+                .sorted()
+                .toArray();
+        int count = 0;
+        long lastCountedMillis = NEVER;
+        for (long atMillis : noticedAtMillis) {
+            if (lastCountedMillis == NEVER || atMillis - lastCountedMillis >= SEPARATION_MILLIS) {
+                count++;
+                lastCountedMillis = atMillis;
+            }
+        }
+        return count;
     }
 
     private void quarantine(Candidate cause, int candidates) {
