--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -420,8 +420,8 @@
     }
 
     /**
-     * Handles the end of an upstream incarnation that the store or a probe shows. Attempts in flight on it are not cancelled:
-     * an upstream that leaves without draining still answers them.
+     * Handles the end of an upstream incarnation that the store or a probe shows. Attempts in flight on it are not
+     * cancelled: an upstream that leaves without draining still answers them.
      */
     void upstreamEnded(UpstreamId incarnation) {
         for (PendingCall pending : callsByAttempt.values()) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
@@ -133,7 +133,10 @@
                 upstream.removalAtMillis - context.now());
     }
 
-    /** Probes engines that await a probe or do not respond, and drops removed upstreams without requests of this router in flight. */
+    /**
+     * Probes engines that await a probe or do not respond, and drops removed upstreams without requests of this router
+     * in flight.
+     */
     void run() {
         for (UpstreamState upstream : upstreams.values()) {
             boolean registered = !upstream.entry.draining() && context.now() < upstream.removalAtMillis;
