--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerCodecTest.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerCodecTest.java
@@ -73,8 +73,9 @@
                 .work(List.of(work))
                 .weights(List.of(new PeerMessage.SeenWeights(ENGINE, "tutor", 3)))
                 .switching(List.of(new PeerMessage.Switching(ENGINE, 900)))
-                .crashes(List.of(new PeerMessage.SeenCrash(44, ENGINE)))
-                .clearedCrashes(List.of(new PeerMessage.SeenCrash(45, ENGINE)))
+                .crashes(List.of(new PeerMessage.SeenCrash(44, ENGINE, new long[] {7, -8})))
+                .clearedCrashes(List.of(PeerMessage.SeenCrash.ofRequest(45, ENGINE)))
+                .clearedParts(List.of(9L, -10L))
                 .reads(List.of(new PeerMessage.ReadParts(ENGINE, new long[] {1, 2}, new long[] {300, 400})))
                 .domains(List.of(new PeerMessage.DomainWork(VM.failureDomain(), List.of(work))))
                 .caches(List.of(
