Read and log the request limit that an upstream names

No line of the routers mentions a limit, as the header was not read, so a limit that is unknown cannot be told from one that is known to some routers only, or that each router applies by itself.

Nothing decides by it yet.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AttemptEvent.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AttemptEvent.java
@@ -1,6 +1,7 @@
 package org.fuchsiatrail.forwarding;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 /** An event of one attempt: progress of an upstream's answer, or the loss of the connection. */
@@ -14,13 +15,16 @@
      * @param notExecuted whether the upstream reports that it did not execute the request
      * @param load the upstream's load, when reported
      * @param weightsVersion the version of the weights that generate the answer, when reported
+     * @param requestLimit the requests a second that the upstream accepts from all routers together, when it names a
+     *     limit
      */
     record Head(
             int status,
             boolean verified,
             boolean notExecuted,
             Optional<UpstreamLoad> load,
-            OptionalLong weightsVersion) {}
+            OptionalLong weightsVersion,
+            OptionalDouble requestLimit) {}
 
     /**
      * A complete answer was received; nothing of it was forwarded yet.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -227,6 +227,11 @@
             pending.upstream.recordWeightVersion(
                     pending.call.model(), head.weightsVersion().getAsLong());
         }
+        if (head.status() != CallTiming.MISDIRECTED_STATUS
+                && !head.requestLimit().equals(pending.upstream.requestLimit)) {
+            log.limitNamed(pending, head.requestLimit());
+            pending.upstream.requestLimit = head.requestLimit();
+        }
     }
 
     private void handleAnswer(PendingCall pending, AttemptEvent.Head head) {
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 import org.fuchsiatrail.RequestId;
@@ -167,8 +168,8 @@
         RequestId request = fixture.call("/ask/1", ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s", "o"));
         fixture.deliverEvent(
                 fixture.send(request),
-                new AttemptEvent.Answered(
-                        new AttemptEvent.Head(421, false, true, Optional.empty(), OptionalLong.of(2))));
+                new AttemptEvent.Answered(new AttemptEvent.Head(
+                        421, false, true, Optional.empty(), OptionalLong.of(2), OptionalDouble.empty())));
         assertThat(fixture.sends(request)).hasSize(2);
         assertThat(fixture.send(request).dispatch().weightsVersion()).hasValue(2);
     }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -10,7 +10,9 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
 
 import org.fuchsiatrail.AttemptId;
 import org.fuchsiatrail.EntryVmId;
@@ -150,9 +152,14 @@
         return id;
     }
 
-    /** Makes the first engines name a limit of requests a second in their answers, or none. */
-    void limitEngines(int count, OptionalDouble limit) {
-        engines.values().stream().filter(engine -> !engine.ended).limit(count).forEach(engine -> engine.limit = limit);
+    /** Makes the first engines name a limit of requests a second in their answers, or none; returns their ids. */
+    Set<String> limitEngines(int count, OptionalDouble limit) {
+        List<Engine> limited = engines.values().stream()
+                .filter(engine -> !engine.ended)
+                .limit(count)
+                .toList();
+        limited.forEach(engine -> engine.limit = limit);
+        return limited.stream().map(engine -> engine.id).collect(Collectors.toSet());
     }
 
     /** Ends some engines at once, for a reason that has nothing to do with their requests. */
@@ -275,7 +282,7 @@
 
     private static AttemptEvent.Head head(Engine engine) {
         return new AttemptEvent.Head(
-                200, true, false, Optional.of(new UpstreamLoad(1, 0, SLOTS)), OptionalLong.empty());
+                200, true, false, Optional.of(new UpstreamLoad(1, 0, SLOTS)), OptionalLong.empty(), engine.limit);
     }
 
     private void end(Engine engine, boolean silently) {
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
@@ -361,6 +362,11 @@
 
     static AttemptEvent.Head head(int status, boolean verified, boolean notExecuted) {
         return new AttemptEvent.Head(
-                status, verified, notExecuted, Optional.of(new UpstreamLoad(1, 0, 6)), OptionalLong.empty());
+                status,
+                verified,
+                notExecuted,
+                Optional.of(new UpstreamLoad(1, 0, 6)),
+                OptionalLong.empty(),
+                OptionalDouble.empty());
     }
 }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RandomDeploymentTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RandomDeploymentTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 
@@ -260,7 +261,8 @@
                     verified,
                     notExecuted,
                     Optional.of(new UpstreamLoad(random.nextInt(64), random.nextInt(10), 64)),
-                    OptionalLong.empty());
+                    OptionalLong.empty(),
+                    OptionalDouble.empty());
         }
 
         private void endAttempt(AttemptId attempt, Call call, AttemptEvent event, boolean executed) {
