Keep all routers together within the limit that an upstream names

Callers of an engine in need saw it swamped: it named 1.9 requests a second and got 22 in 4 s, as every router went on sending its usual share. The header was not read; and a router that kept to the whole limit by itself would still let the sum be as many times that as there are routers.

Routers send each other the limits that they observe, with their age, so that the newest applies everywhere, also when one is lifted. When all engines of a service are at their limits, a request that would have to wait too long is refused at once with the time of the next permit. Weighed: a limit for each router by its part of the requests (bursts of one at each of 340 routers), permits from the store (a call for each request).

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ForwardingNewsBuilder.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ForwardingNewsBuilder.java
@@ -16,6 +16,7 @@
     private List<PeerMessage.SeenCrash> crashes = List.of();
     private List<PeerMessage.SeenCrash> clearedCrashes = List.of();
     private List<Long> clearedParts = List.of();
+    private List<PeerMessage.NamedLimit> limits = List.of();
     private List<PeerMessage.ReadParts> reads = List.of();
     private List<PeerMessage.DomainWork> domains = List.of();
     private List<PeerMessage.CacheChanges> caches = List.of();
@@ -114,6 +115,17 @@
         return this;
     }
 
+    /**
+     * Sets the limits of requests that upstreams named.
+     *
+     * @param namedLimits the limits
+     * @return this builder
+     */
+    public ForwardingNewsBuilder limits(List<PeerMessage.NamedLimit> namedLimits) {
+        limits = namedLimits;
+        return this;
+    }
+
     /**
      * Sets the prompt parts that engines have prefilled.
      *
@@ -167,6 +179,7 @@
                 domains,
                 caches,
                 clearedCrashes,
-                clearedParts);
+                clearedParts,
+                limits);
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
@@ -185,6 +185,7 @@
      * @param caches changes in the caches whose events the sender reads
      * @param clearedCrashes crashes that requests did not cause, since they completed afterwards
      * @param clearedParts keys of prompt parts that crash no upstream, since requests with them completed
+     * @param limits limits of requests that upstreams named in their answers
      */
     record ForwardingNews(
             EntryVm vm,
@@ -200,7 +201,8 @@
             List<DomainWork> domains,
             List<CacheChanges> caches,
             List<SeenCrash> clearedCrashes,
-            List<Long> clearedParts)
+            List<Long> clearedParts,
+            List<NamedLimit> limits)
             implements PeerMessage {
 
         /** Replaces missing lists with empty ones. */
@@ -215,6 +217,7 @@
             caches = caches == null ? List.of() : caches;
             clearedCrashes = clearedCrashes == null ? List.of() : clearedCrashes;
             clearedParts = clearedParts == null ? List.of() : clearedParts;
+            limits = limits == null ? List.of() : limits;
         }
 
         /**
@@ -317,6 +320,17 @@
      */
     record Switching(UpstreamId engine, long millisLeft) {}
 
+    /**
+     * A limit of requests that an upstream named in an answer, or the absence of one.
+     *
+     * @param upstream the incarnation of the upstream
+     * @param named whether the answer names a limit
+     * @param requestsPerSecond the requests a second that the upstream accepts from all routers together, or 0 if none
+     *     is named
+     * @param ageMillis the time since a router received the answer, in milliseconds
+     */
+    record NamedLimit(UpstreamId upstream, boolean named, double requestsPerSecond, long ageMillis) {}
+
     /**
      * A request that was running on an upstream when the upstream crashed.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
@@ -1,6 +1,5 @@
 package org.fuchsiatrail.internal.forwarding;
 
-import java.util.OptionalDouble;
 import java.util.stream.Collectors;
 
 import org.fuchsiatrail.ResultCode;
@@ -93,25 +92,6 @@
                 pending.sends);
     }
 
-    void limitNamed(PendingCall pending, OptionalDouble limit) {
-        context.count("limits.named");
-        context.log(
-                COMPONENT,
-                "Upstream changed its request limit.",
-                "upstream",
-                pending.upstream.id(),
-                "request",
-                pending.call.callerAttemptId(),
-                "before",
-                describe(pending.upstream.requestLimit),
-                "requestsPerSecond",
-                describe(limit));
-    }
-
-    private static Object describe(OptionalDouble limit) {
-        return limit.isPresent() ? limit.getAsDouble() : "none";
-    }
-
     void lost(PendingCall pending, AttemptEvent.Lost lost, boolean delivering) {
         context.count(lost.sent() ? "attempts.lost" : "attempts.not-sent");
         context.log(
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -40,6 +40,7 @@
     private final RetryBudgets retryBudgets;
     private final EngineProbes probes;
     private final CrashProtection crashProtection;
+    private final RequestLimits requestLimits;
     private final PeerGossip gossip;
     private final Map<RequestId, PendingCall> pendingCalls = new LinkedHashMap<>();
     private final Map<AttemptId, PendingCall> callsByAttempt = new HashMap<>();
@@ -53,6 +54,7 @@
             RetryBudgets retryBudgets,
             EngineProbes probes,
             CrashProtection crashProtection,
+            RequestLimits requestLimits,
             PeerGossip gossip) {
         this.context = context;
         this.storeReplica = storeReplica;
@@ -60,9 +62,10 @@
         this.retryBudgets = retryBudgets;
         this.probes = probes;
         this.crashProtection = crashProtection;
+        this.requestLimits = requestLimits;
         this.gossip = gossip;
         this.timers = new CallTimers(context);
-        this.selector = new UpstreamSelector(context, storeReplica, upstreams, timing);
+        this.selector = new UpstreamSelector(context, storeReplica, upstreams, timing, requestLimits);
         this.intake = new CallIntake(context, storeReplica);
         this.log = new CallLog(context, storeReplica);
         this.startupQueue = new StartupCallQueue(context);
@@ -137,6 +140,15 @@
     }
 
     private void waitOrRefuse(PendingCall pending) {
+        OptionalLong limitedMillis = selector.limitedMillis(pending);
+        if (limitedMillis.isPresent() && limitedMillis.getAsLong() > pending.placementDeadlineMillis - context.now()) {
+            refuseOrAbort(
+                    pending,
+                    ResultCode.OVERLOADED,
+                    timing.limitRetryMillis(limitedMillis.getAsLong()),
+                    "all upstreams are at the limits that they named");
+            return;
+        }
         if (context.now() < pending.placementDeadlineMillis) {
             pending.state = PendingCall.State.WAITING;
             timers.schedule(
@@ -162,6 +174,7 @@
                         ? context.now() + timing.attemptTimeoutMillis(pending.route, placement.predictedMillis())
                         : Long.MAX_VALUE;
         callsByAttempt.put(pending.attempt, pending);
+        requestLimits.recordSend(upstream);
         upstream.inFlight.put(
                 pending.attempt,
                 new UpstreamState.InFlightAttempt(
@@ -227,10 +240,8 @@
             pending.upstream.recordWeightVersion(
                     pending.call.model(), head.weightsVersion().getAsLong());
         }
-        if (head.status() != CallTiming.MISDIRECTED_STATUS
-                && !head.requestLimit().equals(pending.upstream.requestLimit)) {
-            log.limitNamed(pending, head.requestLimit());
-            pending.upstream.requestLimit = head.requestLimit();
+        if (head.status() != CallTiming.MISDIRECTED_STATUS) {
+            requestLimits.observe(pending.upstream, head.requestLimit());
         }
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTiming.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTiming.java
@@ -151,6 +151,11 @@
         return Math.clamp(excessMillis, MINIMUM_OVERLOAD_RETRY_MILLIS, MAXIMUM_OVERLOAD_RETRY_MILLIS);
     }
 
+    /** Returns the retry time to advise when all upstreams are at their limits and this router may send later. */
+    long limitRetryMillis(long millisUntilPermitted) {
+        return Math.clamp(millisUntilPermitted, MINIMUM_OVERLOAD_RETRY_MILLIS, MAXIMUM_OVERLOAD_RETRY_MILLIS);
+    }
+
     /** Returns the time after which a retryable attempt that shows no progress is abandoned. */
     long attemptTimeoutMillis(Route route, double predictedMillis) {
         return route.kind() == RequestKind.STREAM
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -26,6 +26,7 @@
     private final MemberRegistration memberRegistration;
     private final UpstreamTable upstreams;
     private final CrashProtection crashProtection;
+    private final RequestLimits requestLimits;
     private final CallSystem calls;
     private final OrderLease orderLease;
     private final WeightsRollout rollout;
@@ -50,8 +51,10 @@
         crashProtection = new CrashProtection(context, storeCalls, storeReplica);
         RetryBudgets retryBudgets = new RetryBudgets(context, storeReplica);
         orderLease = new OrderLease(context, storeCalls, storeReplica);
-        gossip = new PeerGossip(context, storeReplica, upstreams, crashProtection);
-        calls = new CallSystem(context, storeReplica, upstreams, retryBudgets, probes, crashProtection, gossip);
+        requestLimits = new RequestLimits(context, storeReplica);
+        gossip = new PeerGossip(context, storeReplica, upstreams, crashProtection, requestLimits);
+        calls = new CallSystem(
+                context, storeReplica, upstreams, retryBudgets, probes, crashProtection, requestLimits, gossip);
         rollout = new WeightsRollout(context, storeReplica, upstreams, orderLease, probes, gossip::scheduleUpdate);
         gossip.setRollout(rollout);
         cacheEventReader = new CacheEventReader(context, storeReplica, upstreams, gossip);
@@ -68,6 +71,7 @@
         memberRegistration.run();
         upstreams.run();
         crashProtection.run();
+        requestLimits.run();
         calls.run();
         orderLease.run();
         rollout.run();
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/GossipBuffer.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/GossipBuffer.java
@@ -23,6 +23,7 @@
         final List<PeerMessage.SeenCrash> crashes = new ArrayList<>();
         final List<PeerMessage.SeenCrash> clearedCrashes = new ArrayList<>();
         final List<Long> clearedParts = new ArrayList<>();
+        final List<PeerMessage.NamedLimit> limits = new ArrayList<>();
         final List<PeerMessage.Switching> switching = new ArrayList<>();
 
         private void clear() {
@@ -30,6 +31,7 @@
             crashes.clear();
             clearedCrashes.clear();
             clearedParts.clear();
+            limits.clear();
             switching.clear();
         }
     }
@@ -58,6 +60,7 @@
                 .crashes(List.copyOf(local.crashes))
                 .clearedCrashes(List.copyOf(local.clearedCrashes))
                 .clearedParts(List.copyOf(local.clearedParts))
+                .limits(List.copyOf(local.limits))
                 .switching(List.copyOf(local.switching));
     }
 
@@ -69,6 +72,8 @@
                         .toList())
                 .clearedCrashes(Stream.concat(local.clearedCrashes.stream(), remote.clearedCrashes.stream())
                         .toList())
+                .limits(Stream.concat(local.limits.stream(), remote.limits.stream())
+                        .toList())
                 .clearedParts(Stream.concat(local.clearedParts.stream(), remote.clearedParts.stream())
                         .toList())
                 .switching(Stream.concat(local.switching.stream(), remote.switching.stream())
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
@@ -56,6 +56,7 @@
     private final UpstreamTable upstreams;
     private final CrashTracker crashes;
     private final PromptPartTracker promptParts;
+    private final RequestLimits requestLimits;
     private final GossipTopology topology;
     private final ItemRelay itemRelay;
     private final GossipBuffer buffer = new GossipBuffer();
@@ -70,12 +71,17 @@
     private long pushAtMillis = Long.MAX_VALUE;
 
     PeerGossip(
-            ForwardingContext context, StoreReplica replica, UpstreamTable upstreams, CrashProtection crashProtection) {
+            ForwardingContext context,
+            StoreReplica replica,
+            UpstreamTable upstreams,
+            CrashProtection crashProtection,
+            RequestLimits requestLimits) {
         this.context = context;
         this.replica = replica;
         this.upstreams = upstreams;
         this.crashes = crashProtection.tracker();
         this.promptParts = crashProtection.promptParts();
+        this.requestLimits = requestLimits;
         this.topology = new GossipTopology(context.settings().self());
         this.itemRelay = new ItemRelay(context, replica);
     }
@@ -124,7 +130,7 @@
     }
 
     void run() {
-        if (crashes.hasUnsent() || promptParts.hasUnsent()) {
+        if (crashes.hasUnsent() || promptParts.hasUnsent() || requestLimits.hasUnsent()) {
             scheduleUpdate();
         }
         if (context.now() < nextHeartbeatAtMillis && context.now() < pushAtMillis) {
@@ -147,6 +153,7 @@
         buffer.local().crashes.addAll(crashes.drainUnsentCrashes());
         buffer.local().clearedCrashes.addAll(crashes.drainUnsentClearances());
         buffer.local().clearedParts.addAll(promptParts.drainUnsentClearances());
+        buffer.local().limits.addAll(requestLimits.drainUnsent());
         for (UpstreamId engine : rollout.switchingEngines()) {
             buffer.local().switching.add(new PeerMessage.Switching(engine, SWITCHING_VALIDITY_MILLIS));
         }
@@ -273,6 +280,12 @@
                 scheduleUpdate();
             }
         }
+        for (PeerMessage.NamedLimit limit : update.limits()) {
+            if (requestLimits.receive(limit) && isRelay) {
+                updates.limits.add(limit);
+                scheduleUpdate();
+            }
+        }
         for (long part : update.clearedParts()) {
             if (promptParts.clear(part) && isRelay) {
                 updates.clearedParts.add(part);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.RoutingTable;
@@ -17,13 +18,20 @@
     private final StoreReplica storeReplica;
     private final UpstreamTable upstreams;
     private final CallTiming timing;
+    private final RequestLimits requestLimits;
     private final UpstreamPlacement placement;
 
-    UpstreamSelector(ForwardingContext context, StoreReplica storeReplica, UpstreamTable upstreams, CallTiming timing) {
+    UpstreamSelector(
+            ForwardingContext context,
+            StoreReplica storeReplica,
+            UpstreamTable upstreams,
+            CallTiming timing,
+            RequestLimits requestLimits) {
         this.context = context;
         this.storeReplica = storeReplica;
         this.upstreams = upstreams;
         this.timing = timing;
+        this.requestLimits = requestLimits;
         this.placement = new UpstreamPlacement(context.settings().self().failureDomain(), context.random());
     }
 
@@ -84,6 +92,7 @@
             boolean expectedToRefuse = context.now() < upstream.overloadedUntilMillis
                     || (pending.route.describesPrompt() && upstream.isSwitchingWeights(context.now()));
             if (expectedToRefuse
+                    || !requestLimits.permits(upstream)
                     || pending.excludedUpstreams.contains(upstream.id())
                     || hasOutdatedWeights(pending, upstream)) {
                 continue;
@@ -93,6 +102,19 @@
         return usable.isEmpty() ? suspected : usable;
     }
 
+    /**
+     * Returns when this router may next send to an upstream of the request's service, in milliseconds from now, if all
+     * of them are at the limits that they named.
+     */
+    OptionalLong limitedMillis(PendingCall pending) {
+        long shortestMillis = Long.MAX_VALUE;
+        List<UpstreamState> active = upstreams.activeUpstreams(pending.service);
+        for (UpstreamState upstream : active) {
+            shortestMillis = Math.min(shortestMillis, requestLimits.millisUntilPermitted(upstream));
+        }
+        return active.isEmpty() || shortestMillis == 0 ? OptionalLong.empty() : OptionalLong.of(shortestMillis);
+    }
+
     private boolean hasOutdatedWeights(PendingCall pending, UpstreamState upstream) {
         if (!pending.route.describesPrompt()) {
             return false;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalDouble;
 
 import org.fuchsiatrail.AttemptId;
 import org.fuchsiatrail.FailureDomain;
@@ -58,9 +57,6 @@
     final Map<AttemptId, InFlightAttempt> inFlight = new LinkedHashMap<>();
     final Map<String, Long> weightVersions = new HashMap<>();
     final PromptCacheView cache = new PromptCacheView();
-    /** The requests a second that it accepts from all routers together, as its last answer named them. */
-    OptionalDouble requestLimit = OptionalDouble.empty();
-
     UpstreamLoad load;
     long loadAtMillis = Long.MIN_VALUE;
     private final Map<WorkSource, PeerWork> peerWork = new HashMap<>();
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerCodecTest.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerCodecTest.java
@@ -76,6 +76,7 @@
                 .crashes(List.of(new PeerMessage.SeenCrash(44, ENGINE, new long[] {7, -8})))
                 .clearedCrashes(List.of(PeerMessage.SeenCrash.ofRequest(45, ENGINE)))
                 .clearedParts(List.of(9L, -10L))
+                .limits(List.of(new PeerMessage.NamedLimit(ENGINE, true, 1.7, 40)))
                 .reads(List.of(new PeerMessage.ReadParts(ENGINE, new long[] {1, 2}, new long[] {300, 400})))
                 .domains(List.of(new PeerMessage.DomainWork(VM.failureDomain(), List.of(work))))
                 .caches(List.of(
