Test the use of limits, their end, refusals at them and disturbed routers

Counted: at least half of the limits is used while all engines name one (3, 7 and 70 routers), requests return to an engine that names none any more, a request that finds all engines at their limits is refused at once with a time between 0.1 and 1 s, and the limit holds in ten histories of restarts and cuts.

--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -77,6 +77,7 @@
 
         boolean finished;
         ResultCode refusal;
+        long retryAfterMillis;
 
         Request(long sentAtMillis, List<ForwardedCall.PromptPart> prompt) {
             this.sentAtMillis = sentAtMillis;
@@ -235,8 +236,11 @@
         switch (output) {
             case ForwardingOutput.Send send -> receive(router, send);
             case ForwardingOutput.Cancel cancel -> openAttempts.remove(cancel.attempt());
-            case ForwardingOutput.Refuse refuse ->
-                requests.get(router.self().id() + "/" + refuse.request()).refusal = refuse.code();
+            case ForwardingOutput.Refuse refuse -> {
+                Request request = requests.get(router.self().id() + "/" + refuse.request());
+                request.refusal = refuse.code();
+                request.retryAfterMillis = refuse.retryAfterMillis();
+            }
             case ForwardingOutput.QueryEngineState query -> answerProbe(router, query);
             case ForwardingOutput.SendToPeer message -> deliver(router, message);
             default -> {}
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RequestLimitExceededTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RequestLimitExceededTest.java
@@ -1,13 +1,20 @@
 package org.fuchsiatrail.internal.forwarding;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.SplittableRandom;
 
+import org.fuchsiatrail.EntryVmId;
+import org.fuchsiatrail.ResultCode;
 import org.fuchsiatrail.forwarding.ForwardedCall;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -93,4 +100,81 @@
                 .as("requests begun at other engines")
                 .isGreaterThan(shareStarted(1_000, CALM_MILLIS) / 2);
     }
+
+    @ParameterizedTest
+    @CsvSource({"3,6,60,2.5", "7,6,60,2.5", "70,42,400,2.5"})
+    void should_use_at_least_half_of_the_limits_while_all_engines_name_one(
+            int routers, int engines, double requestsPerSecond, double limit) {
+        start(routers, engines);
+        sendUntil(CALM_MILLIS, requestsPerSecond);
+        Set<String> limited = fleet.limitEngines(engines, OptionalDouble.of(limit));
+        sendUntil(DURATION_MILLIS, requestsPerSecond);
+        assertWithinLimit(limited, limit, CALM_MILLIS + CONTACT_MILLIS);
+        double seconds = (DURATION_MILLIS - CALM_MILLIS - CONTACT_MILLIS) / 1_000.0;
+        long arrivals = fleet.arrivals().stream()
+                .filter(arrival -> arrival.atMillis() >= startMillis + CALM_MILLIS + CONTACT_MILLIS)
+                .count();
+        assertThat(arrivals / (seconds * limit * engines))
+                .as("used share of the limits")
+                .isGreaterThanOrEqualTo(0.5);
+    }
+
+    @Test
+    void should_refuse_at_once_with_a_time_to_come_back_while_all_engines_are_at_their_limits() {
+        start(3, 2);
+        sendUntil(CALM_MILLIS, 20);
+        fleet.limitEngines(2, OptionalDouble.of(0.5));
+        sendUntil(CALM_MILLIS + CONTACT_MILLIS, 20);
+        EngineFleet.Request refused = fleet.send(new ForwardedCall.PromptPart("alone", 600));
+        if (refused.sends > 0) {
+            refused = fleet.send(new ForwardedCall.PromptPart("alone", 600));
+        }
+        assertThat(refused.refusal).isEqualTo(ResultCode.OVERLOADED);
+        assertThat(refused.retryAfterMillis).isBetween(100L, 1_000L);
+    }
+
+    @Test
+    void should_return_to_an_engine_that_names_no_limit_any_more() {
+        start(7, 6);
+        sendUntil(CALM_MILLIS, 60);
+        Set<String> limited = fleet.limitEngines(2, OptionalDouble.of(1));
+        sendUntil(10_000, 60);
+        fleet.limitEngines(2, OptionalDouble.empty());
+        sendUntil(DURATION_MILLIS, 60);
+        long arrivals = fleet.arrivals().stream()
+                .filter(arrival -> limited.contains(arrival.engine()))
+                .filter(arrival -> arrival.atMillis() >= startMillis + 16_000)
+                .count();
+        assertThat(arrivals).as("requests in 4 s at two of six engines").isGreaterThan(2 * 4 * 5);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void should_keep_to_the_limit_while_routers_restart_and_are_cut_off(long seed) {
+        start(7, 6);
+        SplittableRandom disturbances = new SplittableRandom(seed);
+        sendUntil(CALM_MILLIS, 60);
+        Set<String> limited = fleet.limitEngines(2, OptionalDouble.of(1.7));
+        Map<EntryVmId, Long> disturbedAtMillis = new HashMap<>();
+        for (long untilMillis = CALM_MILLIS; untilMillis < DURATION_MILLIS; untilMillis += 500) {
+            int index = disturbances.nextInt(fleet.routers.size());
+            EntryVmId router = fleet.routers.get(index).self().id();
+            switch (disturbances.nextInt(8)) {
+                case 0 -> {
+                    fleet.restart(index);
+                    disturbedAtMillis.put(router, fleet.now());
+                }
+                case 1 -> {
+                    fleet.cutOff(fleet.routers.get(index), 1_000);
+                    disturbedAtMillis.put(router, fleet.now() + 1_000);
+                }
+                default -> {}
+            }
+            sendUntil(untilMillis + 500, 60);
+        }
+        fleet.arrivals()
+                .removeIf(arrival -> disturbedAtMillis.containsKey(arrival.router())
+                        && arrival.atMillis() < disturbedAtMillis.get(arrival.router()) + CONTACT_MILLIS);
+        assertWithinLimit(limited, 1.7, CALM_MILLIS + CONTACT_MILLIS);
+    }
 }
