Do not take a stream that ends before its first event for complete

A caller got an empty 200 when an engine ended with the connection of a stream inside its first event, or before it: an answer without events was treated as a plain one. It is now lost like any other broken stream. The three cases of the test got 200 before and get 502 now.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAttempt.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAttempt.java
@@ -154,7 +154,9 @@
             return null;
         }
         responseComplete = true;
-        if (!streamStarted) {
+        if (isEventStream() && !streamStarted) {
+            finish(lostEvent("the stream ended before its first event was complete"));
+        } else if (!streamStarted) {
             finish(new AttemptEvent.Answered(head()));
         } else if (splitter.hasPartialEvent()) {
             finish(lostEvent("the stream ended inside an event"));
