--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PromptPartTracker.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PromptPartTracker.java
@@ -1,8 +1,6 @@
 package org.fuchsiatrail.internal.forwarding;
 
 import java.util.ArrayList;
-import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -28,15 +26,9 @@
     /** The same when several parts explain equally many crashes, or the part may have completed before them. */
     private static final int UNCERTAIN_QUARANTINE_CRASHES = 5;
 
-    /** The least number of requests in these crashes; a single one is quarantined by itself. */
-    private static final int MINIMUM_REQUESTS = 2;
-
     /** How long routers collect the suspects of a crash before it counts, in milliseconds; three peer updates. */
     private static final long SETTLING_MILLIS = 1_000;
 
-    /** The least time between crashes of a part that completed before, in milliseconds. */
-    private static final long SEPARATION_MILLIS = 1_000;
-
     /** How long a quarantine lasts after the last crash, and how long crashes are remembered, in milliseconds. */
     private static final long RETENTION_MILLIS = CrashTracker.RETENTION_MILLIS;
 
@@ -58,10 +50,8 @@
     /** The most parts whose crashes or completions are remembered; the oldest are forgotten first. */
     private static final int MAXIMUM_PARTS = 10_000;
 
-    private static final long NEVER = Long.MIN_VALUE;
-
     private final ForwardingContext context;
-    private final Map<Long, Suspect> suspects = new LinkedHashMap<>();
+    private final Map<Long, PromptPartSuspect> suspects = new LinkedHashMap<>();
     private final Map<Long, Long> completedAtMillis = new LinkedHashMap<>();
     private final Map<Long, Long> clearanceSentAtMillis = new LinkedHashMap<>();
     /** The parts and requests that other routers have published as quarantined. */
@@ -74,46 +64,6 @@
 
     private record Published(Set<UpstreamId> crashes, long atMillis) {}
 
-    private static final class Suspect {
-        private final Map<UpstreamId, Crash> crashes = new HashMap<>();
-        /** The position of the part in the prompt; parts that fewer requests share come later. */
-        private int depth;
-
-        private long lastCrashAtMillis;
-        private long quarantinedAtMillis = NEVER;
-
-        private boolean wasQuarantined() {
-            return quarantinedAtMillis != NEVER;
-        }
-    }
-
-    private static final class Crash {
-        private final long noticedAtMillis;
-        private final Set<Long> requests = new HashSet<>();
-
-        private Crash(long noticedAtMillis) {
-            this.noticedAtMillis = noticedAtMillis;
-        }
-    }
-
-    /** A part that may be the cause of crashes which no quarantined part explains. */
-    private record Candidate(long part, int crashes, long completedAtMillis, int depth) {
-
-        /** A part that did not complete, explains more crashes or completed longer ago is the more likely cause. */
-        int compareTo(Candidate other) {
-            if (hasCompleted() != other.hasCompleted()) {
-                return hasCompleted() ? -1 : 1;
-            }
-            return crashes != other.crashes
-                    ? Integer.compare(crashes, other.crashes)
-                    : Long.compare(other.completedAtMillis, completedAtMillis);
-        }
-
-        boolean hasCompleted() {
-            return completedAtMillis != NEVER;
-        }
-    }
-
     PromptPartTracker(ForwardingContext context) {
         this.context = context;
     }
@@ -131,14 +81,9 @@
     }
 
     private void addCrash(long part, int depth, PeerMessage.SeenCrash seen) {
-        Suspect suspect = suspects.computeIfAbsent(part, key -> new Suspect());
+        PromptPartSuspect suspect = suspects.computeIfAbsent(part, key -> new PromptPartSuspect());
         trim(suspects);
-        suspect.depth = Math.max(suspect.depth, depth);
-        suspect.lastCrashAtMillis = context.now();
-        suspect.crashes
-                .computeIfAbsent(seen.upstream(), key -> new Crash(context.now()))
-                .requests
-                .add(seen.fingerprint());
+        suspect.recordCrash(seen, depth, context.now());
         scheduleVerdict();
     }
 
@@ -202,22 +147,23 @@
 
     @Override
     public long quarantineMillisLeft(long part) {
-        Suspect suspect = suspects.get(part);
+        PromptPartSuspect suspect = suspects.get(part);
         return suspect == null ? 0 : millisLeft(suspect);
     }
 
-    private long millisLeft(Suspect suspect) {
-        if (!suspect.wasQuarantined()) {
-            return 0;
-        }
-        long lastReasonMillis = Math.max(suspect.quarantinedAtMillis, suspect.lastCrashAtMillis);
-        return Math.max(0, lastReasonMillis + RETENTION_MILLIS - context.now());
+    private long millisLeft(PromptPartSuspect suspect) {
+        return suspect.quarantineMillisLeft(context.now(), RETENTION_MILLIS);
+    }
+
+    /** Crashes that were noticed after this time may still get further suspects. */
+    private long settledBeforeMillis() {
+        return context.now() - SETTLING_MILLIS;
     }
 
     @Override
     public List<UpstreamId> crashedUpstreams(long part) {
-        Suspect suspect = suspects.get(part);
-        return suspect == null ? List.of() : List.copyOf(suspect.crashes.keySet());
+        PromptPartSuspect suspect = suspects.get(part);
+        return suspect == null ? List.of() : List.copyOf(suspect.crashes().keySet());
     }
 
     @Override
@@ -237,8 +183,8 @@
                 quarantine.fingerprint(), new Published(Set.copyOf(quarantine.crashedUpstreams()), context.now()));
         trim(published);
         suspects.forEach((part, suspect) -> {
-            if (suspect.wasQuarantined() && isExplainedElsewhere(part, suspect)) {
-                suspect.quarantinedAtMillis = NEVER;
+            if (millisLeft(suspect) > 0 && isExplainedElsewhere(part, suspect)) {
+                suspect.endQuarantine();
                 context.log(
                         "quarantine",
                         "Quarantine of a prompt part withdrawn; a published one explains its crashes.",
@@ -253,18 +199,19 @@
     /** Returns whether this router saw the part complete and knows of too few crashes since. */
     private boolean contradicts(StoreItemContent.Quarantine quarantine) {
         long part = quarantine.fingerprint();
-        Suspect suspect = suspects.get(part);
-        boolean fewCrashes =
-                suspect == null || separateCrashes(suspect.crashes.values()) < UNCERTAIN_QUARANTINE_CRASHES;
+        PromptPartSuspect suspect = suspects.get(part);
+        boolean fewCrashes = suspect == null || suspect.separateCrashes() < UNCERTAIN_QUARANTINE_CRASHES;
         return completedWithin(part, fewCrashes ? COMPLETION_RETENTION_MILLIS : PROTECTION_MILLIS);
     }
 
     /** Returns whether another quarantined part explains all crashes of a part, and more. */
-    private boolean isExplainedElsewhere(long part, Suspect suspect) {
+    private boolean isExplainedElsewhere(long part, PromptPartSuspect suspect) {
         return published.entrySet().stream()
                 .anyMatch(other -> other.getKey() != part
-                        && other.getValue().crashes().size() > suspect.crashes.size()
-                        && other.getValue().crashes().containsAll(suspect.crashes.keySet()));
+                        && other.getValue().crashes().size() > suspect.crashes().size()
+                        && other.getValue()
+                                .crashes()
+                                .containsAll(suspect.crashes().keySet()));
     }
 
     /** Removes and returns the parts whose clearance has not been sent to peers yet. */
@@ -289,8 +236,8 @@
         nextVerdictAtMillis = Long.MAX_VALUE;
         quarantineCauses();
         boolean unsettled = suspects.values().stream()
-                .flatMap(suspect -> suspect.crashes.values().stream())
-                .anyMatch(crash -> !isSettled(crash));
+                .flatMap(suspect -> suspect.crashes().values().stream())
+                .anyMatch(crash -> crash.noticedAtMillis() > settledBeforeMillis());
         if (unsettled) {
             scheduleVerdict();
         }
@@ -300,26 +247,22 @@
         completedAtMillis.values().removeIf(atMillis -> context.now() - atMillis > COMPLETION_RETENTION_MILLIS);
         published.values().removeIf(other -> context.now() - other.atMillis() > RETENTION_MILLIS);
         suspects.values().removeIf(suspect -> {
-            suspect.crashes.values().removeIf(crash -> context.now() - crash.noticedAtMillis > RETENTION_MILLIS);
+            suspect.crashes().values().removeIf(crash -> context.now() - crash.noticedAtMillis() > RETENTION_MILLIS);
             boolean mayRepeat =
-                    suspect.wasQuarantined() && context.now() - suspect.quarantinedAtMillis <= REPEAT_MILLIS;
-            return suspect.crashes.isEmpty() && !mayRepeat;
+                    suspect.wasQuarantined() && suspect.millisSinceQuarantine(context.now()) <= REPEAT_MILLIS;
+            return suspect.crashes().isEmpty() && !mayRepeat;
         });
     }
 
-    private boolean isSettled(Crash crash) {
-        return context.now() - crash.noticedAtMillis >= SETTLING_MILLIS;
-    }
-
     private void quarantineCauses() {
         Set<UpstreamId> explained = new HashSet<>();
         suspects.forEach((part, suspect) -> {
             if (isCause(part, suspect)) {
-                explained.addAll(suspect.crashes.keySet());
+                explained.addAll(suspect.crashes().keySet());
             }
         });
-        for (List<Candidate> best = bestCandidates(explained); !best.isEmpty(); best = bestCandidates(explained)) {
-            Candidate cause = best.getFirst();
+        for (List<CrashCause> best = bestCandidates(explained); !best.isEmpty(); best = bestCandidates(explained)) {
+            CrashCause cause = best.getFirst();
             boolean certain = best.size() == 1 && !cause.hasCompleted();
             if (!certain && cause.crashes() < UNCERTAIN_QUARANTINE_CRASHES) {
                 context.log(
@@ -331,28 +274,28 @@
                         cause.crashes());
                 return;
             }
-            suspects.get(cause.part()).crashes.keySet().removeAll(explained);
+            suspects.get(cause.part()).crashes().keySet().removeAll(explained);
             quarantine(cause, best.size());
-            explained.addAll(suspects.get(cause.part()).crashes.keySet());
+            explained.addAll(suspects.get(cause.part()).crashes().keySet());
         }
     }
 
-    private boolean isCause(long part, Suspect suspect) {
+    private boolean isCause(long part, PromptPartSuspect suspect) {
         return published.containsKey(part) || millisLeft(suspect) > 0;
     }
 
     /** Returns the most likely cause of crashes that are not explained, with those that are as likely after it. */
-    private List<Candidate> bestCandidates(Set<UpstreamId> explained) {
-        List<Candidate> best = new ArrayList<>();
+    private List<CrashCause> bestCandidates(Set<UpstreamId> explained) {
+        List<CrashCause> best = new ArrayList<>();
         suspects.forEach((part, suspect) -> {
             if (isCause(part, suspect) || isExplainedElsewhere(part, suspect)) {
                 return;
             }
-            Candidate candidate = candidate(part, suspect, explained);
+            CrashCause candidate = suspect.asCause(part, explained, settledBeforeMillis(), completedAtMillis.get(part));
             if (candidate.crashes() < (suspect.wasQuarantined() ? 1 : QUARANTINE_CRASHES)) {
                 return;
             }
-            int comparison = best.isEmpty() ? 1 : candidate.compareTo(best.getFirst());
+            int comparison = best.isEmpty() ? 1 : candidate.compareLikelihood(best.getFirst());
             if (comparison > 0) {
                 best.clear();
             }
@@ -364,41 +307,9 @@
         return best;
     }
 
-    private Candidate candidate(long part, Suspect suspect, Set<UpstreamId> explained) {
-        List<Crash> crashes = new ArrayList<>();
-        Set<Long> requests = new HashSet<>();
-        suspect.crashes.forEach((incarnation, crash) -> {
-            if (!explained.contains(incarnation) && isSettled(crash)) {
-                crashes.add(crash);
-                requests.addAll(crash.requests);
-            }
-        });
-        boolean oneRequestOnly = requests.size() < MINIMUM_REQUESTS && !suspect.wasQuarantined();
-        long lastCompletionMillis = completedAtMillis.getOrDefault(part, NEVER);
-        int counted = lastCompletionMillis == NEVER ? crashes.size() : separateCrashes(crashes);
-        return new Candidate(part, oneRequestOnly ? 0 : counted, lastCompletionMillis, suspect.depth);
-    }
-
-    /** Counts upstreams that ended at about the same time as one, since they probably have another cause in common. */
-    private static int separateCrashes(Collection<Crash> crashes) {
-        long[] noticedAtMillis = crashes.stream()
-                .mapToLong(crash -> crash.noticedAtMillis)
-                .sorted()
-                .toArray();
-        int count = 0;
-        long lastCountedMillis = NEVER;
-        for (long atMillis : noticedAtMillis) {
-            if (lastCountedMillis == NEVER || atMillis - lastCountedMillis >= SEPARATION_MILLIS) {
-                count++;
-                lastCountedMillis = atMillis;
-            }
-        }
-        return count;
-    }
-
-    private void quarantine(Candidate cause, int candidates) {
-        Suspect suspect = suspects.get(cause.part());
-        suspect.quarantinedAtMillis = context.now();
+    private void quarantine(CrashCause cause, int candidates) {
+        PromptPartSuspect suspect = suspects.get(cause.part());
+        suspect.beginQuarantine(context.now());
         newQuarantines.add(new Quarantine(cause.part(), false));
         context.count("crashes.parts-quarantined");
         context.log(
@@ -411,7 +322,7 @@
                 "equallyLikely",
                 candidates,
                 "depth",
-                suspect.depth,
+                cause.depth(),
                 "suspects",
                 suspects.size());
     }
