Read and log the software version of upstreams and the stream that a caller resumes

To tell where a stream changes its software version, a log has to show for each attempt the version of its upstream and whether the caller or the router resumes a stream. "Attempt sent." now has softwareVersion, resumes and lastEvent, and the lines on upstream entries have softwareVersion. Routing does not use them.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardedCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardedCall.java
@@ -15,6 +15,8 @@
  * @param maximumOutputTokens the maximum number of tokens to generate, or 0
  * @param prompt the prompt parts in order; the last is specific to the request or its session
  * @param resumeAfterEventId the id of the last event that the caller received, or an empty string
+ * @param resumedAttemptId the caller's id of the attempt that brought the first event of the stream to resume, or an
+ *     empty string
  * @param fingerprint a hash of the method, the path with its query, and the body
  */
 public record ForwardedCall(
@@ -28,6 +30,7 @@
         long maximumOutputTokens,
         List<PromptPart> prompt,
         String resumeAfterEventId,
+        String resumedAttemptId,
         long fingerprint) {
 
     /**
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/UpstreamEntry.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/UpstreamEntry.java
@@ -15,6 +15,7 @@
  * @param failureDomain the upstream's failure domain
  * @param slots the number of requests that the upstream runs concurrently
  * @param draining whether the upstream is draining
+ * @param softwareVersion the version of the upstream's software, or an empty string when it is not reported
  * @param weights the loaded version of the weights of each model
  */
 public record UpstreamEntry(
@@ -25,4 +26,5 @@
         FailureDomain failureDomain,
         int slots,
         boolean draining,
+        String softwareVersion,
         Map<String, Long> weights) {}
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
@@ -57,6 +57,12 @@
                 remainingMillis,
                 "weights",
                 dispatch.weightsVersion().orElse(0),
+                "softwareVersion",
+                pending.upstream.entry.softwareVersion(),
+                "resumes",
+                pending.call.resumedAttemptId(),
+                "lastEvent",
+                dispatch.resumeAfterEventId(),
                 "configuration",
                 configurationVersion());
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
@@ -109,6 +109,8 @@
                 entry.address(),
                 "draining",
                 entry.draining(),
+                "softwareVersion",
+                entry.softwareVersion(),
                 "weights",
                 entry.weights());
     }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -149,6 +149,18 @@
             boolean draining,
             long startedAtMillis,
             String failureDomain) {
+        return entry(id, service, slots, weights, draining, startedAtMillis, failureDomain, "v1");
+    }
+
+    static UpstreamEntry entry(
+            String id,
+            String service,
+            int slots,
+            Map<String, Long> weights,
+            boolean draining,
+            long startedAtMillis,
+            String failureDomain,
+            String softwareVersion) {
         return new UpstreamEntry(
                 new UpstreamId(id),
                 startedAtMillis,
@@ -157,6 +169,7 @@
                 new FailureDomain(failureDomain),
                 slots,
                 draining,
+                softwareVersion,
                 weights);
     }
 
@@ -280,7 +293,7 @@
         tick(new ForwardingInput.CallReceived(
                 request,
                 new ForwardedCall(
-                        "a-" + request, HOST, path, key, 10_000, MODEL, tokens, 50, prompt, "", path.hashCode())));
+                        "a-" + request, HOST, path, key, 10_000, MODEL, tokens, 50, prompt, "", "", path.hashCode())));
         return request;
     }
 
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RandomDeploymentTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RandomDeploymentTest.java
@@ -128,6 +128,7 @@
                     new FailureDomain(domain),
                     slots,
                     false,
+                    "v1",
                     service.equals("tutors") ? Map.of(ForwardingFixture.MODEL, targetVersion) : Map.of());
             upstreams.add(entry);
             drainingSinceMillis.remove(entry.id());
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacementTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacementTest.java
@@ -115,7 +115,15 @@
     void should_prefer_the_own_failure_domain_for_calls_while_it_has_free_slots() {
         fixture.configured().register(fixture.recordService("near"));
         fixture.register(new UpstreamEntry(
-                new UpstreamId("far"), 1, "records", "10.2.0.1:80", new FailureDomain("lima-b"), 6, false, Map.of()));
+                new UpstreamId("far"),
+                1,
+                "records",
+                "10.2.0.1:80",
+                new FailureDomain("lima-b"),
+                6,
+                false,
+                "v1",
+                Map.of()));
         fixture.start();
         Map<String, Integer> sent = new HashMap<>();
         for (int index = 0; index < 12; index++) {
