--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,10 +34,13 @@
 final class EngineFleet {
 
     static final long STEP_MILLIS = 50;
+    private static final String FIRST_VERSION = "v1";
+    private static final String FIRST_EVENT = "1";
     private static final int STREAM_MILLIS = 800;
     private static final int START_MILLIS = 60;
     private static final long ENTRY_DROPPED_MILLIS = 3_300;
     private static final long RETURN_MILLIS = 4_000;
+    private static final long DRAIN_MILLIS = 2_000;
     private static final long CONNECT_TIMEOUT_MILLIS = 400;
     /** A probe that waits in vain on an open connection, and the next one that cannot connect, in milliseconds. */
     private static final long SILENT_PROBE_MILLIS = 1_100;
@@ -53,6 +57,7 @@
     private final Map<AttemptId, Attempt> openAttempts = new LinkedHashMap<>();
     private final Map<String, Request> requests = new HashMap<>();
     private final Map<EntryVmId, Long> cutOffUntilMillis = new HashMap<>();
+    private final Map<EntryVmId, Long> startedAtMillis = new HashMap<>();
     private final PriorityQueue<Change> changes =
             new PriorityQueue<>(Comparator.comparingLong(Change::atMillis).thenComparingLong(Change::number));
     private final List<Arrival> arrivals = new ArrayList<>();
@@ -67,20 +72,45 @@
     /** A request that reached an engine. */
     record Arrival(long atMillis, EntryVmId router, String engine, Request request, int send) {}
 
+    /** A stream of a caller over all its requests. */
+    static final class Stream {
+        /** The attempt that brought its first event, or an empty string. */
+        String firstAttemptId = "";
+        /** The software versions of the engines whose events it holds. */
+        final Set<String> softwareVersions = new HashSet<>();
+    }
+
     /** A request of a caller, with its outcome. */
     static final class Request {
+        final Stream stream;
+        final String attemptId;
         final long sentAtMillis;
+        final ForwardingFixture router;
         final List<ForwardedCall.PromptPart> prompt;
         int sends;
         /** Whether the first attempt began to answer. */
         boolean startedFirst;
 
+        /** Whether any attempt began to answer. */
+        boolean started;
+
         boolean finished;
+        /** Whether the caller lost its connection before the answer was complete. */
+        boolean broken;
+
         ResultCode refusal;
         long retryAfterMillis;
 
-        Request(long sentAtMillis, List<ForwardedCall.PromptPart> prompt) {
+        Request(
+                Stream stream,
+                String attemptId,
+                long sentAtMillis,
+                ForwardingFixture router,
+                List<ForwardedCall.PromptPart> prompt) {
+            this.stream = stream;
+            this.attemptId = attemptId;
             this.sentAtMillis = sentAtMillis;
+            this.router = router;
             this.prompt = prompt;
         }
 
@@ -91,11 +121,14 @@
 
     private static final class Engine {
         final String id;
+        final String softwareVersion;
+        boolean draining;
         boolean ended;
         OptionalDouble limit = OptionalDouble.empty();
 
-        Engine(String id) {
+        Engine(String id, String softwareVersion) {
             this.id = id;
+            this.softwareVersion = softwareVersion;
         }
     }
 
@@ -115,7 +148,7 @@
         }
         routers.forEach(this::connectToStore);
         for (int number = 0; number < engineCount; number++) {
-            startEngine();
+            startEngine(FIRST_VERSION);
         }
         routers.forEach(ForwardingFixture::start);
     }
@@ -144,13 +177,48 @@
         return routers.getFirst().now;
     }
 
-    private String startEngine() {
-        String id = "e" + ++lastEngineNumber;
-        engines.put(id, new Engine(id));
-        String domain = "domain-" + lastEngineNumber % FAILURE_DOMAINS;
-        routers.forEach(router -> router.register(
-                ForwardingFixture.entry(id, "tutors", SLOTS, Map.of(ForwardingFixture.MODEL, 1L), false, 1, domain)));
-        return id;
+    /** Starts an engine with a version of its software. */
+    void startEngine(String softwareVersion) {
+        Engine engine = new Engine("e" + ++lastEngineNumber, softwareVersion);
+        engines.put(engine.id, engine);
+        register(engine);
+    }
+
+    private void register(Engine engine) {
+        String domain = "domain-" + Integer.parseInt(engine.id.substring(1)) % FAILURE_DOMAINS;
+        routers.forEach(router -> router.register(ForwardingFixture.entry(
+                engine.id,
+                "tutors",
+                SLOTS,
+                Map.of(ForwardingFixture.MODEL, 1L),
+                engine.draining,
+                1,
+                domain,
+                engine.softwareVersion)));
+    }
+
+    /** Starts an engine with a version of its software in place of the oldest one, which drains and ends. */
+    void replaceOldestEngine(String softwareVersion) {
+        Engine oldest = engines.values().stream()
+                .filter(engine -> !engine.ended && !engine.draining)
+                .findFirst()
+                .orElseThrow();
+        startEngine(softwareVersion);
+        oldest.draining = true;
+        register(oldest);
+        after(DRAIN_MILLIS, () -> {
+            oldest.ended = true;
+            breakConnections(oldest);
+            routers.forEach(router -> router.remove("servers/" + oldest.id));
+        });
+    }
+
+    /** The number of engines of a software version that accept new requests. */
+    long activeEngines(String softwareVersion) {
+        return engines.values().stream()
+                .filter(engine -> !engine.ended && !engine.draining)
+                .filter(engine -> engine.softwareVersion.equals(softwareVersion))
+                .count();
     }
 
     /** Makes the first engines name a limit of requests a second in their answers, or none; returns their ids. */
@@ -172,14 +240,39 @@
                 .forEach(engine -> end(engine, false));
     }
 
+    /** Ends a random engine at once. */
+    void endRandomEngine() {
+        List<Engine> active = engines.values().stream()
+                .filter(engine -> !engine.ended && !engine.draining)
+                .toList();
+        end(active.get(random.nextInt(active.size())), false);
+    }
+
     /** Sends a request to a random router. */
     Request send(ForwardedCall.PromptPart... prompt) {
         return send(routers.get(random.nextInt(routers.size())), prompt);
     }
 
     private Request send(ForwardingFixture router, ForwardedCall.PromptPart... prompt) {
-        Request request = new Request(now(), List.of(prompt));
-        RequestId id = router.call("/ask/" + ++lastRequestNumber, ForwardingFixture.KEY, request.prompt);
+        return send(new Stream(), router, List.of(prompt));
+    }
+
+    /** Resumes a stream of which its caller has received events, at a random router. */
+    Request resume(Request broken) {
+        return send(broken.stream, routers.get(random.nextInt(routers.size())), broken.prompt);
+    }
+
+    private Request send(Stream stream, ForwardingFixture router, List<ForwardedCall.PromptPart> prompt) {
+        String attemptId = "a-" + ++lastRequestNumber;
+        Request request = new Request(stream, attemptId, now(), router, prompt);
+        String resumeAfterEventId = stream.firstAttemptId.isEmpty() ? "" : FIRST_EVENT;
+        RequestId id = router.call(
+                attemptId,
+                "/ask/" + lastRequestNumber,
+                ForwardingFixture.KEY,
+                prompt,
+                resumeAfterEventId,
+                stream.firstAttemptId);
         requests.put(router.self().id() + "/" + id, request);
         execute(router);
         return request;
@@ -190,6 +283,11 @@
         cutOffUntilMillis.put(router.self().id(), now() + millis);
     }
 
+    /** The time since the start of a router, in milliseconds. */
+    long uptimeMillis(ForwardingFixture router) {
+        return now() - startedAtMillis.getOrDefault(router.self().id(), Long.MIN_VALUE / 2);
+    }
+
     boolean isCutOff(ForwardingFixture router) {
         return now() < cutOffUntilMillis.getOrDefault(router.self().id(), 0L);
     }
@@ -198,6 +296,10 @@
     void restart(int index) {
         ForwardingFixture router = routers.get(index);
         openAttempts.values().removeIf(attempt -> attempt.router() == router);
+        requests.values().stream()
+                .filter(request -> request.router == router && !request.finished)
+                .forEach(request -> request.broken = true);
+        startedAtMillis.put(router.self().id(), now());
         ForwardingFixture successor = router.restarted();
         routers.set(index, successor);
         connectToStore(successor);
@@ -241,6 +343,8 @@
                 request.refusal = refuse.code();
                 request.retryAfterMillis = refuse.retryAfterMillis();
             }
+            case ForwardingOutput.AbortStream abort ->
+                requests.get(router.self().id() + "/" + abort.request()).broken = true;
             case ForwardingOutput.QueryEngineState query -> answerProbe(router, query);
             case ForwardingOutput.SendToPeer message -> deliver(router, message);
             default -> {}
@@ -272,8 +376,14 @@
             end(attempt.engine(), endsSilently);
             return;
         }
-        attempt.request().startedFirst |= attempt.request().sends == 1;
-        deliver(attempt, new AttemptEvent.Started(head(attempt.engine()), "1"));
+        Request request = attempt.request();
+        request.startedFirst |= request.sends == 1;
+        request.started = true;
+        if (request.stream.firstAttemptId.isEmpty()) {
+            request.stream.firstAttemptId = request.attemptId;
+        }
+        request.stream.softwareVersions.add(attempt.engine().softwareVersion);
+        deliver(attempt, new AttemptEvent.Started(head(attempt.engine()), FIRST_EVENT));
         after(STREAM_MILLIS, () -> finish(attempt));
     }
 
@@ -291,14 +401,18 @@
 
     private void end(Engine engine, boolean silently) {
         engine.ended = true;
-        List<Attempt> running = openAttempts.values().stream()
-                .filter(attempt -> attempt.engine() == engine)
-                .toList();
         if (!silently) {
-            running.forEach(attempt -> close(attempt, new AttemptEvent.Lost(true, true, "", "Remotely closed")));
+            breakConnections(engine);
         }
         after(ENTRY_DROPPED_MILLIS, () -> routers.forEach(router -> router.remove("servers/" + engine.id)));
-        after(RETURN_MILLIS, this::startEngine);
+        after(RETURN_MILLIS, () -> startEngine(engine.softwareVersion));
+    }
+
+    private void breakConnections(Engine engine) {
+        openAttempts.values().stream()
+                .filter(attempt -> attempt.engine() == engine)
+                .toList()
+                .forEach(attempt -> close(attempt, new AttemptEvent.Lost(true, true, "", "Remotely closed")));
     }
 
     private void close(Attempt attempt, AttemptEvent event) {
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -287,13 +287,34 @@
     }
 
     RequestId call(String path, String key, List<ForwardedCall.PromptPart> prompt) {
+        return call("a-r" + nextRequest, path, key, prompt, "", "");
+    }
+
+    /** Submits a request that may resume a stream and returns its id. */
+    RequestId call(
+            String attemptId,
+            String path,
+            String key,
+            List<ForwardedCall.PromptPart> prompt,
+            String resumeAfterEventId,
+            String resumedAttemptId) {
         RequestId request = new RequestId("r" + nextRequest++);
         long tokens =
                 prompt.stream().mapToLong(ForwardedCall.PromptPart::tokens).sum();
-        tick(new ForwardingInput.CallReceived(
-                request,
-                new ForwardedCall(
-                        "a-" + request, HOST, path, key, 10_000, MODEL, tokens, 50, prompt, "", "", path.hashCode())));
+        ForwardedCall call = new ForwardedCall(
+                attemptId,
+                HOST,
+                path,
+                key,
+                10_000,
+                MODEL,
+                tokens,
+                50,
+                prompt,
+                resumeAfterEventId,
+                resumedAttemptId,
+                path.hashCode());
+        tick(new ForwardingInput.CallReceived(request, call));
         return request;
     }
 
