--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 import org.fuchsiatrail.AttemptId;
@@ -12,7 +11,6 @@
 import org.fuchsiatrail.ResultCode;
 import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.AttemptEvent;
-import org.fuchsiatrail.forwarding.CustomerEntry;
 import org.fuchsiatrail.forwarding.Dispatch;
 import org.fuchsiatrail.forwarding.ForwardedCall;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
@@ -38,7 +36,6 @@
     private final StartupCallQueue startupQueue;
     private final CallTiming timing = new CallTiming();
     private final RetryBudgets retryBudgets;
-    private final EngineProbes probes;
     private final CrashProtection crashProtection;
     private final RequestLimits requestLimits;
     private final PeerGossip gossip;
@@ -52,7 +49,6 @@
             StoreReplica storeReplica,
             UpstreamTable upstreams,
             RetryBudgets retryBudgets,
-            EngineProbes probes,
             CrashProtection crashProtection,
             RequestLimits requestLimits,
             PeerGossip gossip) {
@@ -60,7 +56,6 @@
         this.storeReplica = storeReplica;
         this.upstreams = upstreams;
         this.retryBudgets = retryBudgets;
-        this.probes = probes;
         this.crashProtection = crashProtection;
         this.requestLimits = requestLimits;
         this.gossip = gossip;
@@ -187,27 +182,12 @@
         if (pending.attemptTimeoutAtMillis < pending.deadlineAtMillis) {
             timers.schedule(pending, pending.attemptTimeoutAtMillis);
         }
-        Dispatch dispatch = buildDispatch(pending, upstream, remainingMillis);
+        Dispatch dispatch = Dispatches.of(pending, remainingMillis);
         log.sent(pending, dispatch, remainingMillis, crashProtection.knownCrashes(pending));
         context.emit(new ForwardingOutput.Send(
                 pending.attempt, pending.request, pending.route.kind() == RequestKind.STREAM, dispatch));
     }
 
-    private Dispatch buildDispatch(PendingCall pending, UpstreamState upstream, long remainingMillis) {
-        Long version = pending.route.describesPrompt() ? upstream.weightVersions.get(pending.call.model()) : null;
-        return new Dispatch(
-                upstream.id(),
-                upstream.entry.address(),
-                remainingMillis,
-                pending.customer.map(CustomerEntry::id),
-                version == null ? OptionalLong.empty() : OptionalLong.of(version),
-                version == null ? "" : CacheSalt.of(pending.customer, version),
-                pending.route.describesPrompt() ? OptionalInt.of(EnginePriority.of(pending)) : OptionalInt.empty(),
-                pending.lastEventId,
-                pending.placement.fetchFrom(),
-                pending.placement.saveTo());
-    }
-
     /** Handles an event of an attempt. */
     void receiveAttemptEvent(AttemptId attempt, AttemptEvent event) {
         PendingCall pending = callsByAttempt.get(attempt);
@@ -354,13 +334,7 @@
             pending.excludedUpstreams.add(pending.upstream.id());
         }
         if (pending.route.describesPrompt()) {
-            long newest = pending.upstream.weightVersions.getOrDefault(pending.call.model(), 0L);
-            for (UpstreamState engine : upstreams.activeUpstreams(pending.service)) {
-                if (engine.weightVersions.getOrDefault(pending.call.model(), 0L) < newest
-                        || (!weightsReported && engine == pending.upstream)) {
-                    probes.send(engine);
-                }
-            }
+            upstreams.probeOutdated(pending.upstream, pending.call.model(), !weightsReported);
         }
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -53,8 +53,7 @@
         orderLease = new OrderLease(context, storeCalls, storeReplica);
         requestLimits = new RequestLimits(context, storeReplica);
         gossip = new PeerGossip(context, storeReplica, upstreams, crashProtection, requestLimits);
-        calls = new CallSystem(
-                context, storeReplica, upstreams, retryBudgets, probes, crashProtection, requestLimits, gossip);
+        calls = new CallSystem(context, storeReplica, upstreams, retryBudgets, crashProtection, requestLimits, gossip);
         rollout = new WeightsRollout(context, storeReplica, upstreams, orderLease, probes, gossip::scheduleUpdate);
         gossip.setRollout(rollout);
         cacheEventReader = new CacheEventReader(context, storeReplica, upstreams, gossip);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
@@ -205,6 +205,19 @@
         upstream.awaitsProbe = false;
     }
 
+    /**
+     * Probes the engines of the same service that are known with older weights, and on request the engine itself.
+     */
+    void probeOutdated(UpstreamState upstream, String model, boolean includeItself) {
+        long newest = upstream.weightVersions.getOrDefault(model, 0L);
+        for (UpstreamState engine : activeUpstreams(upstream.entry.service())) {
+            boolean outdated = engine.weightVersions.getOrDefault(model, 0L) < newest;
+            if (outdated || (includeItself && engine == upstream)) {
+                probes.send(engine);
+            }
+        }
+    }
+
     /**
      * Records a failure or timeout and starts the backoff of the upstream; an engine must also answer a probe after it.
      */
