Keep one timer for each request

A broken stream that waits for an upstream past the timeout of its lost attempt stopped the router: each due timer scheduled two others, one for the next placement and one for the outdated timeout a millisecond later, so their number doubled with every millisecond. Found as a hang by random histories of engines of several software versions, where streams wait more often. A timer that an earlier one replaced is now ignored, and a released attempt has no timeout. The test did not end within 5 s before, with 0.8 s of virtual time.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -494,6 +494,7 @@
     }
 
     private void releaseAttempt(PendingCall pending) {
+        pending.attemptTimeoutAtMillis = Long.MAX_VALUE;
         callsByAttempt.remove(pending.attempt);
         UpstreamState.InFlightAttempt released = pending.upstream.inFlight.remove(pending.attempt);
         boolean lastNonResumable =
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTimers.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTimers.java
@@ -4,7 +4,10 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 
-/** The timers of accepted requests. A request has one effective timer; later ones are scheduled when it is due. */
+/**
+ * The timers of accepted requests. A request has one effective timer, the earliest that was scheduled; when it is due,
+ * the next one has to be scheduled.
+ */
 final class CallTimers {
 
     private final ForwardingContext context;
@@ -37,8 +40,10 @@
     /** Removes and returns a request that is not finished and whose timer is due, if there is one. */
     Optional<PendingCall> pollDue() {
         while (!timers.isEmpty() && timers.peek().atMillis() <= context.now()) {
-            PendingCall pending = timers.poll().pending();
-            if (pending.state != PendingCall.State.FINISHED) {
+            Timer timer = timers.poll();
+            PendingCall pending = timer.pending();
+            boolean replaced = timer.atMillis() != pending.timerAtMillis;
+            if (pending.state != PendingCall.State.FINISHED && !replaced) {
                 pending.timerAtMillis = Long.MAX_VALUE;
                 return Optional.of(pending);
             }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
@@ -1,5 +1,6 @@
 package org.fuchsiatrail.internal.forwarding;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
 /**
  * Guards against a request that is executed twice, refused as not executed although it may have been, or left without
@@ -362,4 +364,18 @@
         fixture.advanceTime(1_000);
         assertThat(fixture.refusal(fixture.call("/read/2"))).isPresent();
     }
+
+    /** Each due timer used to add two, the number of which doubled with every millisecond. */
+    @Test
+    void should_keep_one_timer_for_a_broken_stream_that_waits_past_the_timeout_of_its_attempt() {
+        fixture.configured().register(fixture.engine("one", 1)).start();
+        RequestId request = fixture.call("/ask/1");
+        fixture.started(fixture.send(request));
+        fixture.advanceTime(900);
+        fixture.lost(fixture.send(request), true, "1");
+        assertTimeoutPreemptively(Duration.ofSeconds(5), () -> fixture.advanceTime(790));
+        assertThat(fixture.isAborted(request)).isFalse();
+        fixture.advanceTime(20);
+        assertThat(fixture.isAborted(request)).isTrue();
+    }
 }
