--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -25,6 +25,7 @@
     private final StoreWatcher storeWatcher;
     private final MemberRegistration memberRegistration;
     private final UpstreamTable upstreams;
+    private final UpstreamReachability reachability;
     private final CrashProtection crashProtection;
     private final RequestLimits requestLimits;
     private final StreamOriginLookup streamOriginLookup;
@@ -52,6 +53,7 @@
         StreamOrigins streamOrigins = new StreamOrigins(context);
         streamOriginLookup = new StreamOriginLookup(context, storeReplica, streamOrigins, softwareVersions);
         upstreams = new UpstreamTable(context, storeCalls, probes, softwareVersions);
+        reachability = new UpstreamReachability(context, upstreams);
         crashProtection = new CrashProtection(context, storeCalls, storeReplica);
         RetryBudgets retryBudgets = new RetryBudgets(context, storeReplica);
         orderLease = new OrderLease(context, storeCalls, storeReplica);
@@ -90,6 +92,7 @@
         storeWatcher.run();
         memberRegistration.run();
         upstreams.run();
+        reachability.run();
         crashProtection.run();
         requestLimits.run();
         streamOriginLookup.run();
--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamReachability.java
@@ -0,0 +1,71 @@
+package org.fuchsiatrail.internal.forwarding;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Logs when this router loses contact with all upstreams of a service, and when it regains it. */
+final class UpstreamReachability {
+
+    /** Interval between two checks, in milliseconds. */
+    private static final long CHECK_INTERVAL_MILLIS = 500;
+
+    private final ForwardingContext context;
+    private final UpstreamTable upstreams;
+    private final Map<String, Long> lostSinceMillis = new HashMap<>();
+    private long nextCheckAtMillis;
+
+    private static final class Counts {
+        private int registered;
+        private int suspected;
+        private long lastContactAtMillis = Long.MIN_VALUE / 2;
+    }
+
+    UpstreamReachability(ForwardingContext context, UpstreamTable upstreams) {
+        this.context = context;
+        this.upstreams = upstreams;
+    }
+
+    void run() {
+        if (context.now() < nextCheckAtMillis) {
+            return;
+        }
+        nextCheckAtMillis = context.now() + CHECK_INTERVAL_MILLIS;
+        Map<String, Counts> countsByService = new HashMap<>();
+        for (UpstreamState upstream : upstreams.all()) {
+            if (!upstream.entry.draining()) {
+                Counts counts = countsByService.computeIfAbsent(upstream.entry.service(), key -> new Counts());
+                counts.registered++;
+                counts.suspected += upstream.isSuspected(context.now()) ? 1 : 0;
+                counts.lastContactAtMillis = Math.max(counts.lastContactAtMillis, upstream.lastContactAtMillis);
+            }
+        }
+        lostSinceMillis.keySet().retainAll(countsByService.keySet());
+        countsByService.forEach(this::compare);
+    }
+
+    private void compare(String service, Counts counts) {
+        boolean lost = counts.suspected == counts.registered;
+        boolean knownAsLost = lostSinceMillis.containsKey(service);
+        if (lost && !knownAsLost) {
+            lostSinceMillis.put(service, context.now());
+            context.count("upstreams.contact-lost");
+            context.log(
+                    "upstreams",
+                    "Contact with all upstreams of a service lost.",
+                    "service",
+                    service,
+                    "registered",
+                    counts.registered,
+                    "millisSinceContact",
+                    Math.min(context.uptimeMillis(), context.now() - counts.lastContactAtMillis));
+        } else if (!lost && knownAsLost) {
+            context.log(
+                    "upstreams",
+                    "Contact with an upstream of a service regained.",
+                    "service",
+                    service,
+                    "lostMillis",
+                    context.now() - lostSinceMillis.remove(service));
+        }
+    }
+}
