--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -58,6 +58,7 @@
     private final Map<String, Request> requests = new HashMap<>();
     private final Map<EntryVmId, Long> cutOffUntilMillis = new HashMap<>();
     private final Map<EntryVmId, Long> startedAtMillis = new HashMap<>();
+    private final Map<EntryVmId, PathCut> pathCuts = new HashMap<>();
     private final PriorityQueue<Change> changes =
             new PriorityQueue<>(Comparator.comparingLong(Change::atMillis).thenComparingLong(Change::number));
     private final List<Arrival> arrivals = new ArrayList<>();
@@ -67,6 +68,16 @@
     private int lastRequestNumber;
     private long lastChangeNumber;
 
+    /** How the path of a router to all engines is cut. */
+    enum PathCut {
+        /** Connections, old and new, neither work nor fail. */
+        HANGS,
+        /** Connections are reset, and new ones refused. */
+        RESETS,
+        /** Old connections work, and new ones are refused. */
+        REFUSES_NEW
+    }
+
     private record Change(long atMillis, long number, Runnable action) {}
 
     /** A request that reached an engine. */
@@ -290,6 +301,25 @@
         cutOffUntilMillis.put(router.self().id(), now() + millis);
     }
 
+    /** Cuts the path of a router to all engines. */
+    void cutPaths(ForwardingFixture router, PathCut cut) {
+        pathCuts.put(router.self().id(), cut);
+        if (cut == PathCut.RESETS) {
+            openAttempts.values().stream()
+                    .filter(attempt -> attempt.router() == router)
+                    .toList()
+                    .forEach(attempt -> close(attempt, new AttemptEvent.Lost(true, true, "", "reset")));
+        }
+    }
+
+    void healPaths() {
+        pathCuts.clear();
+    }
+
+    private boolean hangs(ForwardingFixture router) {
+        return pathCuts.get(router.self().id()) == PathCut.HANGS;
+    }
+
     /** The time since the start of a router, in milliseconds. */
     long uptimeMillis(ForwardingFixture router) {
         return now() - startedAtMillis.getOrDefault(router.self().id(), Long.MIN_VALUE / 2);
@@ -364,9 +394,10 @@
         Engine engine = engines.get(send.dispatch().upstream().value());
         Attempt attempt = new Attempt(router, request, engine, send);
         openAttempts.put(send.attempt(), attempt);
-        if (engine.ended) {
+        boolean cut = pathCuts.containsKey(router.self().id());
+        if (engine.ended || cut) {
             after(
-                    endsSilently ? CONNECT_TIMEOUT_MILLIS : 0,
+                    hangs(router) || (engine.ended && endsSilently) ? CONNECT_TIMEOUT_MILLIS : 0,
                     () -> close(attempt, new AttemptEvent.Lost(false, false, "", "not connected")));
             return;
         }
@@ -375,7 +406,7 @@
     }
 
     private void start(Attempt attempt) {
-        if (!openAttempts.containsKey(attempt.send().attempt())) {
+        if (!openAttempts.containsKey(attempt.send().attempt()) || hangs(attempt.router())) {
             return;
         }
         if (attempt.request().contains(crashingPart)) {
@@ -396,7 +427,7 @@
     }
 
     private void finish(Attempt attempt) {
-        if (openAttempts.containsKey(attempt.send().attempt())) {
+        if (openAttempts.containsKey(attempt.send().attempt()) && !hangs(attempt.router())) {
             attempt.request().finished = true;
             close(attempt, new AttemptEvent.Finished());
         }
@@ -436,10 +467,11 @@
 
     private void answerProbe(ForwardingFixture router, ForwardingOutput.QueryEngineState query) {
         Engine engine = engines.get(query.engine().value());
-        OrderReply reply = engine.ended
+        boolean cut = pathCuts.containsKey(router.self().id());
+        OrderReply reply = engine.ended || cut
                 ? new OrderReply.NotConnected("not connected")
                 : new OrderReply.State(false, 0, Map.of(ForwardingFixture.MODEL, 1L));
-        long millis = engine.ended && endsSilently ? SILENT_PROBE_MILLIS : 1;
+        long millis = hangs(router) || (engine.ended && endsSilently) ? SILENT_PROBE_MILLIS : 1;
         after(millis, () -> router.tick(new ForwardingInput.OrderAnswered(query.engine(), reply)));
     }
 
