--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -39,8 +39,7 @@
     private final CrashProtection crashProtection;
     private final RequestLimits requestLimits;
     private final PeerGossip gossip;
-    private final StreamOrigins streamOrigins;
-    private final StreamOriginLookup streamOriginLookup;
+    private final StreamVersions streamVersions;
     private final Map<RequestId, PendingCall> pendingCalls = new LinkedHashMap<>();
     private final Map<AttemptId, PendingCall> callsByAttempt = new HashMap<>();
     private final CallTimers timers;
@@ -54,8 +53,7 @@
             CrashProtection crashProtection,
             RequestLimits requestLimits,
             PeerGossip gossip,
-            StreamOrigins streamOrigins,
-            StreamOriginLookup streamOriginLookup) {
+            StreamVersions streamVersions) {
         this.context = context;
         this.storeReplica = storeReplica;
         this.upstreams = upstreams;
@@ -63,10 +61,9 @@
         this.crashProtection = crashProtection;
         this.requestLimits = requestLimits;
         this.gossip = gossip;
-        this.streamOrigins = streamOrigins;
-        this.streamOriginLookup = streamOriginLookup;
+        this.streamVersions = streamVersions;
         this.timers = new CallTimers(context);
-        streamOriginLookup.onResolution(pending -> timers.schedule(pending, context.now()));
+        streamVersions.lookup().onResolution(pending -> timers.schedule(pending, context.now()));
         this.selector = new UpstreamSelector(context, storeReplica, upstreams, timing, requestLimits);
         this.intake = new CallIntake(context, storeReplica);
         this.log = new CallLog(context, storeReplica);
@@ -146,7 +143,7 @@
 
     /** Binds a resumed stream to the software version that began it; returns whether that version is known. */
     private boolean bindToOrigin(PendingCall pending) {
-        return switch (streamOriginLookup.resolve(pending)) {
+        return switch (streamVersions.lookup().resolve(pending)) {
             case StreamOriginLookup.Resolved resolved -> {
                 pending.streamVersion = Optional.of(resolved.softwareVersion());
                 resolved.service().filter(pending.route::leadsTo).ifPresent(service -> pending.service = service);
@@ -340,9 +337,11 @@
             pending.streamVersion = Optional.of(pending.attemptVersion);
         }
         if (pending.route.retryable()) {
-            streamOrigins.record(
-                    StreamOrigins.streamKey(pending.call),
-                    new StreamOrigins.Origin(pending.service, pending.streamVersion.get()));
+            streamVersions
+                    .origins()
+                    .record(
+                            StreamOrigins.streamKey(pending.call),
+                            new StreamOrigins.Origin(pending.service, pending.streamVersion.get()));
             gossip.streamStarted(pending.service);
         }
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -28,7 +28,7 @@
     private final UpstreamReachability reachability;
     private final CrashProtection crashProtection;
     private final RequestLimits requestLimits;
-    private final StreamOriginLookup streamOriginLookup;
+    private final StreamVersions streamVersions;
     private final CallSystem calls;
     private final OrderLease orderLease;
     private final WeightsRollout rollout;
@@ -49,34 +49,16 @@
         storeWatcher = new StoreWatcher(context, storeCalls, storeReplica);
         memberRegistration = new MemberRegistration(context, storeCalls);
         EngineProbes probes = new EngineProbes(context);
-        SoftwareVersions softwareVersions = new SoftwareVersions(context);
-        StreamOrigins streamOrigins = new StreamOrigins(context);
-        streamOriginLookup = new StreamOriginLookup(context, storeReplica, streamOrigins, softwareVersions);
-        upstreams = new UpstreamTable(context, storeCalls, probes, softwareVersions);
+        streamVersions = StreamVersions.create(context, storeReplica);
+        upstreams = new UpstreamTable(context, storeCalls, probes, streamVersions.software());
         reachability = new UpstreamReachability(context, upstreams);
         crashProtection = new CrashProtection(context, storeCalls, storeReplica);
         RetryBudgets retryBudgets = new RetryBudgets(context, storeReplica);
         orderLease = new OrderLease(context, storeCalls, storeReplica);
         requestLimits = new RequestLimits(context, storeReplica);
-        gossip = new PeerGossip(
-                context,
-                storeReplica,
-                upstreams,
-                crashProtection,
-                requestLimits,
-                streamOrigins,
-                streamOriginLookup,
-                softwareVersions);
+        gossip = new PeerGossip(context, storeReplica, upstreams, crashProtection, requestLimits, streamVersions);
         calls = new CallSystem(
-                context,
-                storeReplica,
-                upstreams,
-                retryBudgets,
-                crashProtection,
-                requestLimits,
-                gossip,
-                streamOrigins,
-                streamOriginLookup);
+                context, storeReplica, upstreams, retryBudgets, crashProtection, requestLimits, gossip, streamVersions);
         rollout = new WeightsRollout(context, storeReplica, upstreams, orderLease, probes, gossip::scheduleUpdate);
         gossip.setRollout(rollout);
         cacheEventReader = new CacheEventReader(context, storeReplica, upstreams, gossip);
@@ -95,7 +77,7 @@
         reachability.run();
         crashProtection.run();
         requestLimits.run();
-        streamOriginLookup.run();
+        streamVersions.lookup().run();
         calls.run();
         orderLease.run();
         rollout.run();
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
@@ -60,9 +60,7 @@
     private final CrashTracker crashes;
     private final PromptPartTracker promptParts;
     private final RequestLimits requestLimits;
-    private final StreamOrigins streamOrigins;
-    private final StreamOriginLookup streamOriginLookup;
-    private final SoftwareVersions softwareVersions;
+    private final StreamVersions streamVersions;
     private final GossipTopology topology;
     private final ItemRelay itemRelay;
     private final GossipBuffer buffer = new GossipBuffer();
@@ -82,18 +80,14 @@
             UpstreamTable upstreams,
             CrashProtection crashProtection,
             RequestLimits requestLimits,
-            StreamOrigins streamOrigins,
-            StreamOriginLookup streamOriginLookup,
-            SoftwareVersions softwareVersions) {
+            StreamVersions streamVersions) {
         this.context = context;
         this.replica = replica;
         this.upstreams = upstreams;
         this.crashes = crashProtection.tracker();
         this.promptParts = crashProtection.promptParts();
         this.requestLimits = requestLimits;
-        this.streamOrigins = streamOrigins;
-        this.streamOriginLookup = streamOriginLookup;
-        this.softwareVersions = softwareVersions;
+        this.streamVersions = streamVersions;
         this.topology = new GossipTopology(context.settings().self());
         this.itemRelay = new ItemRelay(context, replica);
     }
@@ -148,7 +142,8 @@
 
     /** Tells peers of started streams early in a full mesh while their software version is not the only one. */
     void streamStarted(String service) {
-        if (!GossipTopology.usesRelays(replica.memberCount()) && softwareVersions.isMixed(service)) {
+        if (!GossipTopology.usesRelays(replica.memberCount())
+                && streamVersions.software().isMixed(service)) {
             scheduleUpdate(STREAM_PUSH_DELAY_MILLIS);
         }
     }
@@ -178,7 +173,7 @@
         buffer.local().clearedCrashes.addAll(crashes.drainUnsentClearances());
         buffer.local().clearedParts.addAll(promptParts.drainUnsentClearances());
         buffer.local().limits.addAll(requestLimits.drainUnsent());
-        buffer.local().startedStreams.addAll(streamOrigins.drainUnsent());
+        buffer.local().startedStreams.addAll(streamVersions.origins().drainUnsent());
         for (UpstreamId engine : rollout.switchingEngines()) {
             buffer.local().switching.add(new PeerMessage.Switching(engine, SWITCHING_VALIDITY_MILLIS));
         }
@@ -247,11 +242,11 @@
             return;
         }
         if (!update.streamQueries().isEmpty()) {
-            streamOriginLookup.answer(from, update);
+            streamVersions.lookup().answer(from, update);
             return;
         }
         if (!update.streamReplies().isEmpty()) {
-            streamOriginLookup.receive(from, update);
+            streamVersions.lookup().receive(from, update);
             return;
         }
         topology.recordContact(from, context.now());
@@ -321,7 +316,7 @@
             }
         }
         for (PeerMessage.StartedStreams started : update.startedStreams()) {
-            streamOrigins.receive(started).filter(added -> isRelay).ifPresent(updates.startedStreams::add);
+            streamVersions.origins().receive(started).filter(added -> isRelay).ifPresent(updates.startedStreams::add);
         }
         for (long part : update.clearedParts()) {
             if (promptParts.clear(part) && isRelay) {
