Relay requests through another router when no upstream can be reached

Class: a decision that takes the loss of one's own way for the loss of the destination.

A router that sees several upstreams of a service fail and none answer sends the request to another router, which selects the upstream and passes its answer back; a relayed request is not relayed again. A router without a path says so at once and receives nothing until its backoff ends. Relayed attempts count neither as crashes nor as answers of an upstream, and attempts without a connection spend no retry budget, since they reach nobody.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ResultCode.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ResultCode.java
@@ -48,6 +48,13 @@
             false,
             "No upstream of the software version that began the stream is known.",
             "Ask again after Retry-After, or start the stream anew."),
+    /** This router reaches no upstream of the service, and the request was relayed to it for the same reason. */
+    WITHOUT_PATH(
+            2008,
+            503,
+            false,
+            "This router reaches no upstream of the service.",
+            "Ask another router, or again after Retry-After."),
     /** A call with the same idempotency key is running. */
     STILL_RUNNING(
             3001, 409, true, "A call with this key is running.", "Ask again with the same key after Retry-After."),
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AttemptEvent.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AttemptEvent.java
@@ -17,6 +17,7 @@
      * @param weightsVersion the version of the weights that generate the answer, when reported
      * @param requestLimit the requests a second that the upstream accepts from all routers together, when it names a
      *     limit
+     * @param withoutPath whether the request was relayed to a router that reaches no upstream either
      */
     record Head(
             int status,
@@ -24,7 +25,8 @@
             boolean notExecuted,
             Optional<UpstreamLoad> load,
             OptionalLong weightsVersion,
-            OptionalDouble requestLimit) {}
+            OptionalDouble requestLimit,
+            boolean withoutPath) {}
 
     /**
      * A complete answer was received; nothing of it was forwarded yet.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/Dispatch.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/Dispatch.java
@@ -18,6 +18,8 @@
  * @param cacheSalt the salt that separates cached prompt parts that must not be shared, or an empty string
  * @param priority the priority, from 0 (most urgent) to 9
  * @param resumeAfterEventId the id of the last event that the caller received, or an empty string
+ * @param resumedAttemptId the caller's attempt that brought the first event of the stream to resume, or an empty string
+ * @param toRouter whether the request goes to another router, which selects the upstream
  * @param fetchFrom the address of an engine or KV cache store to fetch cached prompt parts from
  * @param saveTo the address of the KV cache store to which the engine should save cached prompt parts
  */
@@ -30,5 +32,7 @@
         String cacheSalt,
         OptionalInt priority,
         String resumeAfterEventId,
+        String resumedAttemptId,
+        boolean toRouter,
         Optional<String> fetchFrom,
         Optional<String> saveTo) {}
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardedCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardedCall.java
@@ -17,6 +17,7 @@
  * @param resumeAfterEventId the id of the last event that the caller received, or an empty string
  * @param resumedAttemptId the caller's id of the attempt that brought the first event of the stream to resume, or an
  *     empty string
+ * @param relayed whether another router relayed the request because it reaches no upstream
  * @param fingerprint a hash of the method, the path with its query, and the body
  */
 public record ForwardedCall(
@@ -31,6 +32,7 @@
         List<PromptPart> prompt,
         String resumeAfterEventId,
         String resumedAttemptId,
+        boolean relayed,
         long fingerprint) {
 
     /**
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingSettings.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingSettings.java
@@ -8,6 +8,7 @@
 public final class ForwardingSettings {
 
     private final EntryVm self;
+    private final String callerAddress;
     private final long seed;
     private final double retryRatio;
     private final double retryReserve;
@@ -17,6 +18,7 @@
 
     private ForwardingSettings(Builder builder) {
         self = Objects.requireNonNull(builder.self, "self");
+        callerAddress = builder.callerAddress;
         seed = builder.seed;
         retryRatio = builder.retryRatio;
         retryReserve = builder.retryReserve;
@@ -43,6 +45,15 @@
         return self;
     }
 
+    /**
+     * Returns where this router accepts requests.
+     *
+     * @return an IP address and port, or an empty string if other routers must not relay requests to it
+     */
+    public String callerAddress() {
+        return callerAddress;
+    }
+
     /**
      * Returns the seed of all random choices.
      *
@@ -100,6 +111,7 @@
     /** Builds settings. */
     public static final class Builder {
         private EntryVm self;
+        private String callerAddress = "";
         private long seed = 1;
         private double retryRatio = 0.2;
         private double retryReserve = 50;
@@ -120,6 +132,17 @@
             return this;
         }
 
+        /**
+         * Sets where this router accepts requests, so that other routers can relay theirs.
+         *
+         * @param value an IP address and port
+         * @return this builder
+         */
+        public Builder callerAddress(String value) {
+            callerAddress = value;
+            return this;
+        }
+
         /**
          * Sets the seed of all random choices.
          *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/StoreCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/StoreCall.java
@@ -52,9 +52,10 @@
      * Registers a router under a lease.
      *
      * @param vm the router
+     * @param callerAddress the IP address and port at which it accepts requests
      * @param lease the lease; the store removes the entry when it ends
      */
-    record AnnounceMember(EntryVm vm, long lease) implements StoreCall {}
+    record AnnounceMember(EntryVm vm, String callerAddress, long lease) implements StoreCall {}
 
     /**
      * Acquires the order lease if no router holds it.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/StoreItemContent.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/StoreItemContent.java
@@ -34,8 +34,19 @@
      * The registration of a router.
      *
      * @param vm the router
+     * @param callerAddress the IP address and port at which it accepts requests, or an empty string
      */
-    record Member(EntryVm vm) implements StoreItemContent {}
+    record Member(EntryVm vm, String callerAddress) implements StoreItemContent {
+
+        /**
+         * Creates the registration of a router that accepts no relayed requests.
+         *
+         * @param vm the router
+         */
+        public Member(EntryVm vm) {
+            this(vm, "");
+        }
+    }
 
     /**
      * The holder entry of the order lease.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -27,6 +27,8 @@
     /** The loss of an attempt that is given up; whether its request was sent is not known. */
     private static final AttemptEvent.Lost NO_PROGRESS = new AttemptEvent.Lost(true, true, "", "no progress");
 
+    private static final int FIRST_ERROR_STATUS = 400;
+
     private final ForwardingContext context;
     private final StoreReplica storeReplica;
     private final UpstreamTable upstreams;
@@ -40,6 +42,8 @@
     private final RequestLimits requestLimits;
     private final PeerGossip gossip;
     private final StreamVersions streamVersions;
+    private final RelayRouters relayRouters;
+    private final AnswerHeads answerHeads;
     private final Map<RequestId, PendingCall> pendingCalls = new LinkedHashMap<>();
     private final Map<AttemptId, PendingCall> callsByAttempt = new HashMap<>();
     private final CallTimers timers;
@@ -62,6 +66,8 @@
         this.requestLimits = requestLimits;
         this.gossip = gossip;
         this.streamVersions = streamVersions;
+        this.relayRouters = new RelayRouters(context, storeReplica);
+        this.answerHeads = new AnswerHeads(context, requestLimits);
         this.timers = new CallTimers(context);
         streamVersions.lookup().onResolution(pending -> timers.schedule(pending, context.now()));
         this.selector = new UpstreamSelector(context, storeReplica, upstreams, timing, requestLimits);
@@ -103,9 +109,6 @@
             handleDeadline(pending);
             return;
         }
-        if (pending.call.resumesStream() && pending.streamVersion.isEmpty() && !bindToOrigin(pending)) {
-            return;
-        }
         Optional<CrashProtection.Quarantine> quarantine = crashProtection.quarantine(pending);
         if (quarantine.isPresent()) {
             refuseOrAbort(
@@ -115,21 +118,21 @@
                     quarantine.get().reason());
             return;
         }
+        if (relayIfCutOff(pending, remainingMillis) || (pending.needsOrigin() && !bindToOrigin(pending))) {
+            return;
+        }
         Optional<UpstreamPlacement.Placement> placement = selector.select(pending);
         if (placement.isEmpty()) {
             waitOrRefuse(pending);
             return;
         }
-        boolean firstAttempt = pending.sends == 0;
+        boolean firstAttempt = pending.sends == pending.unsentAttempts;
         if (firstAttempt
                 && placement.get().predictedMillis() > timing.maximumPredictedMillis(pending, remainingMillis)) {
-            long advisedRetryMillis =
-                    timing.overloadRetryMillis(pending.route, placement.get().predictedMillis());
+            double predictedMillis = placement.get().predictedMillis();
+            long advisedRetryMillis = timing.overloadRetryMillis(pending.route, predictedMillis);
             refuseOrAbort(
-                    pending,
-                    ResultCode.OVERLOADED,
-                    advisedRetryMillis,
-                    "predicted " + Math.round(placement.get().predictedMillis()));
+                    pending, ResultCode.OVERLOADED, advisedRetryMillis, "predicted " + Math.round(predictedMillis));
             return;
         }
         if (!firstAttempt && !retryBudgets.tryRetry(pending.service)) {
@@ -138,9 +141,34 @@
                     pending, ResultCode.NO_UPSTREAM, CallTiming.EXHAUSTED_BUDGET_RETRY_MILLIS, "retry budget is spent");
             return;
         }
+        pending.relayed = false;
         send(pending, placement.get(), remainingMillis);
     }
 
+    /**
+     * Relays a request through another router, or refuses a relayed one, if this router reaches no upstream; returns
+     * whether it did.
+     */
+    private boolean relayIfCutOff(PendingCall pending, long remainingMillis) {
+        boolean cutOff = selector.isCutOff(pending) || pending.unsentAttempts >= CallTiming.UNSENT_BEFORE_RELAY;
+        if (!cutOff || pending.relayRefusals >= CallTiming.MAXIMUM_RELAY_REFUSALS) {
+            return false;
+        }
+        if (pending.call.relayed()) {
+            refuseOrAbort(
+                    pending, ResultCode.WITHOUT_PATH, CallTiming.NO_UPSTREAM_RETRY_MILLIS, "no upstream is reachable");
+            return true;
+        }
+        Optional<UpstreamState> router = relayRouters.select(pending);
+        if (router.isEmpty() || (pending.mayHaveRun() && !retryBudgets.tryRetry(pending.service))) {
+            return false;
+        }
+        context.count("attempts.relayed");
+        pending.relayed = true;
+        send(pending, UpstreamPlacement.onRouter(router.get()), remainingMillis);
+        return true;
+    }
+
     /** Binds a resumed stream to the software version that began it; returns whether that version is known. */
     private boolean bindToOrigin(PendingCall pending) {
         return switch (streamVersions.lookup().resolve(pending)) {
@@ -208,19 +236,11 @@
         pending.attempt = new AttemptId(context.settings().self().id() + "-" + nextAttemptNumber++);
         pending.attemptTimeoutAtMillis =
                 pending.mayRetry() && pending.possibleExecutions + 1 < pending.route.maximumAttempts()
-                        ? context.now() + timing.attemptTimeoutMillis(pending.route, placement.predictedMillis())
+                        ? context.now() + timing.attemptTimeoutMillis(pending)
                         : Long.MAX_VALUE;
         callsByAttempt.put(pending.attempt, pending);
         requestLimits.recordSend(upstream);
-        upstream.inFlight.put(
-                pending.attempt,
-                new UpstreamState.InFlightAttempt(
-                        context.now(),
-                        !pending.route.retryable() || pending.possibleExecutions + 1 >= pending.route.maximumAttempts(),
-                        UpstreamPlacement.isShort(pending.call.inputTokens()),
-                        placement.uncachedTokens(),
-                        placement.predictedMillis(),
-                        placement.newMemoryTokens() + pending.call.maximumOutputTokens()));
+        upstream.inFlight.put(pending.attempt, new UpstreamState.InFlightAttempt(pending, context.now()));
         if (pending.attemptTimeoutAtMillis < pending.deadlineAtMillis) {
             timers.schedule(pending, pending.attemptTimeoutAtMillis);
         }
@@ -240,6 +260,9 @@
         }
         pending.upstream.recordContact(context.now());
         crashProtection.recordEvent(pending, event);
+        if (!(event instanceof AttemptEvent.Lost)) {
+            pending.upstream.lastAnswerAtMillis = context.now();
+        }
         switch (event) {
             case AttemptEvent.Answered answered -> handleAnswer(pending, answered.head());
             case AttemptEvent.Started started -> handleStreamStart(pending, started);
@@ -253,22 +276,12 @@
         }
     }
 
-    private void recordHead(PendingCall pending, AttemptEvent.Head head) {
-        head.load().ifPresent(load -> {
-            pending.upstream.load = load;
-            pending.upstream.loadAtMillis = context.now();
-        });
-        if (pending.route.describesPrompt() && head.weightsVersion().isPresent()) {
-            pending.upstream.recordWeightVersion(
-                    pending.call.model(), head.weightsVersion().getAsLong());
-        }
-        if (head.status() != CallTiming.MISDIRECTED_STATUS) {
-            requestLimits.observe(pending.upstream, head.requestLimit());
-        }
-    }
-
     private void handleAnswer(PendingCall pending, AttemptEvent.Head head) {
-        recordHead(pending, head);
+        answerHeads.record(pending, head);
+        if (pending.relayed && !head.verified()) {
+            handleRefusalOfRouter(pending, head);
+            return;
+        }
         if (head.notExecuted()) {
             handleNotExecuted(pending, head);
             return;
@@ -302,8 +315,27 @@
         finish(pending, "Answer delivered.", head.status());
     }
 
+    /** Tries another way if the router to which a request was relayed has no path either; else delivers its refusal. */
+    private void handleRefusalOfRouter(PendingCall pending, AttemptEvent.Head head) {
+        if (head.withoutPath()) {
+            releaseAttempt(pending);
+            upstreams.recordFailure(pending.upstream, "the router reaches no upstream");
+            pending.excludedUpstreams.add(pending.upstream.id());
+            context.emit(new ForwardingOutput.Cancel(pending.attempt));
+            pending.relayRefusals++;
+            pending.sends--;
+            place(pending);
+        } else if (head.status() < FIRST_ERROR_STATUS) {
+            handleLoss(pending, new AttemptEvent.Lost(true, true, "", "relayed answer lacks a valid signature"));
+        } else {
+            upstreams.recordSuccess(pending.upstream);
+            context.emit(new ForwardingOutput.Deliver(pending.request, pending.attempt));
+            finish(pending, "Refusal of another router delivered.", head.status());
+        }
+    }
+
     private void handleStreamStart(PendingCall pending, AttemptEvent.Started started) {
-        recordHead(pending, started.head());
+        answerHeads.record(pending, started.head());
         if (!started.head().verified()) {
             handleLoss(
                     pending,
@@ -333,6 +365,9 @@
     }
 
     private void recordOrigin(PendingCall pending) {
+        if (pending.relayed) {
+            return;
+        }
         if (pending.streamVersion.isEmpty()) {
             pending.streamVersion = Optional.of(pending.attemptVersion);
         }
@@ -407,8 +442,9 @@
         context.emit(new ForwardingOutput.Cancel(pending.attempt));
         if (lost.sent()) {
             pending.possibleExecutions++;
-            recordUnanswered(pending, lost);
+            crashProtection.recordUnanswered(pending, lost == NO_PROGRESS);
         } else {
+            pending.unsentAttempts++;
             crashProtection.recordEnded(pending.incarnation);
         }
         if (!lost.lastEventId().isEmpty()) {
@@ -417,14 +453,6 @@
         retryAfterLoss(pending, lost.sent(), delivering);
     }
 
-    private void recordUnanswered(PendingCall pending, AttemptEvent.Lost lost) {
-        if (lost == NO_PROGRESS) {
-            crashProtection.recordGivenUp(pending);
-        } else {
-            crashProtection.recordLost(pending);
-        }
-    }
-
     private void retryAfterLoss(PendingCall pending, boolean possiblyExecuted, boolean delivering) {
         boolean retry = (!possiblyExecuted || pending.mayRetry()) && pending.sends < CallTiming.MAXIMUM_SENDS;
         if (retry && !delivering) {
@@ -460,9 +488,6 @@
             releaseAttempt(pending);
             context.emit(new ForwardingOutput.Cancel(pending.attempt));
         }
-        if (keepAttempt) {
-            pending.attemptTimeoutAtMillis = Long.MAX_VALUE;
-        }
         finish(pending, "Caller disconnected before the answer was complete.", 0);
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTiming.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTiming.java
@@ -24,6 +24,15 @@
     /** Retry time when a stream cannot go on, in milliseconds; an upstream that ended is back after some seconds. */
     static final long NOT_RESUMABLE_RETRY_MILLIS = 1_000;
 
+    /** After how many attempts without a connection a request is relayed to another router. */
+    static final int UNSENT_BEFORE_RELAY = 2;
+
+    /** The most routers without a path to which a request is relayed before this router tries its own paths again. */
+    static final int MAXIMUM_RELAY_REFUSALS = 3;
+
+    /** How long a relayed attempt may show no progress, as a multiple of the latency target. */
+    private static final long RELAY_TIMEOUT_FACTOR = 2;
+
     /** Retry time when the retry budget is exhausted, in milliseconds. */
     static final long EXHAUSTED_BUDGET_RETRY_MILLIS = 500;
 
@@ -159,10 +168,15 @@
         return Math.clamp(millisUntilPermitted, MINIMUM_OVERLOAD_RETRY_MILLIS, MAXIMUM_OVERLOAD_RETRY_MILLIS);
     }
 
-    /** Returns the time after which a retryable attempt that shows no progress is abandoned. */
-    long attemptTimeoutMillis(Route route, double predictedMillis) {
+    /** Returns the time after which the current attempt, if it may be retried, is abandoned without progress. */
+    long attemptTimeoutMillis(PendingCall pending) {
+        Route route = pending.route;
+        if (pending.relayed) {
+            return route.latencyTargetMillis() * RELAY_TIMEOUT_FACTOR;
+        }
         return route.kind() == RequestKind.STREAM
-                ? Math.round(predictedMillis + route.latencyTargetMillis() * FIRST_EVENT_SLACK_FRACTION)
+                ? Math.round(
+                        pending.placement.predictedMillis() + route.latencyTargetMillis() * FIRST_EVENT_SLACK_FRACTION)
                 : Math.round(route.latencyTargetMillis() * CALL_TIMEOUT_FRACTION);
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashProtection.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashProtection.java
@@ -77,7 +77,7 @@
 
     /** Records an event of the current attempt of a request. */
     void recordEvent(PendingCall pending, AttemptEvent event) {
-        if (comesFromExpectedUpstream(event)) {
+        if (!pending.relayed && comesFromExpectedUpstream(event)) {
             detector.recordAnswer(pending.incarnation);
         }
     }
@@ -93,13 +93,27 @@
         };
     }
 
-    /** Records that the current attempt of a request was sent and lost without an answer. */
-    void recordLost(PendingCall pending) {
+    /** Records that the current attempt of a request ended without an answer, by a loss or because it was given up. */
+    void recordUnanswered(PendingCall pending, boolean givenUp) {
+        if (givenUp) {
+            recordGivenUp(pending);
+        } else {
+            recordLost(pending);
+        }
+    }
+
+    private void recordLost(PendingCall pending) {
+        if (pending.relayed) {
+            return;
+        }
         detector.recordLost(pending.attempt, possibleCrash(pending));
     }
 
     /** Records that the current attempt of a request was given up without an answer. */
     void recordGivenUp(PendingCall pending) {
+        if (pending.relayed) {
+            return;
+        }
         detector.recordGivenUp(pending.attempt, possibleCrash(pending));
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/Dispatches.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/Dispatches.java
@@ -23,7 +23,15 @@
                 version == null ? "" : CacheSalt.of(pending.customer, version),
                 pending.route.describesPrompt() ? OptionalInt.of(EnginePriority.of(pending)) : OptionalInt.empty(),
                 pending.lastEventId,
+                resumedAttemptId(pending),
+                pending.relayed,
                 pending.placement.fetchFrom(),
                 pending.placement.saveTo());
     }
+
+    /** A stream that the router itself resumes began with the caller's current attempt. */
+    private static String resumedAttemptId(PendingCall pending) {
+        boolean begunByThisAttempt = pending.call.resumedAttemptId().isEmpty() && !pending.lastEventId.isEmpty();
+        return begunByThisAttempt ? pending.call.callerAttemptId() : pending.call.resumedAttemptId();
+    }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/MemberRegistration.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/MemberRegistration.java
@@ -42,7 +42,8 @@
             store.call(new StoreCall.GrantLease(LEASE_DURATION_MILLIS), CALL_TIMEOUT_MILLIS, this::onLeaseGranted);
         } else if (!registered) {
             store.call(
-                    new StoreCall.AnnounceMember(context.settings().self(), leaseId),
+                    new StoreCall.AnnounceMember(
+                            context.settings().self(), context.settings().callerAddress(), leaseId),
                     CALL_TIMEOUT_MILLIS,
                     this::onRegistered);
         } else {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
@@ -62,6 +62,12 @@
     int possibleExecutions;
 
     String lastEventId;
+    /** Whether the current attempt goes to another router. */
+    boolean relayed;
+    /** Routers that refused the request because they reach no upstream either. */
+    int relayRefusals;
+    /** Attempts that could not be sent because no connection was established. */
+    int unsentAttempts;
     /** The software version of the upstream of the current attempt. */
     String attemptVersion;
     /** The software version that began the stream; only upstreams of this version may continue it. */
@@ -97,6 +103,11 @@
         return call.fingerprint() ^ Hashing.xxh3_64().hashCharsToLong(owner);
     }
 
+    /** Whether the stream goes on after events that an upstream of unknown software version sent. */
+    boolean needsOrigin() {
+        return streamVersion.isEmpty() && (call.resumesStream() || !lastEventId.isEmpty());
+    }
+
     boolean mayHaveRun() {
         return possibleExecutions > 0;
     }
--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/RelayRouters.java
@@ -0,0 +1,75 @@
+package org.fuchsiatrail.internal.forwarding;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.fuchsiatrail.EntryVmId;
+import org.fuchsiatrail.UpstreamId;
+import org.fuchsiatrail.forwarding.StoreItemContent;
+import org.fuchsiatrail.forwarding.UpstreamEntry;
+
+/**
+ * Selects another router for a request that this router cannot send to any upstream itself.
+ *
+ * <p>Load pattern: the paths of some routers to all upstreams are cut, while callers and the other routers still reach
+ * them. A router that reaches no upstream either says so, and receives nothing until its backoff ends, so that requests
+ * find the routers with paths after a few attempts.
+ */
+final class RelayRouters {
+
+    private final ForwardingContext context;
+    private final StoreReplica replica;
+    private final Map<EntryVmId, UpstreamState> routers = new HashMap<>();
+
+    RelayRouters(ForwardingContext context, StoreReplica replica) {
+        this.context = context;
+        this.replica = replica;
+    }
+
+    /** Selects a usable router that was not tried yet, with the fewest relayed requests and at random among these. */
+    Optional<UpstreamState> select(PendingCall pending) {
+        List<StoreItemContent.Member> members = replica.members().stream()
+                .filter(member -> !member.callerAddress().isEmpty())
+                .filter(member ->
+                        !member.vm().id().equals(context.settings().self().id()))
+                .toList();
+        Set<EntryVmId> known = members.stream().map(member -> member.vm().id()).collect(Collectors.toSet());
+        routers.entrySet()
+                .removeIf(router -> !known.contains(router.getKey())
+                        && router.getValue().inFlight.isEmpty());
+        UpstreamState best = null;
+        double bestCost = Double.MAX_VALUE;
+        for (StoreItemContent.Member member : members) {
+            UpstreamState router = state(member);
+            double cost = router.inFlight.size() + context.random().nextDouble();
+            boolean usable = !router.isSuspected(context.now()) && !pending.excludedUpstreams.contains(router.id());
+            if (usable && cost < bestCost) {
+                best = router;
+                bestCost = cost;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private UpstreamState state(StoreItemContent.Member member) {
+        UpstreamState router = routers.get(member.vm().id());
+        if (router == null || !router.entry.address().equals(member.callerAddress())) {
+            router = new UpstreamState(new UpstreamEntry(
+                    new UpstreamId("router/" + member.vm().id()),
+                    0,
+                    "",
+                    member.callerAddress(),
+                    member.vm().failureDomain(),
+                    1,
+                    false,
+                    "",
+                    Map.of()));
+            routers.put(member.vm().id(), router);
+        }
+        return router;
+    }
+}
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
@@ -112,6 +112,11 @@
             Optional<String> fetchFrom,
             Optional<String> saveTo) {}
 
+    /** The placement on another router, which selects the upstream itself. */
+    static Placement onRouter(UpstreamState router) {
+        return new Placement(router, new PromptChain(List.of()), 0, 0, 0, 0, Optional.empty(), Optional.empty());
+    }
+
     /**
      * Inputs of a placement in addition to the upstreams.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
@@ -46,6 +46,10 @@
     /** The end of its backoff, in which it receives no new requests after a failure or a timeout. */
     long suspectUntilMillis = Long.MIN_VALUE;
 
+    /** When the upstream last answered a request or probe of this router, and when an attempt last failed. */
+    long lastAnswerAtMillis = Long.MIN_VALUE / 2;
+
+    long lastFailureAtMillis = Long.MIN_VALUE / 2;
     long lastContactAtMillis = Long.MIN_VALUE;
     int consecutiveFailures;
     /** The fraction of failures among its latest outcomes, 0 to 1. */
@@ -76,19 +80,15 @@
 
         long promptTokens;
 
-        InFlightAttempt(
-                long sentAtMillis,
-                boolean nonResumable,
-                boolean shortPrompt,
-                long promptTokens,
-                double predictedMillis,
-                long memoryTokens) {
-            this.sentAtMillis = sentAtMillis;
-            this.nonResumable = nonResumable;
-            this.shortPrompt = shortPrompt;
-            this.promptTokens = promptTokens;
-            this.predictedMillis = predictedMillis;
-            this.memoryTokens = memoryTokens;
+        InFlightAttempt(PendingCall pending, long nowMillis) {
+            UpstreamPlacement.Placement placement = pending.placement;
+            sentAtMillis = nowMillis;
+            nonResumable =
+                    !pending.route.retryable() || pending.possibleExecutions + 1 >= pending.route.maximumAttempts();
+            shortPrompt = UpstreamPlacement.isShort(pending.call.inputTokens());
+            promptTokens = placement.uncachedTokens();
+            predictedMillis = placement.predictedMillis();
+            memoryTokens = placement.newMemoryTokens() + pending.call.maximumOutputTokens();
         }
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
@@ -213,6 +213,7 @@
 
     /** Allows new requests to an engine that answered a probe. */
     void probeAnswered(UpstreamState upstream) {
+        upstream.lastAnswerAtMillis = context.now();
         upstream.awaitsProbe = false;
     }
 
@@ -234,6 +235,7 @@
      */
     void recordFailure(UpstreamState upstream, String reason) {
         upstream.recordOutcome(true);
+        upstream.lastFailureAtMillis = context.now();
         upstream.consecutiveFailures++;
         long backoffMillis = INITIAL_BACKOFF_MILLIS << Math.min(upstream.consecutiveFailures - 1, 8);
         upstream.suspectUntilMillis = context.now() + Math.min(backoffMillis, MAXIMUM_BACKOFF_MILLIS);
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
@@ -171,7 +171,7 @@
         fixture.deliverEvent(
                 fixture.send(request),
                 new AttemptEvent.Answered(new AttemptEvent.Head(
-                        421, false, true, Optional.empty(), OptionalLong.of(2), OptionalDouble.empty())));
+                        421, false, true, Optional.empty(), OptionalLong.of(2), OptionalDouble.empty(), false)));
         assertThat(fixture.sends(request)).hasSize(2);
         assertThat(fixture.send(request).dispatch().weightsVersion()).hasValue(2);
     }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -13,6 +13,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 import org.fuchsiatrail.AttemptId;
@@ -56,6 +57,9 @@
     private final Map<String, Engine> engines = new LinkedHashMap<>();
     private final Map<AttemptId, Attempt> openAttempts = new LinkedHashMap<>();
     private final Map<String, Request> requests = new HashMap<>();
+    /** The attempts of other routers that a router answers, by its id and its id of the request. */
+    private final Map<String, Attempt> relayedAttempts = new HashMap<>();
+
     private final Map<EntryVmId, Long> cutOffUntilMillis = new HashMap<>();
     private final Map<EntryVmId, Long> startedAtMillis = new HashMap<>();
     private final Map<EntryVmId, PathCut> pathCuts = new HashMap<>();
@@ -153,7 +157,8 @@
             routers.add(new ForwardingFixture("vm-" + number, "domain-" + number % FAILURE_DOMAINS));
         }
         List<StoreItemContent.Member> members = routers.stream()
-                .map(router -> new StoreItemContent.Member(router.self()))
+                .map(router -> new StoreItemContent.Member(
+                        router.self(), "10.0.0.1:" + router.self().id().value().substring(3)))
                 .toList();
         for (ForwardingFixture router : routers) {
             router.configured();
@@ -373,21 +378,86 @@
 
     private void execute(ForwardingFixture router, ForwardingOutput output) {
         switch (output) {
-            case ForwardingOutput.Send send -> receive(router, send);
+            case ForwardingOutput.Send send -> {
+                if (send.dispatch().toRouter()) {
+                    relay(router, send);
+                } else {
+                    receive(router, send);
+                }
+            }
+            case ForwardingOutput.Deliver deliver -> answerRelayed(router, deliver.request(), this::startRelayed);
             case ForwardingOutput.Cancel cancel -> openAttempts.remove(cancel.attempt());
-            case ForwardingOutput.Refuse refuse -> {
-                Request request = requests.get(router.self().id() + "/" + refuse.request());
-                request.refusal = refuse.code();
-                request.retryAfterMillis = refuse.retryAfterMillis();
+            case ForwardingOutput.Refuse refuse -> refuse(router, refuse);
+            case ForwardingOutput.AbortStream abort -> {
+                Attempt relayed = relayedAttempts.get(router.self().id() + "/" + abort.request());
+                if (relayed == null) {
+                    requests.get(router.self().id() + "/" + abort.request()).broken = true;
+                } else {
+                    close(relayed, new AttemptEvent.Lost(true, true, "", "Remotely closed"));
+                }
             }
-            case ForwardingOutput.AbortStream abort ->
-                requests.get(router.self().id() + "/" + abort.request()).broken = true;
             case ForwardingOutput.QueryEngineState query -> answerProbe(router, query);
             case ForwardingOutput.SendToPeer message -> deliver(router, message);
             default -> {}
         }
     }
 
+    /** Sends a request on to another router, whose answer comes back as that of the attempt. */
+    private void relay(ForwardingFixture router, ForwardingOutput.Send send) {
+        Request request = requests.get(router.self().id() + "/" + send.request());
+        request.sends++;
+        Attempt attempt = new Attempt(router, request, null, send);
+        openAttempts.put(send.attempt(), attempt);
+        after(
+                1,
+                () -> routers.stream()
+                        .filter(other -> ("router/" + other.self().id())
+                                .equals(send.dispatch().upstream().value()))
+                        .findFirst()
+                        .ifPresent(other -> {
+                            other.now = Math.max(other.now, now());
+                            RequestId id = other.relay(router.calls.get(send.request()), send.dispatch());
+                            requests.put(other.self().id() + "/" + id, request);
+                            relayedAttempts.put(other.self().id() + "/" + id, attempt);
+                            execute(other);
+                        }));
+    }
+
+    private void refuse(ForwardingFixture router, ForwardingOutput.Refuse refuse) {
+        Attempt relayed = relayedAttempts.get(router.self().id() + "/" + refuse.request());
+        if (relayed == null) {
+            Request request = requests.get(router.self().id() + "/" + refuse.request());
+            request.refusal = refuse.code();
+            request.retryAfterMillis = refuse.retryAfterMillis();
+        } else {
+            refuseRelayed(relayed, refuse.code());
+        }
+    }
+
+    private void answerRelayed(ForwardingFixture router, RequestId request, Consumer<Attempt> answer) {
+        Attempt relayed = relayedAttempts.get(router.self().id() + "/" + request);
+        if (relayed != null && openAttempts.containsKey(relayed.send().attempt())) {
+            answer.accept(relayed);
+        }
+    }
+
+    private void startRelayed(Attempt relayed) {
+        deliver(relayed, new AttemptEvent.Started(ForwardingFixture.head(200, true, false), FIRST_EVENT));
+    }
+
+    private void refuseRelayed(Attempt relayed, ResultCode code) {
+        close(
+                relayed,
+                new AttemptEvent.Answered(new AttemptEvent.Head(
+                        code.httpStatus(),
+                        false,
+                        false,
+                        Optional.empty(),
+                        OptionalLong.empty(),
+                        OptionalDouble.empty(),
+                        code == ResultCode.WITHOUT_PATH)));
+    }
+
     private void receive(ForwardingFixture router, ForwardingOutput.Send send) {
         Request request = requests.get(router.self().id() + "/" + send.request());
         request.sends++;
@@ -430,12 +500,20 @@
         if (openAttempts.containsKey(attempt.send().attempt()) && !hangs(attempt.router())) {
             attempt.request().finished = true;
             close(attempt, new AttemptEvent.Finished());
+            answerRelayed(
+                    attempt.router(), attempt.send().request(), relayed -> close(relayed, new AttemptEvent.Finished()));
         }
     }
 
     private static AttemptEvent.Head head(Engine engine) {
         return new AttemptEvent.Head(
-                200, true, false, Optional.of(new UpstreamLoad(1, 0, SLOTS)), OptionalLong.empty(), engine.limit);
+                200,
+                true,
+                false,
+                Optional.of(new UpstreamLoad(1, 0, SLOTS)),
+                OptionalLong.empty(),
+                engine.limit,
+                false);
     }
 
     private void end(Engine engine, boolean silently) {
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -1,6 +1,7 @@
 package org.fuchsiatrail.internal.forwarding;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -20,6 +21,7 @@
 import org.fuchsiatrail.forwarding.AttemptEvent;
 import org.fuchsiatrail.forwarding.CallerLimits;
 import org.fuchsiatrail.forwarding.CustomerEntry;
+import org.fuchsiatrail.forwarding.Dispatch;
 import org.fuchsiatrail.forwarding.ForwardedCall;
 import org.fuchsiatrail.forwarding.ForwardingInput;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
@@ -48,6 +50,9 @@
     final DefaultForwardingCore core;
     final List<ForwardingOutput> outputs = new ArrayList<>();
     final List<StoreItem> items = new ArrayList<>();
+    /** The requests of callers by their ids. */
+    final Map<RequestId, ForwardedCall> calls = new HashMap<>();
+
     boolean storeAnswers = true;
     boolean orderLeaseTaken = true;
     Consumer<StoreCall.PublishQuarantine> quarantineListener = this::putQuarantine;
@@ -313,11 +318,34 @@
                 prompt,
                 resumeAfterEventId,
                 resumedAttemptId,
+                false,
                 path.hashCode());
+        calls.put(request, call);
         tick(new ForwardingInput.CallReceived(request, call));
         return request;
     }
 
+    /** Submits a request that another router relays; the dispatch tells what of its stream the caller has. */
+    RequestId relay(ForwardedCall call, Dispatch dispatch) {
+        RequestId request = new RequestId("r" + nextRequest++);
+        ForwardedCall relayed = new ForwardedCall(
+                call.callerAttemptId(),
+                call.host(),
+                call.path(),
+                call.apiKey(),
+                dispatch.remainingMillis(),
+                call.model(),
+                call.inputTokens(),
+                call.maximumOutputTokens(),
+                call.prompt(),
+                dispatch.resumeAfterEventId(),
+                dispatch.resumedAttemptId(),
+                true,
+                call.fingerprint());
+        tick(new ForwardingInput.CallReceived(request, relayed));
+        return request;
+    }
+
     /** Returns the fingerprint of a request of the customer with the first key. */
     static long fingerprint(String path) {
         return path.hashCode() ^ Hashing.xxh3_64().hashCharsToLong("huaman");
@@ -401,6 +429,7 @@
                 notExecuted,
                 Optional.of(new UpstreamLoad(1, 0, 6)),
                 OptionalLong.empty(),
-                OptionalDouble.empty());
+                OptionalDouble.empty(),
+                false);
     }
 }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RandomDeploymentTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RandomDeploymentTest.java
@@ -263,7 +263,8 @@
                     notExecuted,
                     Optional.of(new UpstreamLoad(random.nextInt(64), random.nextInt(10), 64)),
                     OptionalLong.empty(),
-                    OptionalDouble.empty());
+                    OptionalDouble.empty(),
+                    false);
         }
 
         private void endAttempt(AttemptId attempt, Call call, AttemptEvent event, boolean executed) {
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamOriginLookupTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamOriginLookupTest.java
@@ -53,8 +53,8 @@
     }
 
     private static long streamKey(String attemptId) {
-        return StreamOrigins.streamKey(
-                new ForwardedCall(attemptId, "", "", "", 0, "", 0, 0, List.<ForwardedCall.PromptPart>of(), "", "", 0));
+        return StreamOrigins.streamKey(new ForwardedCall(
+                attemptId, "", "", "", 0, "", 0, 0, List.<ForwardedCall.PromptPart>of(), "", "", false, 0));
     }
 
     private void receive(EntryVm peer, ForwardingNewsBuilder message) {
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingLoop.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingLoop.java
@@ -20,6 +20,7 @@
 import org.fuchsiatrail.EntryVmId;
 import org.fuchsiatrail.PeerMessage;
 import org.fuchsiatrail.RequestId;
+import org.fuchsiatrail.ResultCode;
 import org.fuchsiatrail.forwarding.AttemptEvent;
 import org.fuchsiatrail.forwarding.ForwardedCall;
 import org.fuchsiatrail.forwarding.ForwardingCore;
@@ -316,6 +317,9 @@
                     "Retry-After",
                     String.format("%d.%03d", refuse.retryAfterMillis() / 1_000, refuse.retryAfterMillis() % 1_000));
         }
+        if (refuse.code() == ResultCode.WITHOUT_PATH) {
+            headers.set(RelayHeaders.WITHOUT_PATH, "1");
+        }
         String body = "{\"error\":{\"code\":" + refuse.code().number() + ",\"message\":\""
                 + refuse.code().meaning() + "\",\"advice\":\"" + refuse.code().advice() + "\"}}\n";
         headers.set("Content-Type", "application/json");
