--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -408,9 +408,16 @@
         request.sends++;
         Attempt attempt = new Attempt(router, request, null, send);
         openAttempts.put(send.attempt(), attempt);
+        if (isCutOff(router)) {
+            after(
+                    CONNECT_TIMEOUT_MILLIS,
+                    () -> close(attempt, new AttemptEvent.Lost(false, false, "", "not connected")));
+            return;
+        }
         after(
                 1,
                 () -> routers.stream()
+                        .filter(other -> !isCutOff(other))
                         .filter(other -> ("router/" + other.self().id())
                                 .equals(send.dispatch().upstream().value()))
                         .findFirst()
