Log when the process continues after a time in which it did not run

The log now has the length of the pause, and of a jump of the wall clock against the steady clock, so that a router that learned of a change late can be told from one whose clock stopped.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingInput.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingInput.java
@@ -71,8 +71,13 @@
      */
     record StoreItemRelayed(StoreItem item) implements ForwardingInput {}
 
-    /** The process was suspended for a while, or the wall clock jumped. */
-    record ClockJumped() implements ForwardingInput {}
+    /**
+     * The wall clock jumped against the steady clock: it was changed, or the process was suspended while the steady
+     * clock stood still.
+     *
+     * @param millis how far the wall clock moved ahead, in milliseconds; negative when it moved back
+     */
+    record ClockJumped(long millis) implements ForwardingInput {}
 
     /** The process was requested to shut down gracefully. */
     record StopRequested() implements ForwardingInput {}
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -106,7 +106,14 @@
             case ForwardingInput.PeerMessageReceived received -> gossip.receive(received.from(), received.message());
             case ForwardingInput.ClockJumped jumped -> {
                 orderLease.clockJumped();
-                context.log("router", "Clock jump or process suspension detected; checking the order lease.");
+                if (jumped.millis() > 0) {
+                    context.suspensions().clockStopped(jumped.millis());
+                }
+                context.log(
+                        "router",
+                        "Clock jump or process suspension detected; checking the order lease.",
+                        "millis",
+                        jumped.millis());
             }
             case ForwardingInput.StopRequested requested -> beginShutdown();
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardingContext.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardingContext.java
@@ -18,6 +18,7 @@
 
     private final ForwardingSettings settings;
     private final SplittableRandom random;
+    private final Suspensions suspensions = new Suspensions(this);
     private final PriorityQueue<Long> wakeUps = new PriorityQueue<>();
     private List<ForwardingOutput> outputs = new ArrayList<>();
     private long nowMillis;
@@ -31,14 +32,17 @@
     }
 
     void beginTick(long now) {
+        long previousMillis = nowMillis;
         nowMillis = Math.max(nowMillis, now);
         if (startedAtMillis == Long.MIN_VALUE) {
             startedAtMillis = nowMillis;
+            previousMillis = nowMillis;
         }
         outputs = new ArrayList<>();
         while (!wakeUps.isEmpty() && wakeUps.peek() <= nowMillis) {
             wakeUps.poll();
         }
+        suspensions.ticked(nowMillis - previousMillis);
     }
 
     List<ForwardingOutput> endTick() {
@@ -49,6 +53,10 @@
         return nowMillis;
     }
 
+    Suspensions suspensions() {
+        return suspensions;
+    }
+
     /** The time since the first tick of this router, in milliseconds. */
     long uptimeMillis() {
         return nowMillis - startedAtMillis;
--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/Suspensions.java
@@ -0,0 +1,46 @@
+package org.fuchsiatrail.internal.forwarding;
+
+/**
+ * Notices that the process did not run for a while, and tells from when on changes made elsewhere may not have been
+ * read. The clock counts the time of a suspension, or stops meanwhile.
+ */
+final class Suspensions {
+
+    /** A time without a tick that counts as a suspension, in milliseconds; two of the longest heartbeat intervals. */
+    private static final long MINIMUM_MILLIS = 1_000;
+
+    /** How long after a suspension changes that were made during it may still arrive, in milliseconds. */
+    private static final long CATCH_UP_MILLIS = 3_000;
+
+    private final ForwardingContext context;
+    private long beganAtMillis = Long.MIN_VALUE / 2;
+    private long endedAtMillis = Long.MIN_VALUE / 2;
+
+    Suspensions(ForwardingContext context) {
+        this.context = context;
+    }
+
+    /** Records a tick and the time since the one before, in milliseconds. */
+    void ticked(long millisSinceLastTick) {
+        if (millisSinceLastTick >= MINIMUM_MILLIS) {
+            context.count("router.suspensions");
+            context.log(
+                    "router", "Process continued after a time in which it did not run.", "millis", millisSinceLastTick);
+            record(context.now() - millisSinceLastTick);
+        }
+    }
+
+    /** Records a time in which the process may have been suspended while its clock stood still. */
+    void clockStopped(long millis) {
+        record(context.now() - millis);
+    }
+
+    private void record(long newBeganAtMillis) {
+        beganAtMillis = isCatchingUp() ? Math.min(beganAtMillis, newBeganAtMillis) : newBeganAtMillis;
+        endedAtMillis = context.now();
+    }
+
+    private boolean isCatchingUp() {
+        return context.now() - endedAtMillis < CATCH_UP_MILLIS;
+    }
+}
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RandomDeploymentTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RandomDeploymentTest.java
@@ -140,7 +140,7 @@
                 case 0 -> drain();
                 case 1 -> removeUpstream();
                 case 2 -> toggleStoreOutage();
-                case 3 -> fixture.tick(new ForwardingInput.ClockJumped());
+                case 3 -> fixture.tick(new ForwardingInput.ClockJumped(2_000));
                 case 4 -> newWeights();
                 case 5 -> disconnectCaller();
                 case 6, 7, 8, 9, 10 -> submitRequest();
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/WeightsRolloutTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/WeightsRolloutTest.java
@@ -135,7 +135,7 @@
         startSixEngines();
         fixture.advanceTime(4_000);
         fixture.storeAnswers = false;
-        fixture.tick(new ForwardingInput.ClockJumped());
+        fixture.tick(new ForwardingInput.ClockJumped(2_000));
         fixture.relay(
                 "weights/" + ForwardingFixture.MODEL,
                 99,
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingLoop.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingLoop.java
@@ -164,7 +164,7 @@
     private void detectClockJump() {
         long offsetMillis = wallClock.nowMillis() - steadyClock.nowMillis();
         if (clockOffsetMillis != Long.MIN_VALUE && Math.abs(offsetMillis - clockOffsetMillis) > CLOCK_JUMP_MILLIS) {
-            inputs.add(0, new ForwardingInput.ClockJumped());
+            inputs.add(0, new ForwardingInput.ClockJumped(offsetMillis - clockOffsetMillis));
         }
         clockOffsetMillis = offsetMillis;
     }
