Reproduce requests that begin on replaced weights after a suspension

The fleet on virtual time gains weights of engines, and routers that are suspended while their clock counts or stands still.

--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashingPromptPartHistoryTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashingPromptPartHistoryTest.java
@@ -49,7 +49,7 @@
         private final long seed;
         private final EngineFleet fleet;
         private final long startMillis;
-        private final List<EngineFleet.Request> sound = new ArrayList<>();
+        private final List<FleetRequest> sound = new ArrayList<>();
         /** From when a router or the store is disturbed no more, in milliseconds. */
         private long calmSinceMillis;
 
@@ -154,7 +154,7 @@
             }
             long lastCountedCrashMillis =
                     fleet.crashesAtMillis.get(Math.min(CRASHES, fleet.crashesAtMillis.size()) - 1);
-            List<EngineFleet.Request> after = sound.stream()
+            List<FleetRequest> after = sound.stream()
                     .filter(request -> request.sentAtMillis > lastCountedCrashMillis + 2 * DETECTION_MILLIS)
                     .filter(request -> request.sentAtMillis < fleet.now() - 1_000)
                     .toList();
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashingPromptPartSentOnTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashingPromptPartSentOnTest.java
@@ -31,7 +31,7 @@
     /** The least number of sound requests before and after for a comparison. */
     private static final int COMPARED_REQUESTS = 20;
 
-    private final List<EngineFleet.Request> sound = new ArrayList<>();
+    private final List<FleetRequest> sound = new ArrayList<>();
     private EngineFleet fleet;
     private int sessions;
     private int lastRequestPart;
@@ -72,10 +72,10 @@
     }
 
     private void assertSoundRequestsAreServed(long calmUntilMillis, long servedFromMillis) {
-        List<EngineFleet.Request> before = sound.stream()
+        List<FleetRequest> before = sound.stream()
                 .filter(request -> request.sentAtMillis < calmUntilMillis - 1_000)
                 .toList();
-        List<EngineFleet.Request> after = sound.stream()
+        List<FleetRequest> after = sound.stream()
                 .filter(request ->
                         request.sentAtMillis > servedFromMillis && request.sentAtMillis < fleet.now() - 1_000)
                 .toList();
@@ -87,7 +87,7 @@
                 .noneMatch(request -> request.refusal == ResultCode.UPSTREAM_FAILED);
     }
 
-    private static double shareStarted(List<EngineFleet.Request> requests) {
+    private static double shareStarted(List<FleetRequest> requests) {
         return requests.stream().filter(request -> request.startedFirst).count() / (double) requests.size();
     }
 
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,7 +25,6 @@
 import org.fuchsiatrail.forwarding.ForwardingOutput;
 import org.fuchsiatrail.forwarding.OrderReply;
 import org.fuchsiatrail.forwarding.StoreItemContent;
-import org.fuchsiatrail.forwarding.UpstreamLoad;
 
 /**
  * Routers and model engines on virtual time. An engine crashes when it starts to answer a prompt with a certain part,
@@ -46,7 +44,6 @@
     /** A probe that waits in vain on an open connection, and the next one that cannot connect, in milliseconds. */
     private static final long SILENT_PROBE_MILLIS = 1_100;
 
-    private static final int SLOTS = 64;
     private static final int FAILURE_DOMAINS = 3;
 
     final List<ForwardingFixture> routers = new ArrayList<>();
@@ -54,9 +51,9 @@
     /** When each engine crashed, in milliseconds, in order. */
     final List<Long> crashesAtMillis = new ArrayList<>();
 
-    private final Map<String, Engine> engines = new LinkedHashMap<>();
+    private final Map<String, FleetEngine> engines = new LinkedHashMap<>();
     private final Map<AttemptId, Attempt> openAttempts = new LinkedHashMap<>();
-    private final Map<String, Request> requests = new HashMap<>();
+    private final Map<String, FleetRequest> requests = new HashMap<>();
     /** The attempts of other routers that a router answers, by its id and its id of the request. */
     private final Map<String, Attempt> relayedAttempts = new HashMap<>();
 
@@ -66,6 +63,9 @@
     private final PriorityQueue<Change> changes =
             new PriorityQueue<>(Comparator.comparingLong(Change::atMillis).thenComparingLong(Change::number));
     private final List<Arrival> arrivals = new ArrayList<>();
+    private final List<Beginning> beginnings = new ArrayList<>();
+    private final Map<EntryVmId, Long> suspendedUntilMillis = new HashMap<>();
+    private long targetWeights = 1;
     private String crashingPart = "";
     private boolean endsSilently;
     private int lastEngineNumber;
@@ -84,72 +84,14 @@
 
     private record Change(long atMillis, long number, Runnable action) {}
 
-    /** A request that reached an engine. */
-    record Arrival(long atMillis, EntryVmId router, String engine, Request request, int send) {}
-
-    /** A stream of a caller over all its requests. */
-    static final class Stream {
-        /** The attempt that brought its first event, or an empty string. */
-        String firstAttemptId = "";
-        /** Whether it began at a router that was cut off from its peers, which therefore could not learn of it. */
-        boolean begunCutOff;
-        /** The software versions of the engines whose events it holds. */
-        final Set<String> softwareVersions = new HashSet<>();
-    }
-
-    /** A request of a caller, with its outcome. */
-    static final class Request {
-        final Stream stream;
-        final String attemptId;
-        final long sentAtMillis;
-        final ForwardingFixture router;
-        final List<ForwardedCall.PromptPart> prompt;
-        int sends;
-        /** Whether the first attempt began to answer. */
-        boolean startedFirst;
-
-        /** Whether any attempt began to answer. */
-        boolean started;
-
-        boolean finished;
-        /** Whether the caller lost its connection before the answer was complete. */
-        boolean broken;
-
-        ResultCode refusal;
-        long retryAfterMillis;
-
-        Request(
-                Stream stream,
-                String attemptId,
-                long sentAtMillis,
-                ForwardingFixture router,
-                List<ForwardedCall.PromptPart> prompt) {
-            this.stream = stream;
-            this.attemptId = attemptId;
-            this.sentAtMillis = sentAtMillis;
-            this.router = router;
-            this.prompt = prompt;
-        }
+    /** A request that began to run on an engine, with the version of the engine's weights. */
+    record Beginning(long atMillis, EntryVmId router, long weightsVersion) {}
 
-        boolean contains(String part) {
-            return prompt.stream().anyMatch(candidate -> candidate.id().equals(part));
-        }
-    }
-
-    private static final class Engine {
-        final String id;
-        final String softwareVersion;
-        boolean draining;
-        boolean ended;
-        OptionalDouble limit = OptionalDouble.empty();
-
-        Engine(String id, String softwareVersion) {
-            this.id = id;
-            this.softwareVersion = softwareVersion;
-        }
-    }
+    /** A request that reached an engine. */
+    record Arrival(long atMillis, EntryVmId router, String engine, FleetRequest request, int send) {}
 
-    private record Attempt(ForwardingFixture router, Request request, Engine engine, ForwardingOutput.Send send) {}
+    private record Attempt(
+            ForwardingFixture router, FleetRequest request, FleetEngine engine, ForwardingOutput.Send send) {}
 
     EngineFleet(long seed, int routerCount, int engineCount) {
         random = new SplittableRandom(seed);
@@ -197,18 +139,18 @@
 
     /** Starts an engine with a version of its software. */
     void startEngine(String softwareVersion) {
-        Engine engine = new Engine("e" + ++lastEngineNumber, softwareVersion);
+        FleetEngine engine = new FleetEngine("e" + ++lastEngineNumber, softwareVersion, targetWeights);
         engines.put(engine.id, engine);
         register(engine);
     }
 
-    private void register(Engine engine) {
+    private void register(FleetEngine engine) {
         String domain = "domain-" + Integer.parseInt(engine.id.substring(1)) % FAILURE_DOMAINS;
         routers.forEach(router -> router.register(ForwardingFixture.entry(
                 engine.id,
                 "tutors",
-                SLOTS,
-                Map.of(ForwardingFixture.MODEL, 1L),
+                FleetEngine.SLOTS,
+                Map.of(ForwardingFixture.MODEL, engine.weightsVersion),
                 engine.draining,
                 1,
                 domain,
@@ -224,7 +166,7 @@
         startEngine(softwareVersion);
     }
 
-    private void drain(Engine engine) {
+    private void drain(FleetEngine engine) {
         engine.draining = true;
         register(engine);
         after(DRAIN_MILLIS, () -> {
@@ -244,7 +186,7 @@
 
     /** Makes the first engines name a limit of requests a second in their answers, or none; returns their ids. */
     Set<String> limitEngines(int count, OptionalDouble limit) {
-        List<Engine> limited = engines.values().stream()
+        List<FleetEngine> limited = engines.values().stream()
                 .filter(engine -> !engine.ended)
                 .limit(count)
                 .toList();
@@ -252,6 +194,41 @@
         return limited.stream().map(engine -> engine.id).collect(Collectors.toSet());
     }
 
+    /** Sets newer target weights; a suspended router learns of them when it continues. */
+    void setTargetWeights(long version) {
+        targetWeights = version;
+        routers.forEach(router -> router.put(
+                "weights/" + ForwardingFixture.MODEL,
+                new StoreItemContent.TargetWeights(ForwardingFixture.MODEL, version)));
+    }
+
+    /** Makes some engines with replaced weights load the target weights; requests that run there go on. */
+    void switchEngines(int count) {
+        engines.values().stream()
+                .filter(engine -> !engine.ended && engine.weightsVersion < targetWeights)
+                .limit(count)
+                .toList()
+                .forEach(engine -> {
+                    engine.weightsVersion = targetWeights;
+                    register(engine);
+                });
+    }
+
+    /** Suspends a router, whose clock counts the time meanwhile or stops. */
+    void suspend(ForwardingFixture router, long millis, boolean clockCounts) {
+        router.suspend();
+        suspendedUntilMillis.put(router.self().id(), now() + millis);
+        after(millis, () -> {
+            router.resume(millis, clockCounts);
+            execute(router);
+        });
+    }
+
+    /** When the last suspension of a router ended, or ends, in milliseconds. */
+    long suspendedUntilMillis(EntryVmId router) {
+        return suspendedUntilMillis.getOrDefault(router, Long.MIN_VALUE / 2);
+    }
+
     /** Ends some engines at once, for a reason that has nothing to do with their requests. */
     void endEngines(int count) {
         engines.values().stream()
@@ -263,7 +240,7 @@
 
     /** Ends a random engine at once. */
     void endRandomEngine() {
-        List<Engine> active = engines.values().stream()
+        List<FleetEngine> active = engines.values().stream()
                 .filter(engine -> !engine.ended && !engine.draining)
                 .toList();
         if (!active.isEmpty()) {
@@ -272,22 +249,23 @@
     }
 
     /** Sends a request to a random router. */
-    Request send(ForwardedCall.PromptPart... prompt) {
+    FleetRequest send(ForwardedCall.PromptPart... prompt) {
         return send(routers.get(random.nextInt(routers.size())), prompt);
     }
 
-    private Request send(ForwardingFixture router, ForwardedCall.PromptPart... prompt) {
-        return send(new Stream(), router, List.of(prompt));
+    private FleetRequest send(ForwardingFixture router, ForwardedCall.PromptPart... prompt) {
+        return send(new FleetRequest.Stream(), router, List.of(prompt));
     }
 
     /** Resumes a stream of which its caller has received events, at a random router. */
-    Request resume(Request broken) {
+    FleetRequest resume(FleetRequest broken) {
         return send(broken.stream, routers.get(random.nextInt(routers.size())), broken.prompt);
     }
 
-    private Request send(Stream stream, ForwardingFixture router, List<ForwardedCall.PromptPart> prompt) {
+    private FleetRequest send(
+            FleetRequest.Stream stream, ForwardingFixture router, List<ForwardedCall.PromptPart> prompt) {
         String attemptId = "a-" + ++lastRequestNumber;
-        Request request = new Request(stream, attemptId, now(), router, prompt);
+        FleetRequest request = new FleetRequest(stream, attemptId, now(), router, prompt);
         String resumeAfterEventId = stream.firstAttemptId.isEmpty() ? "" : FIRST_EVENT;
         RequestId id = router.call(
                 attemptId,
@@ -351,6 +329,11 @@
         routers.forEach(router -> router.storeAnswers = answers);
     }
 
+    /** The requests that began to run on engines, in order. */
+    List<Beginning> beginnings() {
+        return beginnings;
+    }
+
     /** The requests that reached engines, in order. */
     List<Arrival> arrivals() {
         return arrivals;
@@ -404,7 +387,7 @@
 
     /** Sends a request on to another router, whose answer comes back as that of the attempt. */
     private void relay(ForwardingFixture router, ForwardingOutput.Send send) {
-        Request request = requests.get(router.self().id() + "/" + send.request());
+        FleetRequest request = requests.get(router.self().id() + "/" + send.request());
         request.sends++;
         Attempt attempt = new Attempt(router, request, null, send);
         openAttempts.put(send.attempt(), attempt);
@@ -433,7 +416,7 @@
     private void refuse(ForwardingFixture router, ForwardingOutput.Refuse refuse) {
         Attempt relayed = relayedAttempts.get(router.self().id() + "/" + refuse.request());
         if (relayed == null) {
-            Request request = requests.get(router.self().id() + "/" + refuse.request());
+            FleetRequest request = requests.get(router.self().id() + "/" + refuse.request());
             request.refusal = refuse.code();
             request.retryAfterMillis = refuse.retryAfterMillis();
         } else {
@@ -466,9 +449,9 @@
     }
 
     private void receive(ForwardingFixture router, ForwardingOutput.Send send) {
-        Request request = requests.get(router.self().id() + "/" + send.request());
+        FleetRequest request = requests.get(router.self().id() + "/" + send.request());
         request.sends++;
-        Engine engine = engines.get(send.dispatch().upstream().value());
+        FleetEngine engine = engines.get(send.dispatch().upstream().value());
         Attempt attempt = new Attempt(router, request, engine, send);
         openAttempts.put(send.attempt(), attempt);
         boolean cut = pathCuts.containsKey(router.self().id());
@@ -479,6 +462,10 @@
             return;
         }
         arrivals.add(new Arrival(now(), router.self().id(), engine.id, request, request.sends));
+        if (send.dispatch().weightsVersion().orElse(engine.weightsVersion) != engine.weightsVersion) {
+            after(1, () -> close(attempt, new AttemptEvent.Answered(engine.misdirectedHead())));
+            return;
+        }
         after(START_MILLIS, () -> start(attempt));
     }
 
@@ -491,7 +478,7 @@
             end(attempt.engine(), endsSilently);
             return;
         }
-        Request request = attempt.request();
+        FleetRequest request = attempt.request();
         request.startedFirst |= request.sends == 1;
         request.started = true;
         if (request.stream.firstAttemptId.isEmpty()) {
@@ -499,7 +486,8 @@
             request.stream.begunCutOff = isCutOff(attempt.router());
         }
         request.stream.softwareVersions.add(attempt.engine().softwareVersion);
-        deliver(attempt, new AttemptEvent.Started(head(attempt.engine()), FIRST_EVENT));
+        beginnings.add(new Beginning(now(), attempt.router().self().id(), attempt.engine().weightsVersion));
+        deliver(attempt, new AttemptEvent.Started(attempt.engine().head(), FIRST_EVENT));
         after(STREAM_MILLIS, () -> finish(attempt));
     }
 
@@ -512,18 +500,7 @@
         }
     }
 
-    private static AttemptEvent.Head head(Engine engine) {
-        return new AttemptEvent.Head(
-                200,
-                true,
-                false,
-                Optional.of(new UpstreamLoad(1, 0, SLOTS)),
-                OptionalLong.empty(),
-                engine.limit,
-                false);
-    }
-
-    private void end(Engine engine, boolean silently) {
+    private void end(FleetEngine engine, boolean silently) {
         engine.ended = true;
         if (!silently) {
             breakConnections(engine);
@@ -532,7 +509,7 @@
         after(RETURN_MILLIS, () -> startEngine(engine.softwareVersion));
     }
 
-    private void breakConnections(Engine engine) {
+    private void breakConnections(FleetEngine engine) {
         openAttempts.values().stream()
                 .filter(attempt -> attempt.engine() == engine)
                 .toList()
@@ -551,11 +528,11 @@
     }
 
     private void answerProbe(ForwardingFixture router, ForwardingOutput.QueryEngineState query) {
-        Engine engine = engines.get(query.engine().value());
+        FleetEngine engine = engines.get(query.engine().value());
         boolean cut = pathCuts.containsKey(router.self().id());
         OrderReply reply = engine.ended || cut
                 ? new OrderReply.NotConnected("not connected")
-                : new OrderReply.State(false, 0, Map.of(ForwardingFixture.MODEL, 1L));
+                : new OrderReply.State(false, 0, Map.of(ForwardingFixture.MODEL, engine.weightsVersion));
         long millis = hangs(router) || (engine.ended && endsSilently) ? SILENT_PROBE_MILLIS : 1;
         after(millis, () -> router.tick(new ForwardingInput.OrderAnswered(query.engine(), reply)));
     }
--- /dev/null
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetRequest.java
@@ -0,0 +1,58 @@
+package org.fuchsiatrail.internal.forwarding;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.fuchsiatrail.ResultCode;
+import org.fuchsiatrail.forwarding.ForwardedCall;
+
+/** A request of a caller, with its outcome. */
+final class FleetRequest {
+
+    /** A stream of a caller over all its requests. */
+    static final class Stream {
+        /** The attempt that brought its first event, or an empty string. */
+        String firstAttemptId = "";
+        /** Whether it began at a router that was cut off from its peers, which therefore could not learn of it. */
+        boolean begunCutOff;
+        /** The software versions of the engines whose events it holds. */
+        final Set<String> softwareVersions = new HashSet<>();
+    }
+
+    final Stream stream;
+    final String attemptId;
+    final long sentAtMillis;
+    final ForwardingFixture router;
+    final List<ForwardedCall.PromptPart> prompt;
+    int sends;
+    /** Whether the first attempt began to answer. */
+    boolean startedFirst;
+
+    /** Whether any attempt began to answer. */
+    boolean started;
+
+    boolean finished;
+    /** Whether the caller lost its connection before the answer was complete. */
+    boolean broken;
+
+    ResultCode refusal;
+    long retryAfterMillis;
+
+    FleetRequest(
+            Stream stream,
+            String attemptId,
+            long sentAtMillis,
+            ForwardingFixture router,
+            List<ForwardedCall.PromptPart> prompt) {
+        this.stream = stream;
+        this.attemptId = attemptId;
+        this.sentAtMillis = sentAtMillis;
+        this.router = router;
+        this.prompt = prompt;
+    }
+
+    boolean contains(String part) {
+        return prompt.stream().anyMatch(candidate -> candidate.id().equals(part));
+    }
+}
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -63,6 +63,10 @@
     private long revision;
     private long nextRequest = 1;
     private Long openWatch;
+    private boolean suspended;
+    private final List<ForwardingInput> inputsWhileSuspended = new ArrayList<>();
+    /** How far the clock of the core is behind, because it stopped while the process was suspended, in milliseconds. */
+    private long clockLagMillis;
 
     ForwardingFixture() {
         this("vm-1");
@@ -224,14 +228,37 @@
     }
 
     void tick(ForwardingInput... inputs) {
-        recordOutputs(core.tick(now, List.of(inputs)));
+        if (suspended) {
+            inputsWhileSuspended.addAll(List.of(inputs));
+            return;
+        }
+        recordOutputs(core.tick(now - clockLagMillis, List.of(inputs)));
+    }
+
+    /** Suspends the process; what it receives meanwhile is read when it continues. */
+    void suspend() {
+        suspended = true;
+    }
+
+    /** Continues a suspended process, whose clock counted the time of the suspension or stopped meanwhile. */
+    void resume(long suspendedMillis, boolean clockCounted) {
+        suspended = false;
+        if (clockCounted) {
+            tick();
+        } else {
+            clockLagMillis += suspendedMillis;
+            tick(new ForwardingInput.ClockJumped(suspendedMillis));
+        }
+        List<ForwardingInput> received = List.copyOf(inputsWhileSuspended);
+        inputsWhileSuspended.clear();
+        received.forEach(this::tick);
     }
 
     /** Advances the time and runs the ticks that the core requests meanwhile. */
     void advanceTime(long millis) {
         long end = now + millis;
-        while (core.nextDueMillis() <= end) {
-            now = Math.max(now + 1, core.nextDueMillis());
+        while (!suspended && core.nextDueMillis() <= end - clockLagMillis) {
+            now = Math.max(now + 1, core.nextDueMillis() + clockLagMillis);
             tick();
         }
         now = Math.max(now, end);
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RequestLimitExceededTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RequestLimitExceededTest.java
@@ -31,7 +31,7 @@
     private static final long DURATION_MILLIS = 20_000;
     private static final double STEPS_A_SECOND = 1_000.0 / EngineFleet.STEP_MILLIS;
 
-    private final List<EngineFleet.Request> requests = new ArrayList<>();
+    private final List<FleetRequest> requests = new ArrayList<>();
     private EngineFleet fleet;
     private int sessions;
     private int lastRequestPart;
@@ -80,7 +80,7 @@
     }
 
     private double shareStarted(long fromMillis, long toMillis) {
-        List<EngineFleet.Request> sent = requests.stream()
+        List<FleetRequest> sent = requests.stream()
                 .filter(request -> request.sentAtMillis >= startMillis + fromMillis
                         && request.sentAtMillis < startMillis + toMillis)
                 .toList();
@@ -125,7 +125,7 @@
         sendUntil(CALM_MILLIS, 20);
         fleet.limitEngines(2, OptionalDouble.of(0.5));
         sendUntil(CALM_MILLIS + CONTACT_MILLIS, 20);
-        EngineFleet.Request refused = fleet.send(new ForwardedCall.PromptPart("alone", 600));
+        FleetRequest refused = fleet.send(new ForwardedCall.PromptPart("alone", 600));
         if (refused.sends > 0) {
             refused = fleet.send(new ForwardedCall.PromptPart("alone", 600));
         }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RouterCutOffFromUpstreamsTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RouterCutOffFromUpstreamsTest.java
@@ -25,7 +25,7 @@
     private static final long CUT_MILLIS = 12_000;
     private static final double STEPS_A_SECOND = 1_000.0 / EngineFleet.STEP_MILLIS;
 
-    private final List<EngineFleet.Request> requests = new ArrayList<>();
+    private final List<FleetRequest> requests = new ArrayList<>();
     private EngineFleet fleet;
     private int lastRequestPart;
 
@@ -45,7 +45,7 @@
         }
     }
 
-    private static double shareStarted(List<EngineFleet.Request> sent) {
+    private static double shareStarted(List<FleetRequest> sent) {
         return sent.stream().filter(request -> request.started).count() / (double) sent.size();
     }
 
@@ -64,7 +64,7 @@
         sendFor(CONTACT_MILLIS, requestsPerSecond);
         requests.clear();
         sendFor(CUT_MILLIS - CONTACT_MILLIS, requestsPerSecond);
-        List<EngineFleet.Request> counted = List.copyOf(requests);
+        List<FleetRequest> counted = List.copyOf(requests);
         fleet.healPaths();
         sendFor(1_000, requestsPerSecond);
         Set<EntryVmId> cutIds =
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamJoinsSoftwareVersionsTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamJoinsSoftwareVersionsTest.java
@@ -27,9 +27,9 @@
     private static final long DISTURBANCE_INTERVAL_MILLIS = 1_000;
     private static final double STEPS_A_SECOND = 1_000.0 / EngineFleet.STEP_MILLIS;
 
-    private final List<EngineFleet.Request> begun = new ArrayList<>();
-    private final List<EngineFleet.Request> resumed = new ArrayList<>();
-    private final List<EngineFleet.Request> comparable = new ArrayList<>();
+    private final List<FleetRequest> begun = new ArrayList<>();
+    private final List<FleetRequest> resumed = new ArrayList<>();
+    private final List<FleetRequest> comparable = new ArrayList<>();
     private EngineFleet fleet;
     private long startMillis;
     private int lastRequestPart;
@@ -59,12 +59,12 @@
     }
 
     private void resumeBrokenStreams() {
-        List<EngineFleet.Request> broken = new ArrayList<>(begun);
+        List<FleetRequest> broken = new ArrayList<>(begun);
         broken.addAll(resumed);
-        for (EngineFleet.Request request : broken) {
+        for (FleetRequest request : broken) {
             if (request.broken && !request.stream.firstAttemptId.isEmpty()) {
                 request.broken = false;
-                EngineFleet.Request resumption = fleet.resume(request);
+                FleetRequest resumption = fleet.resume(request);
                 resumed.add(resumption);
                 boolean inTouch = fleet.routers.contains(resumption.router)
                         && fleet.uptimeMillis(resumption.router) > CONTACT_MILLIS;
@@ -83,7 +83,7 @@
                 .count();
     }
 
-    private static double shareStarted(List<EngineFleet.Request> requests) {
+    private static double shareStarted(List<FleetRequest> requests) {
         return requests.stream().filter(request -> request.started).count() / (double) requests.size();
     }
 
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamVersionHistoryTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamVersionHistoryTest.java
@@ -40,9 +40,9 @@
         private final long seed;
         private final EngineFleet fleet;
         private final long startMillis;
-        private final List<EngineFleet.Request> begun = new ArrayList<>();
-        private final List<EngineFleet.Request> open = new ArrayList<>();
-        private final List<EngineFleet.Request> comparable = new ArrayList<>();
+        private final List<FleetRequest> begun = new ArrayList<>();
+        private final List<FleetRequest> open = new ArrayList<>();
+        private final List<FleetRequest> comparable = new ArrayList<>();
         /** From when the store or all routers are disturbed no more, in milliseconds. */
         private long calmSinceMillis;
 
@@ -60,7 +60,7 @@
             while (fleet.now() < startMillis + DURATION_MILLIS) {
                 performRandomEvent();
                 for (int number = 0; number < 3; number++) {
-                    EngineFleet.Request request = send();
+                    FleetRequest request = send();
                     begun.add(request);
                     open.add(request);
                 }
@@ -80,11 +80,11 @@
             }
         }
 
-        private static double shareStarted(List<EngineFleet.Request> requests) {
+        private static double shareStarted(List<FleetRequest> requests) {
             return requests.stream().filter(request -> request.started).count() / (double) requests.size();
         }
 
-        private EngineFleet.Request send() {
+        private FleetRequest send() {
             int session = fleet.random.nextInt(36);
             return fleet.send(
                     new ForwardedCall.PromptPart("course-" + session % 2, 100),
@@ -93,7 +93,7 @@
         }
 
         private void resumeBrokenStreams() {
-            for (EngineFleet.Request request : List.copyOf(open)) {
+            for (FleetRequest request : List.copyOf(open)) {
                 if (request.finished || request.refusal != null) {
                     open.remove(request);
                 } else if (request.broken) {
@@ -105,8 +105,8 @@
             }
         }
 
-        private void resume(EngineFleet.Request broken) {
-            EngineFleet.Request resumption = fleet.resume(broken);
+        private void resume(FleetRequest broken) {
+            FleetRequest resumption = fleet.resume(broken);
             open.add(resumption);
             boolean inTouch = fleet.uptimeMillis(resumption.router) > CONTACT_MILLIS
                     && !fleet.isCutOff(resumption.router)
