Keep an assumed age of target weights until a router that ran all the while reports

A review of the fix found by reading: a report that is not exact made the age exact at a router that did not know the target yet, which then ended the right assumption of all suspended routers; the assumption at a start allowed sends until 1.6 s after the first tick, which is past the time in which a slowly started router is excused; and only targets younger than 12 s were reported, so that a router which saw only the newest of several targets took an engine's weights for replaced later than they were.

Change: whether an age is exact is kept with it and only an exact report makes it so; the assumption at a start is 5 s older than the process; a model's targets are all reported while one of them is recent; negative ages count as none.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/Suspensions.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/Suspensions.java
@@ -43,7 +43,8 @@
         endedAtMillis = context.now();
     }
 
-    private boolean isCatchingUp() {
+    /** Returns whether changes may arrive that were made during a suspension. */
+    boolean isCatchingUp() {
         return context.now() - endedAtMillis < CATCH_UP_MILLIS;
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/TargetWeightsHistory.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/TargetWeightsHistory.java
@@ -21,7 +21,7 @@
 final class TargetWeightsHistory {
 
     /** The age that a router assumes, at its start, of the targets that it finds in the store, in milliseconds. */
-    private static final long INITIAL_AGE_MILLIS = 4_000;
+    private static final long INITIAL_AGE_MILLIS = 5_000;
 
     /** How much longer than replaced weights are used their replacement is reported, in milliseconds. */
     private static final long REPORT_MARGIN_MILLIS = 4_000;
@@ -40,14 +40,12 @@
         /** The latest time at which it can have been set, in milliseconds. */
         private long setAtMillis;
         /** The earliest time at which it may have been set, in milliseconds. */
-        private long assumedSetAtMillis;
+        private long earliestSetAtMillis;
+        /** Whether a router that ran all the while has observed when it was set. */
+        private boolean exact;
 
-        private boolean exact() {
-            return assumedSetAtMillis >= setAtMillis;
-        }
-
-        private long setAtMillisAtTheEarliest() {
-            return Math.min(setAtMillis, assumedSetAtMillis);
+        private long assumedSetAtMillis() {
+            return exact ? setAtMillis : Math.min(setAtMillis, earliestSetAtMillis);
         }
     }
 
@@ -58,21 +56,28 @@
     /**
      * Records a target version that arrived from the store or from a peer.
      *
+     * @param beforeFirstRead whether this router has not read all items of the store yet
      * @return its assumed age in milliseconds
      */
-    long add(String model, long version, boolean foundAtStart) {
+    long add(String model, long version, boolean beforeFirstRead) {
         TreeMap<Long, Target> targets = targetsByModel.computeIfAbsent(model, key -> new TreeMap<>());
         Target target = targets.get(version);
         if (target == null) {
-            target = new Target();
-            target.setAtMillis = context.now();
-            target.assumedSetAtMillis = foundAtStart
-                    ? context.now() - context.uptimeMillis() - INITIAL_AGE_MILLIS
-                    : context.suspensions().earliestChangeMillis();
+            target = createTarget(beforeFirstRead);
+            target.exact = !beforeFirstRead && !context.suspensions().isCatchingUp();
             targets.put(version, target);
             removeOldest(targets);
         }
-        return context.now() - target.setAtMillisAtTheEarliest();
+        return context.now() - target.assumedSetAtMillis();
+    }
+
+    private Target createTarget(boolean beforeFirstRead) {
+        Target target = new Target();
+        target.setAtMillis = context.now();
+        target.earliestSetAtMillis = beforeFirstRead
+                ? context.now() - context.uptimeMillis() - INITIAL_AGE_MILLIS
+                : context.suspensions().earliestChangeMillis();
+        return target;
     }
 
     private static void removeOldest(TreeMap<Long, Target> targets) {
@@ -88,31 +93,31 @@
     void clockStopped(long millis) {
         for (TreeMap<Long, Target> targets : targetsByModel.values()) {
             for (Target target : targets.values()) {
-                target.assumedSetAtMillis = target.setAtMillisAtTheEarliest() - millis;
+                target.earliestSetAtMillis = target.assumedSetAtMillis() - millis;
+                target.exact = false;
             }
         }
     }
 
-    /** Applies a report of a peer. */
-    void receive(EntryVmId from, PeerMessage.TargetAge report) {
+    /**
+     * Applies a report of a peer.
+     *
+     * @param beforeFirstRead whether this router has not read all items of the store yet
+     */
+    void receive(EntryVmId from, PeerMessage.TargetAge report, boolean beforeFirstRead) {
         TreeMap<Long, Target> targets = targetsByModel.computeIfAbsent(report.model(), key -> new TreeMap<>());
-        long setAtMillis = context.now() - report.ageMillis();
         Target target = targets.get(report.version());
         if (target == null) {
-            target = new Target();
-            target.setAtMillis = setAtMillis;
-            target.assumedSetAtMillis =
-                    Math.min(setAtMillis, context.suspensions().earliestChangeMillis());
+            target = createTarget(beforeFirstRead);
             targets.put(report.version(), target);
             removeOldest(targets);
         }
-        if (setAtMillis < target.setAtMillis - AGE_TOLERANCE_MILLIS) {
-            logCorrection(from, report, context.now() - target.setAtMillis);
+        long setAtMillis = context.now() - Math.max(0, report.ageMillis());
+        if (setAtMillis < target.assumedSetAtMillis() - AGE_TOLERANCE_MILLIS) {
+            logCorrection(from, report, context.now() - target.assumedSetAtMillis());
         }
         target.setAtMillis = Math.min(target.setAtMillis, setAtMillis);
-        if (report.exact() && !context.suspensions().readsQueuedMessages()) {
-            target.assumedSetAtMillis = Long.MAX_VALUE;
-        }
+        target.exact |= report.exact() && !context.suspensions().readsQueuedMessages();
     }
 
     private void logCorrection(EntryVmId from, PeerMessage.TargetAge report, long knownAgeMillis) {
@@ -137,23 +142,28 @@
         return targetsByModel.keySet();
     }
 
-    /** The ages of the targets that were set recently, for peers. */
+    /** The ages of the targets of each model that has a recent one, for peers. */
     List<PeerMessage.TargetAge> reports() {
-        long reportedMillis = context.settings().replacedWeightsGraceMillis() + REPORT_MARGIN_MILLIS;
         List<PeerMessage.TargetAge> reports = new ArrayList<>();
-        targetsByModel.forEach((model, targets) -> targets.forEach((version, target) -> {
-            long ageMillis = context.now() - target.setAtMillis;
-            if (ageMillis < reportedMillis) {
-                reports.add(new PeerMessage.TargetAge(model, version, ageMillis, target.exact()));
+        targetsByModel.forEach((model, targets) -> {
+            boolean recent = targets.values().stream().anyMatch(this::isRecent);
+            if (recent) {
+                targets.forEach((version, target) -> reports.add(
+                        new PeerMessage.TargetAge(model, version, context.now() - target.setAtMillis, target.exact)));
             }
-        }));
+        });
         return reports;
     }
 
+    private boolean isRecent(Target target) {
+        return context.now() - target.setAtMillis
+                < context.settings().replacedWeightsGraceMillis() + REPORT_MARGIN_MILLIS;
+    }
+
     /** Returns how long ago a version was first replaced by a newer target, in milliseconds, or 0 if it was not. */
     long millisSinceReplaced(String model, long version) {
-        Map.Entry<Long, Target> newer =
-                targetsByModel.getOrDefault(model, new TreeMap<>()).higherEntry(version);
-        return newer == null ? 0 : context.now() - newer.getValue().setAtMillisAtTheEarliest();
+        TreeMap<Long, Target> targets = targetsByModel.get(model);
+        Map.Entry<Long, Target> newer = targets == null ? null : targets.higherEntry(version);
+        return newer == null ? 0 : context.now() - newer.getValue().assumedSetAtMillis();
     }
 }
