Ignore a renewal of the order lease that was sent before a clock jump

A router that is suspended between sending a renewal and reading its answer, while its clock stands still, took the lease for freshly renewed and could have ordered engines for up to half a second beside its successor. The renewal now counts only if the clock has not jumped since it was sent, and is repeated at once.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/OrderLease.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/OrderLease.java
@@ -41,6 +41,7 @@
     private long renewedAtMillis = Long.MIN_VALUE / 2;
     private long ordersAllowedFromMillis = Long.MAX_VALUE;
     private long nextCallAtMillis;
+    private int clockJumps;
 
     OrderLease(ForwardingContext context, StoreCallTable store, StoreReplica replica) {
         this.context = context;
@@ -81,15 +82,24 @@
             context.log("orders", "Order lease released.", "fencingToken", fencingToken);
             return;
         }
-        store.call(new StoreCall.KeepLease(leaseId), CALL_TIMEOUT_MILLIS, reply -> onRenewed(reply, sentAtMillis));
+        int clockJumpsBefore = clockJumps;
+        store.call(
+                new StoreCall.KeepLease(leaseId),
+                CALL_TIMEOUT_MILLIS,
+                reply -> onRenewed(reply, sentAtMillis, clockJumps == clockJumpsBefore));
     }
 
-    private void onRenewed(StoreReply reply, long sentAtMillis) {
+    /** A renewal that was sent before a clock jump may be older than the clock tells, so it is repeated. */
+    private void onRenewed(StoreReply reply, long sentAtMillis, boolean sentSinceClockJump) {
         callPending = false;
         switch (reply) {
             case StoreReply.LeaseRenewed renewed -> {
-                renewedAtMillis = Math.max(renewedAtMillis, sentAtMillis);
-                scheduleNextCall(RENEWAL_INTERVAL_MILLIS);
+                if (sentSinceClockJump) {
+                    renewedAtMillis = Math.max(renewedAtMillis, sentAtMillis);
+                    scheduleNextCall(RENEWAL_INTERVAL_MILLIS);
+                } else {
+                    nextCallAtMillis = 0;
+                }
             }
             case StoreReply.LeaseExpired expired -> markLost("lease expired");
             default -> scheduleNextCall(RENEWAL_INTERVAL_MILLIS / 2);
@@ -149,6 +159,7 @@
      * expired.
      */
     void clockJumped() {
+        clockJumps++;
         renewedAtMillis = Long.MIN_VALUE / 2;
         nextCallAtMillis = 0;
     }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/WeightsRolloutTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/WeightsRolloutTest.java
@@ -14,6 +14,7 @@
 import org.fuchsiatrail.forwarding.OrderReply;
 import org.fuchsiatrail.forwarding.StoreCall;
 import org.fuchsiatrail.forwarding.StoreItemContent;
+import org.fuchsiatrail.forwarding.StoreReply;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -144,6 +145,38 @@
         assertThat(fixture.all(ForwardingOutput.QueryEngineState.class)).isEmpty();
     }
 
+    private long lastOrderLeaseRenewal() {
+        List<ForwardingOutput.CallStore> calls = fixture.all(ForwardingOutput.CallStore.class);
+        long lease = calls.stream()
+                .map(ForwardingOutput.CallStore::request)
+                .filter(StoreCall.TakeOrderRight.class::isInstance)
+                .mapToLong(request -> ((StoreCall.TakeOrderRight) request).lease())
+                .findFirst()
+                .orElseThrow();
+        return calls.stream()
+                .filter(call -> call.request().equals(new StoreCall.KeepLease(lease)))
+                .toList()
+                .getLast()
+                .call();
+    }
+
+    @Test
+    void should_issue_no_orders_on_a_renewal_that_was_sent_before_a_clock_jump() {
+        startSixEngines();
+        fixture.advanceTime(4_000);
+        fixture.storeAnswers = false;
+        fixture.advanceTime(500);
+        long renewal = lastOrderLeaseRenewal();
+        fixture.tick(new ForwardingInput.ClockJumped(5_000));
+        fixture.tick(new ForwardingInput.StoreAnswered(renewal, new StoreReply.LeaseRenewed()));
+        fixture.relay(
+                "weights/" + ForwardingFixture.MODEL,
+                99,
+                new StoreItemContent.TargetWeights(ForwardingFixture.MODEL, 2));
+        fixture.advanceTime(200);
+        assertThat(fixture.all(ForwardingOutput.QueryEngineState.class)).isEmpty();
+    }
+
     @Test
     void should_issue_no_orders_while_another_router_holds_the_order_lease() {
         fixture.orderLeaseTaken = true;
