Log the pause that an upstream asks for when it turns a request away

The log line of a request that an upstream did not execute does not tell whether the answer asked for a pause, so an unread Retry-After can't be told from one that was read and lost. Nothing acts on it yet. Heads are made with a builder, so that a further field costs no change elsewhere.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AttemptEvent.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AttemptEvent.java
@@ -17,6 +17,8 @@
      * @param weightsVersion the version of the weights that generate the answer, when reported
      * @param requestLimit the requests a second that the upstream accepts from all routers together, when it names a
      *     limit
+     * @param requestedPause the time in which the upstream wants no further requests of this router, when it asks for
+     *     one
      * @param withoutPath whether the request was relayed to a router that reaches no upstream either
      */
     record Head(
@@ -26,7 +28,19 @@
             Optional<UpstreamLoad> load,
             OptionalLong weightsVersion,
             OptionalDouble requestLimit,
-            boolean withoutPath) {}
+            Optional<RequestedPause> requestedPause,
+            boolean withoutPath) {
+
+        /**
+         * Returns a builder of a head that reports nothing but its status.
+         *
+         * @param status the HTTP status
+         * @return a builder
+         */
+        public static AnswerHeadBuilder builder(int status) {
+            return new AnswerHeadBuilder(status);
+        }
+    }
 
     /**
      * A complete answer was received; nothing of it was forwarded yet.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
@@ -7,6 +7,7 @@
 import org.fuchsiatrail.forwarding.Dispatch;
 import org.fuchsiatrail.forwarding.ForwardedCall;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
+import org.fuchsiatrail.forwarding.RequestedPause;
 import org.fuchsiatrail.forwarding.RoutingTable;
 
 /** Logs each decision about a request with its inputs and outcome, and updates the counters. */
@@ -113,6 +114,8 @@
                 pending.upstream.id(),
                 "status",
                 head.status(),
+                "retryAfter",
+                head.requestedPause().map(RequestedPause::text).orElse(""),
                 "send",
                 pending.sends);
     }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
@@ -3,8 +3,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 import org.fuchsiatrail.RequestId;
@@ -170,8 +168,10 @@
         RequestId request = fixture.call("/ask/1", ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s", "o"));
         fixture.deliverEvent(
                 fixture.send(request),
-                new AttemptEvent.Answered(new AttemptEvent.Head(
-                        421, false, true, Optional.empty(), OptionalLong.of(2), OptionalDouble.empty(), false)));
+                new AttemptEvent.Answered(AttemptEvent.Head.builder(421)
+                        .notExecuted(true)
+                        .weightsVersion(OptionalLong.of(2))
+                        .build()));
         assertThat(fixture.sends(request)).hasSize(2);
         assertThat(fixture.send(request).dispatch().weightsVersion()).hasValue(2);
     }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -6,9 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -438,14 +436,9 @@
     private void refuseRelayed(Attempt relayed, ResultCode code) {
         close(
                 relayed,
-                new AttemptEvent.Answered(new AttemptEvent.Head(
-                        code.httpStatus(),
-                        false,
-                        false,
-                        Optional.empty(),
-                        OptionalLong.empty(),
-                        OptionalDouble.empty(),
-                        code == ResultCode.WITHOUT_PATH)));
+                new AttemptEvent.Answered(AttemptEvent.Head.builder(code.httpStatus())
+                        .withoutPath(code == ResultCode.WITHOUT_PATH)
+                        .build()));
     }
 
     private void receive(ForwardingFixture router, ForwardingOutput.Send send) {
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetEngine.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetEngine.java
@@ -27,19 +27,19 @@
 
     /** The head of an answer. */
     AttemptEvent.Head head() {
-        return new AttemptEvent.Head(
-                200, true, false, Optional.of(new UpstreamLoad(1, 0, SLOTS)), OptionalLong.empty(), limit, false);
+        return AttemptEvent.Head.builder(200)
+                .verified(true)
+                .load(Optional.of(new UpstreamLoad(1, 0, SLOTS)))
+                .requestLimit(limit)
+                .build();
     }
 
     /** The head of an answer to a request for other weights. */
     AttemptEvent.Head misdirectedHead() {
-        return new AttemptEvent.Head(
-                CallTiming.MISDIRECTED_STATUS,
-                true,
-                true,
-                Optional.empty(),
-                OptionalLong.of(weightsVersion),
-                OptionalDouble.empty(),
-                false);
+        return AttemptEvent.Head.builder(CallTiming.MISDIRECTED_STATUS)
+                .verified(true)
+                .notExecuted(true)
+                .weightsVersion(OptionalLong.of(weightsVersion))
+                .build();
     }
 }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -5,9 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 import com.dynatrace.hash4j.hashing.Hashing;
@@ -450,13 +448,10 @@
     }
 
     static AttemptEvent.Head head(int status, boolean verified, boolean notExecuted) {
-        return new AttemptEvent.Head(
-                status,
-                verified,
-                notExecuted,
-                Optional.of(new UpstreamLoad(1, 0, 6)),
-                OptionalLong.empty(),
-                OptionalDouble.empty(),
-                false);
+        return AttemptEvent.Head.builder(status)
+                .verified(verified)
+                .notExecuted(notExecuted)
+                .load(Optional.of(new UpstreamLoad(1, 0, 6)))
+                .build();
     }
 }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RandomDeploymentTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RandomDeploymentTest.java
@@ -5,8 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
-import java.util.OptionalLong;
 import java.util.SplittableRandom;
 
 import org.fuchsiatrail.AttemptId;
@@ -257,14 +255,11 @@
         }
 
         private AttemptEvent.Head head(int status, boolean verified, boolean notExecuted) {
-            return new AttemptEvent.Head(
-                    status,
-                    verified,
-                    notExecuted,
-                    Optional.of(new UpstreamLoad(random.nextInt(64), random.nextInt(10), 64)),
-                    OptionalLong.empty(),
-                    OptionalDouble.empty(),
-                    false);
+            return AttemptEvent.Head.builder(status)
+                    .verified(verified)
+                    .notExecuted(notExecuted)
+                    .load(Optional.of(new UpstreamLoad(random.nextInt(64), random.nextInt(10), 64)))
+                    .build();
         }
 
         private void endAttempt(AttemptId attempt, Call call, AttemptEvent event, boolean executed) {
