Log when an upstream says in an answer that it is leaving

An engine that leaves may say so in its answers before, or instead of, its entry in the store; no line told of it. The head of an answer now has it, and the router logs the first such answer of each incarnation. Nothing acts on it yet.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AnswerHeadBuilder.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AnswerHeadBuilder.java
@@ -14,6 +14,7 @@
     private OptionalLong weightsVersion = OptionalLong.empty();
     private OptionalDouble requestLimit = OptionalDouble.empty();
     private Optional<RequestedPause> requestedPause = Optional.empty();
+    private boolean leaving;
     private boolean withoutPath;
 
     AnswerHeadBuilder(int status) {
@@ -86,6 +87,17 @@
         return this;
     }
 
+    /**
+     * Sets whether the upstream says that it is leaving.
+     *
+     * @param isLeaving whether it does
+     * @return this builder
+     */
+    public AnswerHeadBuilder leaving(boolean isLeaving) {
+        leaving = isLeaving;
+        return this;
+    }
+
     /**
      * Sets whether the request was relayed to a router that reaches no upstream either.
      *
@@ -104,6 +116,14 @@
      */
     public AttemptEvent.Head build() {
         return new AttemptEvent.Head(
-                status, verified, notExecuted, load, weightsVersion, requestLimit, requestedPause, withoutPath);
+                status,
+                verified,
+                notExecuted,
+                load,
+                weightsVersion,
+                requestLimit,
+                requestedPause,
+                leaving,
+                withoutPath);
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AttemptEvent.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AttemptEvent.java
@@ -19,6 +19,7 @@
      *     limit
      * @param requestedPause the time in which the upstream wants no further requests of this router, when it asks for
      *     one
+     * @param leaving whether the upstream says that it is leaving
      * @param withoutPath whether the request was relayed to a router that reaches no upstream either
      */
     record Head(
@@ -29,6 +30,7 @@
             OptionalLong weightsVersion,
             OptionalDouble requestLimit,
             Optional<RequestedPause> requestedPause,
+            boolean leaving,
             boolean withoutPath) {
 
         /**
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AnswerHeads.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AnswerHeads.java
@@ -7,10 +7,12 @@
 
     private final ForwardingContext context;
     private final RequestLimits requestLimits;
+    private final LeavingUpstreams leavingUpstreams;
 
-    AnswerHeads(ForwardingContext context, RequestLimits requestLimits) {
+    AnswerHeads(ForwardingContext context, RequestLimits requestLimits, LeavingUpstreams leavingUpstreams) {
         this.context = context;
         this.requestLimits = requestLimits;
+        this.leavingUpstreams = leavingUpstreams;
     }
 
     /** Records the head of an answer; that of a relayed request concerns an upstream that this router does not know. */
@@ -28,6 +30,9 @@
         }
         if (head.status() != CallTiming.MISDIRECTED_STATUS) {
             requestLimits.observe(pending.upstream, head.requestLimit());
+            if (head.leaving()) {
+                leavingUpstreams.observe(pending.incarnation);
+            }
         }
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -67,7 +67,7 @@
         this.gossip = gossip;
         this.streamVersions = streamVersions;
         this.relayRouters = new RelayRouters(context, storeReplica);
-        this.answerHeads = new AnswerHeads(context, requestLimits);
+        this.answerHeads = new AnswerHeads(context, requestLimits, upstreams.leaving());
         this.timers = new CallTimers(context);
         streamVersions.lookup().onResolution(pending -> timers.schedule(pending, context.now()));
         this.selector = new UpstreamSelector(context, storeReplica, upstreams, timing, requestLimits);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
@@ -40,6 +40,7 @@
     private final StoreCallTable store;
     private final EngineProbes probes;
     private final SoftwareVersions softwareVersions;
+    private final LeavingUpstreams leaving;
     private final Map<UpstreamId, UpstreamState> upstreams = new LinkedHashMap<>();
     private final Map<UpstreamId, PromptCacheView> kvCacheStores = new LinkedHashMap<>();
     private Consumer<UpstreamId> endListener = incarnation -> {};
@@ -50,6 +51,7 @@
         this.softwareVersions = softwareVersions;
         this.probes = probes;
         this.store = store;
+        this.leaving = new LeavingUpstreams(context);
     }
 
     /** Sets the listener for incarnations that the store shows to have ended without draining. */
@@ -57,6 +59,10 @@
         endListener = listener;
     }
 
+    LeavingUpstreams leaving() {
+        return leaving;
+    }
+
     /** Applies a changed store item. */
     void itemChanged(StoreItemContent previousContent, StoreItem item) {
         if (item.content() instanceof StoreItemContent.Upstream upstream) {
@@ -145,6 +151,7 @@
      * in flight.
      */
     void run() {
+        leaving.run();
         for (UpstreamState upstream : upstreams.values()) {
             boolean registered = !upstream.entry.draining() && context.now() < upstream.removalAtMillis;
             boolean needsProbe = upstream.awaitsProbe || upstream.isUnresponsiveEngine(context.now());
