--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -61,6 +61,7 @@
     private final PriorityQueue<Change> changes =
             new PriorityQueue<>(Comparator.comparingLong(Change::atMillis).thenComparingLong(Change::number));
     private final List<Arrival> arrivals = new ArrayList<>();
+    private final List<Answer> answers = new ArrayList<>();
     private final List<Beginning> beginnings = new ArrayList<>();
     private final Map<EntryVmId, Long> suspendedUntilMillis = new HashMap<>();
     private long targetWeights = 1;
@@ -88,6 +89,9 @@
     /** A request that reached an engine. */
     record Arrival(long atMillis, EntryVmId router, String engine, FleetRequest request, int send) {}
 
+    /** The head of an answer of an engine that a router received. */
+    record Answer(long atMillis, EntryVmId router, String engine, AttemptEvent.Head head) {}
+
     private record Attempt(
             ForwardingFixture router, FleetRequest request, FleetEngine engine, ForwardingOutput.Send send) {}
 
@@ -184,12 +188,17 @@
 
     /** Makes the first engines name a limit of requests a second in their answers, or none; returns their ids. */
     Set<String> limitEngines(int count, OptionalDouble limit) {
-        List<FleetEngine> limited = engines.values().stream()
+        List<FleetEngine> limited = firstEngines(count);
+        limited.forEach(engine -> engine.limit = limit);
+        return limited.stream().map(engine -> engine.id).collect(Collectors.toSet());
+    }
+
+    /** The first engines that have not ended. */
+    List<FleetEngine> firstEngines(int count) {
+        return engines.values().stream()
                 .filter(engine -> !engine.ended)
                 .limit(count)
                 .toList();
-        limited.forEach(engine -> engine.limit = limit);
-        return limited.stream().map(engine -> engine.id).collect(Collectors.toSet());
     }
 
     /** Sets newer target weights; a suspended router learns of them when it continues. */
@@ -229,11 +238,7 @@
 
     /** Ends some engines at once, for a reason that has nothing to do with their requests. */
     void endEngines(int count) {
-        engines.values().stream()
-                .filter(engine -> !engine.ended)
-                .limit(count)
-                .toList()
-                .forEach(engine -> end(engine, false));
+        firstEngines(count).forEach(engine -> end(engine, false));
     }
 
     /** Ends a random engine at once. */
@@ -332,6 +337,11 @@
         return beginnings;
     }
 
+    /** The heads of answers that routers received from engines, in order. */
+    List<Answer> answers() {
+        return answers;
+    }
+
     /** The requests that reached engines, in order. */
     List<Arrival> arrivals() {
         return arrivals;
@@ -459,6 +469,10 @@
             after(1, () -> close(attempt, new AttemptEvent.Answered(engine.misdirectedHead())));
             return;
         }
+        if (engine.pauseMillis > 0) {
+            after(1, () -> close(attempt, new AttemptEvent.Answered(engine.pausingHead())));
+            return;
+        }
         after(START_MILLIS, () -> start(attempt));
     }
 
@@ -516,10 +530,21 @@
     }
 
     private void deliver(Attempt attempt, AttemptEvent event) {
+        if (attempt.engine() != null) {
+            switch (event) {
+                case AttemptEvent.Answered answered -> recordAnswer(attempt, answered.head());
+                case AttemptEvent.Started started -> recordAnswer(attempt, started.head());
+                default -> {}
+            }
+        }
         attempt.router().deliverEvent(attempt.send(), event);
         execute(attempt.router());
     }
 
+    private void recordAnswer(Attempt attempt, AttemptEvent.Head head) {
+        answers.add(new Answer(now(), attempt.router().self().id(), attempt.engine().id, head));
+    }
+
     private void answerProbe(ForwardingFixture router, ForwardingOutput.QueryEngineState query) {
         FleetEngine engine = engines.get(query.engine().value());
         boolean cut = pathCuts.containsKey(router.self().id());
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetEngine.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetEngine.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 
 import org.fuchsiatrail.forwarding.AttemptEvent;
+import org.fuchsiatrail.forwarding.RequestedPause;
 import org.fuchsiatrail.forwarding.UpstreamLoad;
 
 /** A model engine of an {@link EngineFleet}. */
@@ -18,6 +19,10 @@
     boolean ended;
     long weightsVersion;
     OptionalDouble limit = OptionalDouble.empty();
+    /** The pause for which it asks while it turns all requests away, in milliseconds; 0 while it accepts them. */
+    long pauseMillis;
+
+    boolean leaving;
 
     FleetEngine(String id, String softwareVersion, long weightsVersion) {
         this.id = id;
@@ -31,6 +36,7 @@
                 .verified(true)
                 .load(Optional.of(new UpstreamLoad(1, 0, SLOTS)))
                 .requestLimit(limit)
+                .leaving(leaving)
                 .build();
     }
 
@@ -40,6 +46,17 @@
                 .verified(true)
                 .notExecuted(true)
                 .weightsVersion(OptionalLong.of(weightsVersion))
+                .leaving(leaving)
+                .build();
+    }
+
+    /** The head of an answer that turns a request away. */
+    AttemptEvent.Head pausingHead() {
+        return AttemptEvent.Head.builder(503)
+                .notExecuted(true)
+                .requestedPause(
+                        Optional.of(new RequestedPause(Long.toString(pauseMillis), OptionalLong.of(pauseMillis))))
+                .leaving(leaving)
                 .build();
     }
 }
