Send no requests to upstreams that say in an answer that they are leaving

Change: the first such answer makes the incarnation leaving at this router, as if its entry said that it is draining: it receives no new requests, retries or resumed streams and counts for no rollout of weights; streams that run there end there. The router tells its peers at once, and relays pass on what is new to them. An upstream that starts again under the same id is another incarnation. Once all upstreams of a service leave, requests are refused at once with 2002 and a time to come back, spread over callers; a broken stream may still wait 0.8 s for an upstream that replaces one.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ForwardingNewsBuilder.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ForwardingNewsBuilder.java
@@ -22,6 +22,7 @@
     private List<PeerMessage.StreamReply> streamReplies = List.of();
     private List<PeerMessage.TargetAge> targetAges = List.of();
     private List<PeerMessage.SeenPause> pauses = List.of();
+    private List<UpstreamId> leaving = List.of();
     private List<PeerMessage.ReadParts> reads = List.of();
     private List<PeerMessage.DomainWork> domains = List.of();
     private List<PeerMessage.CacheChanges> caches = List.of();
@@ -219,6 +220,17 @@
         return this;
     }
 
+    /**
+     * Sets the incarnations of upstreams that said that they are leaving.
+     *
+     * @param incarnations the incarnations
+     * @return this builder
+     */
+    public ForwardingNewsBuilder leaving(List<UpstreamId> incarnations) {
+        leaving = incarnations;
+        return this;
+    }
+
     /**
      * Builds the update.
      *
@@ -245,6 +257,7 @@
                 streamQueries,
                 streamReplies,
                 targetAges,
-                pauses);
+                pauses,
+                leaving);
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
@@ -191,6 +191,7 @@
      * @param streamReplies replies to such queries
      * @param targetAges how long ago the target versions of weights were set
      * @param pauses the pauses that upstreams asked for
+     * @param leaving the incarnations of upstreams that said that they are leaving
      */
     record ForwardingNews(
             EntryVm vm,
@@ -212,7 +213,8 @@
             List<StreamQuery> streamQueries,
             List<StreamReply> streamReplies,
             List<TargetAge> targetAges,
-            List<SeenPause> pauses)
+            List<SeenPause> pauses,
+            List<UpstreamId> leaving)
             implements PeerMessage {
 
         /** Replaces missing lists with empty ones. */
@@ -233,6 +235,7 @@
             streamReplies = streamReplies == null ? List.of() : streamReplies;
             targetAges = targetAges == null ? List.of() : targetAges;
             pauses = pauses == null ? List.of() : pauses;
+            leaving = leaving == null ? List.of() : leaving;
         }
 
         /**
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -205,7 +205,7 @@
         if (unavailable.isPresent()) {
             refuseOrAbort(
                     pending,
-                    ResultCode.OVERLOADED,
+                    unavailable.get().code(),
                     unavailable.get().retryMillis(),
                     unavailable.get().reason());
             return;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/GossipBuffer.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/GossipBuffer.java
@@ -6,6 +6,7 @@
 
 import org.fuchsiatrail.ForwardingNewsBuilder;
 import org.fuchsiatrail.PeerMessage;
+import org.fuchsiatrail.UpstreamId;
 
 /**
  * Buffered peer updates, each sent once: what this router has observed, and what it passes on as a relay. A relay
@@ -25,6 +26,7 @@
         final List<Long> clearedParts = new ArrayList<>();
         final List<PeerMessage.NamedLimit> limits = new ArrayList<>();
         final List<PeerMessage.SeenPause> pauses = new ArrayList<>();
+        final List<UpstreamId> leaving = new ArrayList<>();
         final List<PeerMessage.StartedStreams> startedStreams = new ArrayList<>();
         final List<PeerMessage.Switching> switching = new ArrayList<>();
 
@@ -35,6 +37,7 @@
             clearedParts.clear();
             limits.clear();
             pauses.clear();
+            leaving.clear();
             startedStreams.clear();
             switching.clear();
         }
@@ -66,6 +69,7 @@
                 .clearedParts(List.copyOf(local.clearedParts))
                 .limits(List.copyOf(local.limits))
                 .pauses(List.copyOf(local.pauses))
+                .leaving(List.copyOf(local.leaving))
                 .startedStreams(List.copyOf(local.startedStreams))
                 .switching(List.copyOf(local.switching));
     }
@@ -82,6 +86,8 @@
                         .toList())
                 .pauses(Stream.concat(local.pauses.stream(), remote.pauses.stream())
                         .toList())
+                .leaving(Stream.concat(local.leaving.stream(), remote.leaving.stream())
+                        .toList())
                 .clearedParts(Stream.concat(local.clearedParts.stream(), remote.clearedParts.stream())
                         .toList())
                 .switching(Stream.concat(local.switching.stream(), remote.switching.stream())
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/LeavingUpstreams.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/LeavingUpstreams.java
@@ -1,11 +1,18 @@
 package org.fuchsiatrail.internal.forwarding;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 import org.fuchsiatrail.UpstreamId;
 
-/** The incarnations of upstreams that said in an answer that they are leaving. */
+/**
+ * The incarnations of upstreams that said in an answer, to any router, that they are leaving.
+ *
+ * <p>Such an upstream receives no new requests, as if its entry in the store said that it is draining. An upstream that
+ * starts again under the same id is another incarnation.
+ */
 final class LeavingUpstreams {
 
     /** How long an incarnation is remembered, in milliseconds; leaving upstreams end within a minute. */
@@ -15,6 +22,7 @@
 
     private final ForwardingContext context;
     private final Map<UpstreamId, Long> reportedAtMillis = new HashMap<>();
+    private List<UpstreamId> unsentReports = new ArrayList<>();
     private long nextExpiryAtMillis;
 
     LeavingUpstreams(ForwardingContext context) {
@@ -23,7 +31,29 @@
 
     /** Records an answer in which an upstream says that it is leaving. */
     void observe(UpstreamId incarnation) {
-        record(incarnation, "answer");
+        if (record(incarnation, "answer")) {
+            unsentReports.add(incarnation);
+        }
+    }
+
+    /** Records a peer's report; returns whether it is new. */
+    boolean receive(UpstreamId incarnation) {
+        return record(incarnation, "peer");
+    }
+
+    boolean contains(UpstreamState upstream) {
+        return reportedAtMillis.containsKey(upstream.incarnationId());
+    }
+
+    /** Removes and returns the reports that have not been sent to peers yet. */
+    List<UpstreamId> drainUnsent() {
+        List<UpstreamId> drained = unsentReports;
+        unsentReports = new ArrayList<>();
+        return drained;
+    }
+
+    boolean hasUnsent() {
+        return !unsentReports.isEmpty();
     }
 
     private boolean record(UpstreamId incarnation, String source) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
@@ -152,7 +152,8 @@
         if (crashes.hasUnsent()
                 || promptParts.hasUnsent()
                 || requestLimits.hasUnsent()
-                || upstreams.pauses().hasUnsent()) {
+                || upstreams.pauses().hasUnsent()
+                || upstreams.leaving().hasUnsent()) {
             scheduleUpdate();
         }
         if (context.now() < nextHeartbeatAtMillis && context.now() < pushAtMillis) {
@@ -177,6 +178,7 @@
         buffer.local().clearedParts.addAll(promptParts.drainUnsentClearances());
         buffer.local().limits.addAll(requestLimits.drainUnsent());
         buffer.local().pauses.addAll(upstreams.pauses().drainUnsent());
+        buffer.local().leaving.addAll(upstreams.leaving().drainUnsent());
         buffer.local().startedStreams.addAll(streamVersions.origins().drainUnsent());
         for (UpstreamId engine : rollout.switchingEngines()) {
             buffer.local().switching.add(new PeerMessage.Switching(engine, SWITCHING_VALIDITY_MILLIS));
@@ -322,6 +324,7 @@
             }
         }
         update.pauses().forEach(pause -> applyPause(pause, updates));
+        update.leaving().forEach(upstream -> applyLeaving(upstream, updates));
         for (PeerMessage.StartedStreams started : update.startedStreams()) {
             streamVersions.origins().receive(started).filter(added -> isRelay).ifPresent(updates.startedStreams::add);
         }
@@ -340,6 +343,13 @@
         }
     }
 
+    private void applyLeaving(UpstreamId incarnation, GossipBuffer.Updates updates) {
+        if (upstreams.leaving().receive(incarnation) && isRelay) {
+            updates.leaving.add(incarnation);
+            scheduleUpdate();
+        }
+    }
+
     private void applyCacheChanges(PeerMessage.CacheChanges changes) {
         Long lastNumber = lastNumberByReader.remove(changes.reader());
         lastNumberByReader.put(changes.reader(), Math.max(changes.number(), lastNumber == null ? 0 : lastNumber));
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamAvailability.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamAvailability.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.fuchsiatrail.ResultCode;
+
 /** Decides by what upstreams said of themselves whether they may receive a request, and when if not now. */
 final class UpstreamAvailability {
 
@@ -19,10 +21,11 @@
     /**
      * The reason for which no upstream may receive a request in time.
      *
+     * @param code the result of the request
      * @param retryMillis when the caller may come back, in milliseconds
      * @param reason the reason
      */
-    record Unavailable(long retryMillis, String reason) {}
+    record Unavailable(ResultCode code, long retryMillis, String reason) {}
 
     UpstreamAvailability(
             ForwardingContext context, RequestLimits requestLimits, RequestedPauses pauses, CallTiming timing) {
@@ -64,11 +67,22 @@
             return Optional.empty();
         }
         if (!pausing) {
-            return Optional.of(new Unavailable(retryMillis, "all upstreams are at the limits that they named"));
+            return Optional.of(new Unavailable(
+                    ResultCode.OVERLOADED, retryMillis, "all upstreams are at the limits that they named"));
         }
         context.count("requests.held-by-pauses");
-        long spreadMillis = Math.max(MINIMUM_RETRY_SPREAD_MILLIS, Math.round(retryMillis * RETRY_SPREAD_FRACTION));
         return Optional.of(new Unavailable(
-                retryMillis + context.random().nextLong(spreadMillis), "all upstreams pause or are at their limits"));
+                ResultCode.OVERLOADED, spread(retryMillis), "all upstreams pause or are at their limits"));
+    }
+
+    /** Returns the refusal of a request to a service whose upstreams all leave. */
+    Unavailable allLeaving() {
+        return new Unavailable(
+                ResultCode.NO_UPSTREAM, spread(CallTiming.NO_UPSTREAM_RETRY_MILLIS), "all upstreams are leaving");
+    }
+
+    private long spread(long retryMillis) {
+        long spreadMillis = Math.max(MINIMUM_RETRY_SPREAD_MILLIS, Math.round(retryMillis * RETRY_SPREAD_FRACTION));
+        return retryMillis + context.random().nextLong(spreadMillis);
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamReachability.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamReachability.java
@@ -32,7 +32,7 @@
         nextCheckAtMillis = context.now() + CHECK_INTERVAL_MILLIS;
         Map<String, Counts> countsByService = new HashMap<>();
         for (UpstreamState upstream : upstreams.all()) {
-            if (!upstream.entry.draining()) {
+            if (upstreams.isActive(upstream)) {
                 Counts counts = countsByService.computeIfAbsent(upstream.entry.service(), key -> new Counts());
                 counts.registered++;
                 counts.suspected += upstream.isSuspected(context.now()) ? 1 : 0;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
@@ -153,14 +153,19 @@
         return first.isEmpty() ? suspected : first;
     }
 
-    /** Returns why no upstream may receive the request in time, if all pause or are at the limits that they named. */
+    /** Returns why no upstream may receive the request in time, if what they all said of themselves excludes it. */
     Optional<UpstreamAvailability.Unavailable> unavailable(PendingCall pending) {
         List<UpstreamState> permitted = new ArrayList<>();
-        for (UpstreamState upstream : upstreams.activeUpstreams(pending.service)) {
+        List<UpstreamState> active = upstreams.activeUpstreams(pending.service);
+        for (UpstreamState upstream : active) {
             if (mayContinueAt(pending, upstream)) {
                 permitted.add(upstream);
             }
         }
+        // A broken stream may wait for an upstream that replaces one which leaves.
+        if (active.isEmpty() && !pending.mayHaveRun() && upstreams.isAnyLeaving(pending.service)) {
+            return Optional.of(availability.allLeaving());
+        }
         return availability.unavailable(permitted, pending.placementDeadlineMillis - context.now());
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
@@ -113,7 +113,7 @@
     }
 
     private void reportEnd(UpstreamState upstream) {
-        if (!upstream.entry.draining()) {
+        if (!upstream.entry.draining() && !leaving.contains(upstream)) {
             endListener.accept(upstream.incarnationId());
         }
     }
@@ -164,10 +164,9 @@
         pauses.run();
         leaving.run();
         for (UpstreamState upstream : upstreams.values()) {
-            boolean registered = !upstream.entry.draining() && context.now() < upstream.removalAtMillis;
             boolean awaitsProbe = upstream.awaitsProbe && pauses.millisLeft(upstream) == 0;
             boolean needsProbe = awaitsProbe || upstream.isUnresponsiveEngine(context.now());
-            if (needsProbe && registered && context.now() >= upstream.nextProbeAtMillis) {
+            if (needsProbe && isActive(upstream) && context.now() >= upstream.nextProbeAtMillis) {
                 upstream.nextProbeAtMillis = context.now() + PROBE_INTERVAL_MILLIS;
                 context.wakeAt(upstream.nextProbeAtMillis);
                 probes.send(upstream);
@@ -209,19 +208,28 @@
         return upstreams.values();
     }
 
-    /** The upstreams of a service that are registered and not draining. */
+    /** Returns whether an upstream is registered and neither draining nor leaving. */
+    boolean isActive(UpstreamState upstream) {
+        return !upstream.entry.draining() && context.now() < upstream.removalAtMillis && !leaving.contains(upstream);
+    }
+
+    /** The upstreams of a service that are registered and neither draining nor leaving. */
     List<UpstreamState> activeUpstreams(String service) {
         List<UpstreamState> active = new ArrayList<>();
         for (UpstreamState upstream : upstreams.values()) {
-            if (upstream.entry.service().equals(service)
-                    && !upstream.entry.draining()
-                    && context.now() < upstream.removalAtMillis) {
+            if (upstream.entry.service().equals(service) && isActive(upstream)) {
                 active.add(upstream);
             }
         }
         return active;
     }
 
+    /** Returns whether an upstream of a service said that it is leaving. */
+    boolean isAnyLeaving(String service) {
+        return upstreams.values().stream()
+                .anyMatch(upstream -> upstream.entry.service().equals(service) && leaving.contains(upstream));
+    }
+
     /** Records a successful attempt, which ends the backoff of the upstream. */
     void recordSuccess(UpstreamState upstream) {
         upstream.recordOutcome(false);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WeightsRollout.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WeightsRollout.java
@@ -121,7 +121,7 @@
         switches.entrySet().removeIf(entry -> {
             UpstreamState engine = upstreams.find(entry.getKey()).orElse(null);
             WeightSwitch state = entry.getValue();
-            boolean gone = engine == null || engine.entry.draining() || context.now() >= engine.removalAtMillis;
+            boolean gone = engine == null || !upstreams.isActive(engine);
             boolean done = !gone && engine.weightVersions.getOrDefault(state.model, 0L) >= state.version;
             if (done) {
                 context.log(
@@ -142,9 +142,7 @@
         List<UpstreamState> outdated = new ArrayList<>();
         int engineCount = 0;
         for (UpstreamState engine : upstreams.all()) {
-            boolean serves = engine.weightVersions.containsKey(target.model())
-                    && !engine.entry.draining()
-                    && context.now() < engine.removalAtMillis;
+            boolean serves = engine.weightVersions.containsKey(target.model()) && upstreams.isActive(engine);
             boolean suspect = engine.isSuspected(context.now());
             if (serves) {
                 engineCount += suspect ? 0 : 1;
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerCodecTest.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerCodecTest.java
@@ -78,6 +78,7 @@
                 .clearedCrashes(List.of(PeerMessage.SeenCrash.ofRequest(45, ENGINE)))
                 .clearedParts(List.of(9L, -10L))
                 .limits(List.of(new PeerMessage.NamedLimit(ENGINE, true, 1.7, 40)))
+                .leaving(List.of(ENGINE))
                 .pauses(List.of(new PeerMessage.SeenPause(ENGINE, 2_900)))
                 .startedStreams(List.of(new PeerMessage.StartedStreams("tutors", "v1", new long[] {5, -6})))
                 .streamQueries(List.of(new PeerMessage.StreamQuery(-7, List.of("tutors"))))
