Log when the quarantine of a request or a prompt part ends

When requests with a crashing prompt part were sent on long after its quarantine had begun, no line told that it had ended, or why. Routers now log that a request with the part completed, which clears it, and that the published quarantine is no longer in force.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PromptPartTracker.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PromptPartTracker.java
@@ -113,11 +113,21 @@
         completedAtMillis.put(part, context.now());
         trim(completedAtMillis);
         published.remove(part);
-        boolean cleared = suspects.remove(part) != null;
-        if (cleared) {
-            context.count("crashes.parts-cleared");
+        PromptPartSuspect cleared = suspects.remove(part);
+        if (cleared == null) {
+            return false;
         }
-        return cleared;
+        context.count("crashes.parts-cleared");
+        if (cleared.wasQuarantined()) {
+            context.log(
+                    "quarantine",
+                    "Quarantine of a prompt part ended; a request with it completed.",
+                    "fingerprint",
+                    Long.toHexString(part),
+                    "crashes",
+                    cleared.crashes().size());
+        }
+        return true;
     }
 
     private void shareClearance(long part) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreReplica.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreReplica.java
@@ -106,15 +106,22 @@
                         "revision",
                         item.revision());
             }
-            case StoreItemContent.Removed removed -> applyRemoval(current);
+            case StoreItemContent.Removed removed -> applyRemoval(current, item.revision());
         }
         listener.accept(current == null ? new StoreItemContent.Removed() : current.content(), item);
     }
 
-    private void applyRemoval(StoreItem removed) {
+    private void applyRemoval(StoreItem removed, long revision) {
         context.count("store.removed-items");
         if (removed != null && removed.content() instanceof StoreItemContent.Quarantine quarantine) {
             quarantinedAtMillis.remove(quarantine.fingerprint());
+            context.log(
+                    "quarantine",
+                    "Quarantine no longer in force.",
+                    "fingerprint",
+                    Long.toHexString(quarantine.fingerprint()),
+                    "revision",
+                    revision);
         }
     }
 
