Keep requests of a restarted router apart from those relayed to its predecessor

Traced: five routers quarantined the part 1.85 s after the fifth crash and it was published. 4 s later a router recorded that a request with the part had completed, which cleared the part everywhere, so that all later ones were sent. That request had been relayed to a router that restarted 50 ms afterwards. The virtual fleet kept it under the router's id and its request id, which the restarted router used again: the relaying router received the answer to another request, a sound one. Over sockets an answer belongs to its connection, so this cannot happen there. Ruled out: quarantines of parts that are too late or not shared, and relayed attempts whose crashes are not counted.

The fleet now ends what was relayed to a router when that router ends, as its connections would, and no longer takes an attempt of a restarted router for the one that had the same id before. The test and its limits are unchanged.

--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -326,6 +326,20 @@
         ForwardingFixture successor = router.restarted();
         routers.set(index, successor);
         connectToStore(successor);
+        breakRelayConnections(router);
+    }
+
+    /** Ends the attempts that other routers relayed to one that ended; its successor uses the same request ids. */
+    private void breakRelayConnections(ForwardingFixture ended) {
+        List<Attempt> broken = new ArrayList<>();
+        relayedAttempts.entrySet().removeIf(relayed -> {
+            boolean concerned = relayed.getKey().startsWith(ended.self().id() + "/");
+            if (concerned) {
+                broken.add(relayed.getValue());
+            }
+            return concerned;
+        });
+        broken.forEach(attempt -> close(attempt, new AttemptEvent.Lost(true, true, "", "Remotely closed")));
     }
 
     void setStoreAnswers(boolean answers) {
@@ -434,7 +448,7 @@
 
     private void answerRelayed(ForwardingFixture router, RequestId request, Consumer<Attempt> answer) {
         Attempt relayed = relayedAttempts.get(router.self().id() + "/" + request);
-        if (relayed != null && openAttempts.containsKey(relayed.send().attempt())) {
+        if (relayed != null && isOpen(relayed)) {
             answer.accept(relayed);
         }
     }
@@ -477,7 +491,7 @@
     }
 
     private void start(Attempt attempt) {
-        if (!openAttempts.containsKey(attempt.send().attempt()) || hangs(attempt.router())) {
+        if (!isOpen(attempt) || hangs(attempt.router())) {
             return;
         }
         if (attempt.request().contains(crashingPart)) {
@@ -499,7 +513,7 @@
     }
 
     private void finish(Attempt attempt) {
-        if (openAttempts.containsKey(attempt.send().attempt()) && !hangs(attempt.router())) {
+        if (isOpen(attempt) && !hangs(attempt.router())) {
             attempt.request().finished = true;
             close(attempt, new AttemptEvent.Finished());
             answerRelayed(
@@ -523,8 +537,14 @@
                 .forEach(attempt -> close(attempt, new AttemptEvent.Lost(true, true, "", "Remotely closed")));
     }
 
+    /** Returns whether an attempt is open; a router that restarts uses the same attempt ids again. */
+    private boolean isOpen(Attempt attempt) {
+        return openAttempts.get(attempt.send().attempt()) == attempt;
+    }
+
     private void close(Attempt attempt, AttemptEvent event) {
-        if (openAttempts.remove(attempt.send().attempt()) != null) {
+        if (isOpen(attempt)) {
+            openAttempts.remove(attempt.send().attempt());
             deliver(attempt, event);
         }
     }
