Test fleets in which routers of two builds run side by side

Nothing ran two builds together. A router that lacks a field of its peers must keep its promises all the same.

Change: on virtual time, messages from and to routers of an older build lose the fields that it neither writes nor reads.

An older router decides as the present one does when its peers tell it nothing else.

--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -585,7 +585,8 @@
                         .ifPresent(router -> {
                             router.now = Math.max(router.now, now());
                             router.tick(new ForwardingInput.PeerMessageReceived(
-                                    sender.self().id(), message.message()));
+                                    sender.self().id(),
+                                    router.build.restrict(sender.build.restrict(message.message()))));
                         }));
     }
 }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -56,6 +56,9 @@
     Consumer<StoreCall.PublishQuarantine> quarantineListener = this::putQuarantine;
     Consumer<Long> leaseEndListener = lease -> {};
     long now = 1_000_000;
+    /** The build of the router, as its peers see it. */
+    RouterBuild build = RouterBuild.PRESENT;
+
     private long nextLease = 9;
     private final EntryVm self;
     private long revision;
@@ -208,6 +211,7 @@
         successor.items.addAll(items);
         successor.revision = revision;
         successor.now = now;
+        successor.build = build;
         return successor.start();
     }
 
