--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -12,6 +12,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.fuchsiatrail.AttemptId;
 import org.fuchsiatrail.EntryVmId;
@@ -221,16 +222,38 @@
                 });
     }
 
+    /** The newest weights of the engines that run. */
+    long newestWeights() {
+        return runningEngines().mapToLong(engine -> engine.weightsVersion).max().orElse(0);
+    }
+
+    /** The number of running engines with replaced weights. */
+    long outdatedEngines() {
+        return runningEngines()
+                .filter(engine -> engine.weightsVersion < targetWeights)
+                .count();
+    }
+
+    private Stream<FleetEngine> runningEngines() {
+        return engines.values().stream().filter(engine -> !engine.ended);
+    }
+
     /** Suspends a router, whose clock counts the time meanwhile or stops. */
     void suspend(ForwardingFixture router, long millis, boolean clockCounts) {
         router.suspend();
         suspendedUntilMillis.put(router.self().id(), now() + millis);
         after(millis, () -> {
-            router.resume(millis, clockCounts);
-            execute(router);
+            if (routers.contains(router)) {
+                router.resume(millis, clockCounts);
+                execute(router);
+            }
         });
     }
 
+    boolean isSuspended(ForwardingFixture router) {
+        return now() < suspendedUntilMillis(router.self().id());
+    }
+
     /** When the last suspension of a router ended, or ends, in milliseconds. */
     long suspendedUntilMillis(EntryVmId router) {
         return suspendedUntilMillis.getOrDefault(router, Long.MIN_VALUE / 2);
@@ -323,6 +346,7 @@
                 .filter(request -> request.router == router && !request.finished)
                 .forEach(request -> request.broken = true);
         startedAtMillis.put(router.self().id(), now());
+        suspendedUntilMillis.remove(router.self().id());
         ForwardingFixture successor = router.restarted();
         routers.set(index, successor);
         connectToStore(successor);
@@ -584,6 +608,7 @@
                         .findFirst()
                         .ifPresent(router -> {
                             router.now = Math.max(router.now, now());
+                            message.message().items().forEach(router::relay);
                             router.tick(new ForwardingInput.PeerMessageReceived(
                                     sender.self().id(),
                                     router.build.restrict(sender.build.restrict(message.message()))));
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -14,6 +14,7 @@
 import org.fuchsiatrail.EntryVm;
 import org.fuchsiatrail.EntryVmId;
 import org.fuchsiatrail.FailureDomain;
+import org.fuchsiatrail.PeerMessage;
 import org.fuchsiatrail.RequestId;
 import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.AttemptEvent;
@@ -212,6 +213,7 @@
         successor.revision = revision;
         successor.now = now;
         successor.build = build;
+        successor.storeAnswers = storeAnswers;
         return successor.start();
     }
 
@@ -224,6 +226,14 @@
         tick(new ForwardingInput.StoreItemRelayed(new StoreItem(key, itemRevision, new byte[] {1}, content)));
     }
 
+    /** Delivers an item of this router's store that a peer relayed. */
+    void relay(PeerMessage.RelayedItem relayed) {
+        items.stream()
+                .filter(item -> item.key().equals(relayed.key()) && item.revision() == relayed.revision())
+                .findFirst()
+                .ifPresent(item -> tick(new ForwardingInput.StoreItemRelayed(item)));
+    }
+
     ForwardingFixture start() {
         tick();
         return this;
