Take a target that a router has missed for as old as its process may be

A router that starts after several targets in quick succession finds only the newest in the store. Peers report the others; a report that is not exact was taken for the age itself, because the router had not been suspended, and the router sent requests to engines whose weights the missed target had replaced long before.

Change: a target that is first known from a report counts as set when it may have been found at the start, until its exact age is reported. A router that runs and receives the same target from the store a moment later has observed it itself, so the order in which the two arrive makes no difference.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
@@ -259,7 +259,7 @@
         topology.recordContact(from, context.now());
         applyWork(from, update);
         boolean sameDomain = update.vm().failureDomain().equals(ownDomain());
-        update.targetAges().forEach(report -> replica.targetHistory().receive(from, report, replica.revision() == 0));
+        update.targetAges().forEach(report -> replica.targetHistory().receive(from, report));
         applyUpdates(update, sameDomain ? buffer.local() : buffer.remote());
         itemRelay.compareRevision(from, update);
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/TargetWeightsHistory.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/TargetWeightsHistory.java
@@ -60,24 +60,31 @@
      * @return its assumed age in milliseconds
      */
     long add(String model, long version, boolean beforeFirstRead) {
+        Target target = findOrCreate(model, version);
+        long earliestMillis = beforeFirstRead
+                ? earliestAtStartMillis()
+                : context.suspensions().earliestChangeMillis();
+        target.earliestSetAtMillis = Math.max(target.earliestSetAtMillis, earliestMillis);
+        target.exact |= !beforeFirstRead && !context.suspensions().isCatchingUp();
+        return context.now() - target.assumedSetAtMillis();
+    }
+
+    /** Returns a target; one that is new may be as old as those that this router finds at its start. */
+    private Target findOrCreate(String model, long version) {
         TreeMap<Long, Target> targets = targetsByModel.computeIfAbsent(model, key -> new TreeMap<>());
         Target target = targets.get(version);
         if (target == null) {
-            target = createTarget(beforeFirstRead);
-            target.exact = !beforeFirstRead && !context.suspensions().isCatchingUp();
+            target = new Target();
+            target.setAtMillis = context.now();
+            target.earliestSetAtMillis = earliestAtStartMillis();
             targets.put(version, target);
             removeOldest(targets);
         }
-        return context.now() - target.assumedSetAtMillis();
+        return target;
     }
 
-    private Target createTarget(boolean beforeFirstRead) {
-        Target target = new Target();
-        target.setAtMillis = context.now();
-        target.earliestSetAtMillis = beforeFirstRead
-                ? context.now() - context.uptimeMillis() - INITIAL_AGE_MILLIS
-                : context.suspensions().earliestChangeMillis();
-        return target;
+    private long earliestAtStartMillis() {
+        return context.now() - context.uptimeMillis() - INITIAL_AGE_MILLIS;
     }
 
     private static void removeOldest(TreeMap<Long, Target> targets) {
@@ -99,19 +106,9 @@
         }
     }
 
-    /**
-     * Applies a report of a peer.
-     *
-     * @param beforeFirstRead whether this router has not read all items of the store yet
-     */
-    void receive(EntryVmId from, PeerMessage.TargetAge report, boolean beforeFirstRead) {
-        TreeMap<Long, Target> targets = targetsByModel.computeIfAbsent(report.model(), key -> new TreeMap<>());
-        Target target = targets.get(report.version());
-        if (target == null) {
-            target = createTarget(beforeFirstRead);
-            targets.put(report.version(), target);
-            removeOldest(targets);
-        }
+    /** Applies a report of a peer. */
+    void receive(EntryVmId from, PeerMessage.TargetAge report) {
+        Target target = findOrCreate(report.model(), report.version());
         long setAtMillis = context.now() - Math.max(0, report.ageMillis());
         if (setAtMillis < target.assumedSetAtMillis() - AGE_TOLERANCE_MILLIS) {
             logCorrection(from, report, context.now() - target.assumedSetAtMillis());
