--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/PausingEngineGetsRequestsTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/PausingEngineGetsRequestsTest.java
@@ -6,7 +6,6 @@
 import java.util.stream.Collectors;
 
 import org.fuchsiatrail.ResultCode;
-import org.fuchsiatrail.forwarding.ForwardedCall;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -25,33 +24,9 @@
     private static final long PAUSING_MILLIS = 5_000;
     private static final long RETURN_MILLIS = 10_000;
     private static final double LEAST_SHARE_OF_BEFORE = 2.0 / 3;
-    private static final double STEPS_A_SECOND = 1_000.0 / EngineFleet.STEP_MILLIS;
 
-    private final List<FleetRequest> requests = new ArrayList<>();
     private EngineFleet fleet;
-    private int lastRequestPart;
-
-    private FleetRequest sendOne() {
-        int session = fleet.random.nextInt(200);
-        FleetRequest request = fleet.send(
-                new ForwardedCall.PromptPart("course-" + session % 2, 100),
-                new ForwardedCall.PromptPart("session-" + session, 100),
-                new ForwardedCall.PromptPart("request-" + ++lastRequestPart, 600));
-        requests.add(request);
-        return request;
-    }
-
-    private void sendFor(long millis, double requestsPerSecond) {
-        long endMillis = fleet.now() + millis;
-        while (fleet.now() < endMillis) {
-            double mean = requestsPerSecond / STEPS_A_SECOND;
-            int count = (int) mean + (fleet.random.nextDouble() < mean - (int) mean ? 1 : 0);
-            for (int number = 0; number < count; number++) {
-                sendOne();
-            }
-            fleet.advanceTime();
-        }
-    }
+    private FleetTraffic traffic;
 
     /** The requests to an engine beyond those allowed, summed over all pauses that it asked for. */
     private long requestsBeyondAllowed() {
@@ -71,13 +46,6 @@
         return beyond;
     }
 
-    private double shareStarted(long fromMillis, long toMillis) {
-        List<FleetRequest> sent = requests.stream()
-                .filter(request -> request.sentAtMillis >= fromMillis && request.sentAtMillis < toMillis)
-                .toList();
-        return sent.stream().filter(request -> request.started).count() / (double) sent.size();
-    }
-
     private int mostArrivalsInOneSecond(String engine, long fromMillis) {
         long[] arrivals = fleet.arrivals().stream()
                 .filter(arrival -> arrival.engine().equals(engine) && arrival.atMillis() >= fromMillis)
@@ -99,20 +67,21 @@
     void should_leave_a_pausing_engine_alone_and_serve_at_the_others(
             int routers, int engines, double requestsPerSecond) {
         fleet = new EngineFleet(5, routers, engines);
-        sendFor(CALM_MILLIS, requestsPerSecond);
+        traffic = new FleetTraffic(fleet);
+        traffic.sendFor(CALM_MILLIS, requestsPerSecond);
         long pausedAtMillis = fleet.now();
         List<FleetEngine> pausing = fleet.firstEngines(engines / 3);
         pausing.forEach(engine -> engine.pauseMillis = PAUSE_MILLIS);
-        sendFor(PAUSING_MILLIS, requestsPerSecond);
+        traffic.sendFor(PAUSING_MILLIS, requestsPerSecond);
         pausing.forEach(engine -> engine.pauseMillis = 0);
-        sendFor(1_000, requestsPerSecond);
+        traffic.sendFor(1_000, requestsPerSecond);
         assertThat(requestsBeyondAllowed())
                 .as("requests beyond two in a pause; %d were turned away", turnedAway())
                 .isZero();
-        assertThat(shareStarted(pausedAtMillis, pausedAtMillis + PAUSING_MILLIS))
+        assertThat(traffic.shareStarted(pausedAtMillis, pausedAtMillis + PAUSING_MILLIS))
                 .as("requests begun while engines pause")
-                .isGreaterThanOrEqualTo(
-                        LEAST_SHARE_OF_BEFORE * shareStarted(pausedAtMillis - CALM_MILLIS + 1_000, pausedAtMillis));
+                .isGreaterThanOrEqualTo(LEAST_SHARE_OF_BEFORE
+                        * traffic.shareStarted(pausedAtMillis - CALM_MILLIS + 1_000, pausedAtMillis));
     }
 
     private long turnedAway() {
@@ -125,13 +94,14 @@
     @CsvSource({"3,6,60", "7,6,90", "70,42,300", "340,60,300"})
     void should_return_to_an_engine_gradually_after_its_pause(int routers, int engines, double requestsPerSecond) {
         fleet = new EngineFleet(6, routers, engines);
-        sendFor(CALM_MILLIS, requestsPerSecond);
+        traffic = new FleetTraffic(fleet);
+        traffic.sendFor(CALM_MILLIS, requestsPerSecond);
         List<FleetEngine> pausing = fleet.firstEngines(engines / 3);
         pausing.forEach(engine -> engine.pauseMillis = PAUSE_MILLIS);
-        sendFor(PAUSING_MILLIS, requestsPerSecond);
+        traffic.sendFor(PAUSING_MILLIS, requestsPerSecond);
         pausing.forEach(engine -> engine.pauseMillis = 0);
         long acceptsAtMillis = fleet.now();
-        sendFor(RETURN_MILLIS, requestsPerSecond);
+        traffic.sendFor(RETURN_MILLIS, requestsPerSecond);
         Set<String> pausingIds = pausing.stream().map(engine -> engine.id).collect(Collectors.toSet());
         for (String engine : pausingIds) {
             assertThat(mostArrivalsInOneSecond(engine, acceptsAtMillis))
@@ -150,25 +120,26 @@
     @Test
     void should_refuse_at_once_until_the_earliest_end_while_all_engines_pause() {
         fleet = new EngineFleet(7, 3, 3);
-        sendFor(CALM_MILLIS, 30);
+        traffic = new FleetTraffic(fleet);
+        traffic.sendFor(CALM_MILLIS, 30);
         fleet.firstEngines(3).forEach(engine -> engine.pauseMillis = PAUSE_MILLIS);
-        sendFor(1_000, 30);
+        traffic.sendFor(1_000, 30);
         fleet.firstEngines(3).forEach(engine -> engine.pauseMillis = 0);
         List<Long> advised = new ArrayList<>();
         for (int number = 0; number < 20; number++) {
-            FleetRequest refused = sendOne();
+            FleetRequest refused = traffic.sendOne();
             assertThat(refused.refusal).isEqualTo(ResultCode.OVERLOADED);
             assertThat(refused.sends).isZero();
             assertThat(refused.retryAfterMillis).isBetween(PAUSE_MILLIS - 1_000, PAUSE_MILLIS * 3 / 2);
             advised.add(refused.retryAfterMillis);
         }
         assertThat(Set.copyOf(advised)).as("different times to come back").hasSizeGreaterThan(10);
-        sendFor(PAUSE_MILLIS, 30);
+        traffic.sendFor(PAUSE_MILLIS, 30);
         long againAtMillis = fleet.now();
-        sendFor(2_000, 30);
+        traffic.sendFor(2_000, 30);
         fleet.advanceTime();
         fleet.advanceTime();
-        assertThat(shareStarted(againAtMillis, againAtMillis + 1_900))
+        assertThat(traffic.shareStarted(againAtMillis, againAtMillis + 1_900))
                 .as("requests begun after the pause")
                 .isGreaterThan(0.95);
     }
