--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -1,13 +1,11 @@
 package org.fuchsiatrail.internal.forwarding;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -59,8 +57,7 @@
     private final Map<EntryVmId, Long> cutOffUntilMillis = new HashMap<>();
     private final Map<EntryVmId, Long> startedAtMillis = new HashMap<>();
     private final Map<EntryVmId, PathCut> pathCuts = new HashMap<>();
-    private final PriorityQueue<Change> changes =
-            new PriorityQueue<>(Comparator.comparingLong(Change::atMillis).thenComparingLong(Change::number));
+    private final PlannedActions plannedActions = new PlannedActions();
     private final List<Arrival> arrivals = new ArrayList<>();
     private final List<Answer> answers = new ArrayList<>();
     private final List<Beginning> beginnings = new ArrayList<>();
@@ -70,19 +67,6 @@
     private boolean endsSilently;
     private int lastEngineNumber;
     private int lastRequestNumber;
-    private long lastChangeNumber;
-
-    /** How the path of a router to all engines is cut. */
-    enum PathCut {
-        /** Connections, old and new, neither work nor fail. */
-        HANGS,
-        /** Connections are reset, and new ones refused. */
-        RESETS,
-        /** Old connections work, and new ones are refused. */
-        REFUSES_NEW
-    }
-
-    private record Change(long atMillis, long number, Runnable action) {}
 
     /** A request that began to run on an engine, with the version of the engine's weights. */
     record Beginning(long atMillis, EntryVmId router, long weightsVersion) {}
@@ -387,14 +371,12 @@
 
     void advanceTime() {
         routers.forEach(router -> router.advanceTime(STEP_MILLIS));
-        while (!changes.isEmpty() && changes.peek().atMillis() <= now()) {
-            changes.poll().action().run();
-        }
+        plannedActions.runUntil(this::now);
         List.copyOf(routers).forEach(this::execute);
     }
 
     private void after(long millis, Runnable action) {
-        changes.add(new Change(now() + millis, ++lastChangeNumber, action));
+        plannedActions.add(now() + millis, action);
     }
 
     private void execute(ForwardingFixture router) {
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RouterCutOffFromUpstreamsTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RouterCutOffFromUpstreamsTest.java
@@ -56,7 +56,7 @@
         "70,42,200,20,HANGS", "340,60,300,60,RESETS"
     })
     void should_serve_callers_of_cut_off_routers_almost_as_often_as_others(
-            int routers, int engines, double requestsPerSecond, int cutOff, EngineFleet.PathCut cut) {
+            int routers, int engines, double requestsPerSecond, int cutOff, PathCut cut) {
         fleet = new EngineFleet(7, routers, engines);
         sendFor(CALM_MILLIS, requestsPerSecond);
         List<ForwardingFixture> cutRouters = fleet.routers.subList(0, cutOff);
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/WeightsHistoryTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/WeightsHistoryTest.java
@@ -1,11 +1,9 @@
 package org.fuchsiatrail.internal.forwarding;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
@@ -71,8 +69,6 @@
         ENGINE_CRASH
     }
 
-    private record Planned(long atMillis, long number, Runnable action) {}
-
     private static final class History {
         private final long seed;
         private final int requestsPerStep;
@@ -80,14 +76,12 @@
         private final SplittableRandom random;
         private final long startMillis;
         private final List<Disturbance> disturbances = new ArrayList<>();
-        private final PriorityQueue<Planned> plan =
-                new PriorityQueue<>(Comparator.comparingLong(Planned::atMillis).thenComparingLong(Planned::number));
+        private final PlannedActions plan = new PlannedActions();
         private final TreeMap<Long, Long> setAtMillis = new TreeMap<>();
         private final Map<EntryVmId, Long> disturbedUntilMillis = new HashMap<>();
         private final Map<EntryVmId, Long> cutOffUntilMillis = new HashMap<>();
         private final List<FleetRequest> open = new ArrayList<>();
         private final List<FleetRequest> sentAfterSwitch = new ArrayList<>();
-        private long lastPlanNumber;
         private long version = 1;
         private long outageUntilMillis = Long.MIN_VALUE / 2;
         private long outdatedAtMillis = Long.MIN_VALUE / 2;
@@ -114,9 +108,7 @@
             planTargets(startMillis + CALM_MILLIS);
             while (fleet.now() < startMillis + DURATION_MILLIS) {
                 newestWeightsBefore = fleet.newestWeights();
-                while (!plan.isEmpty() && plan.peek().atMillis() <= fleet.now()) {
-                    plan.poll().action().run();
-                }
+                plan.runUntil(fleet::now);
                 if (fleet.now() > startMillis + CALM_MILLIS && random.nextInt(60) == 0) {
                     disturb();
                 }
@@ -138,7 +130,7 @@
         }
 
         private void at(long atMillis, Runnable action) {
-            plan.add(new Planned(atMillis, ++lastPlanNumber, action));
+            plan.add(atMillis, action);
         }
 
         private long between(long minimum, long maximum) {
