--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/LeavingUpstreams.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/LeavingUpstreams.java
@@ -1,6 +1,7 @@
 package org.fuchsiatrail.internal.forwarding;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,13 +16,13 @@
  */
 final class LeavingUpstreams {
 
-    /** How long an incarnation is remembered, in milliseconds; leaving upstreams end within a minute. */
+    /** How long an incarnation is remembered after its entry was removed, in milliseconds. */
     private static final long RETENTION_MILLIS = 600_000;
 
     private static final long EXPIRY_INTERVAL_MILLIS = 10_000;
 
     private final ForwardingContext context;
-    private final Map<UpstreamId, Long> reportedAtMillis = new HashMap<>();
+    private final Map<UpstreamId, Long> lastSeenAtMillis = new HashMap<>();
     private List<UpstreamId> unsentReports = new ArrayList<>();
     private long nextExpiryAtMillis;
 
@@ -42,7 +43,7 @@
     }
 
     boolean contains(UpstreamState upstream) {
-        return reportedAtMillis.containsKey(upstream.incarnationId());
+        return lastSeenAtMillis.containsKey(upstream.incarnationId());
     }
 
     /** Removes and returns the reports that have not been sent to peers yet. */
@@ -57,7 +58,7 @@
     }
 
     private boolean record(UpstreamId incarnation, String source) {
-        if (reportedAtMillis.put(incarnation, context.now()) != null) {
+        if (lastSeenAtMillis.put(incarnation, context.now()) != null) {
             return false;
         }
         context.count("upstreams.leaving");
@@ -65,10 +66,13 @@
         return true;
     }
 
-    void run() {
+    /** Forgets incarnations that have not been registered for a while. */
+    void run(Collection<UpstreamState> registered) {
         if (context.now() >= nextExpiryAtMillis) {
             nextExpiryAtMillis = context.now() + EXPIRY_INTERVAL_MILLIS;
-            reportedAtMillis.values().removeIf(atMillis -> context.now() - atMillis > RETENTION_MILLIS);
+            registered.forEach(upstream -> lastSeenAtMillis.computeIfPresent(
+                    upstream.incarnationId(), (incarnation, atMillis) -> context.now()));
+            lastSeenAtMillis.values().removeIf(atMillis -> context.now() - atMillis > RETENTION_MILLIS);
         }
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/RequestedPauses.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/RequestedPauses.java
@@ -69,7 +69,7 @@
         /** The point of this router in the time over which all return, 0 to 1. */
         private final double returnPoint;
 
-        private boolean unreadableLogged;
+        private boolean unusualLogged;
         private long lastUsedAtMillis;
 
         private Pause(double returnPoint) {
@@ -146,8 +146,8 @@
     }
 
     private void logUnusual(UpstreamId incarnation, Pause pause, RequestedPause requested) {
-        if (!pause.unreadableLogged) {
-            pause.unreadableLogged = true;
+        if (!pause.unusualLogged) {
+            pause.unusualLogged = true;
             context.log(
                     "upstreams",
                     requested.millis().isPresent()
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
@@ -162,7 +162,7 @@
      */
     void run() {
         pauses.run();
-        leaving.run();
+        leaving.run(upstreams.values());
         for (UpstreamState upstream : upstreams.values()) {
             boolean awaitsProbe = upstream.awaitsProbe && pauses.millisLeft(upstream) == 0;
             boolean needsProbe = awaitsProbe || upstream.isUnresponsiveEngine(context.now());
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/LeavingEngineGetsRequestsTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/LeavingEngineGetsRequestsTest.java
@@ -112,6 +112,19 @@
         assertThat(served.started).isTrue();
     }
 
+    @Test
+    void should_remember_a_leaving_engine_as_long_as_it_is_registered() {
+        ForwardingFixture fixture = new ForwardingFixture().configured();
+        fixture.register(fixture.engine("e1", 1)).start();
+        FleetEngine leaving = new FleetEngine("e1", "v1", 1);
+        leaving.leaving = true;
+        var request = fixture.call("/ask/1", ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s", "o"));
+        fixture.deliverEvent(fixture.send(request), new AttemptEvent.Started(leaving.head(), "1"));
+        fixture.advanceTime(1_800_000);
+        var later = fixture.call("/ask/2", ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s", "p"));
+        assertThat(fixture.sends(later)).isEmpty();
+    }
+
     @Test
     void should_send_requests_to_an_engine_that_restarted_under_the_same_id() {
         ForwardingFixture fixture = new ForwardingFixture().configured();
