--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/LeavingEngineGetsRequestsTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/LeavingEngineGetsRequestsTest.java
@@ -6,8 +6,12 @@
 import java.util.Set;
 
 import org.fuchsiatrail.EntryVmId;
+import org.fuchsiatrail.PeerMessage;
 import org.fuchsiatrail.ResultCode;
+import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.AttemptEvent;
+import org.fuchsiatrail.forwarding.ForwardingOutput;
+import org.fuchsiatrail.forwarding.StoreItemContent;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -112,6 +116,22 @@
         assertThat(served.started).isTrue();
     }
 
+    @Test
+    void should_tell_peers_of_a_leaving_engine() {
+        ForwardingFixture fixture = new ForwardingFixture().configured();
+        fixture.put("members/vm-2", new StoreItemContent.Member(new ForwardingFixture("vm-2").self(), "10.0.0.2:80"));
+        fixture.register(fixture.engine("e1", 1)).start();
+        FleetEngine leaving = new FleetEngine("e1", "v1", 1);
+        leaving.leaving = true;
+        var request = fixture.call("/ask/1", ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s", "o"));
+        fixture.deliverEvent(fixture.send(request), new AttemptEvent.Started(leaving.head(), "1"));
+        fixture.advanceTime(10);
+        assertThat(fixture.all(ForwardingOutput.SendToPeer.class))
+                .filteredOn(sent -> sent.message() instanceof PeerMessage.ForwardingNews news
+                        && news.leaving().contains(new UpstreamId("e1@1")))
+                .hasSize(1);
+    }
+
     @Test
     void should_remember_a_leaving_engine_as_long_as_it_is_registered() {
         ForwardingFixture fixture = new ForwardingFixture().configured();
