Prove the mechanisms that keep requests off replaced weights

Nothing showed that the ages of targets reach peers: with the report or its use taken out, RequestBegunOnReplacedWeightsTest still passed in the case that was tried. Two tests of the peer update now hold both.

--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/PeerGossipTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/PeerGossipTest.java
@@ -65,6 +65,45 @@
         assertThat(answer.items()).extracting(PeerMessage.RelayedItem::key).containsExactly("servers/one");
     }
 
+    private void setTargetWeights(long version) {
+        fixture.put(
+                "weights/" + ForwardingFixture.MODEL,
+                new StoreItemContent.TargetWeights(ForwardingFixture.MODEL, version));
+    }
+
+    @Test
+    void should_tell_peers_how_long_ago_target_weights_were_set() {
+        fixture.configured().put("members/vm-2", new StoreItemContent.Member(PEER, ""));
+        fixture.start();
+        fixture.advanceTime(2_000);
+        setTargetWeights(2);
+        fixture.outputs.clear();
+        fixture.advanceTime(1_000);
+        assertThat(sentUpdates().getLast().targetAges())
+                .filteredOn(age -> age.version() == 2)
+                .singleElement()
+                .satisfies(age -> {
+                    assertThat(age.model()).isEqualTo(ForwardingFixture.MODEL);
+                    assertThat(age.ageMillis()).isBetween(500L, 1_000L);
+                    assertThat(age.exact()).isTrue();
+                });
+    }
+
+    @Test
+    void should_use_no_replaced_weights_that_were_replaced_long_ago_by_the_report_of_a_peer() {
+        fixture.configured().register(fixture.engine("engine-1", 1)).start();
+        setTargetWeights(2);
+        RequestId before = fixture.call("/ask/1", ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s", "o"));
+        fixture.tick(new ForwardingInput.PeerMessageReceived(
+                PEER.id(),
+                PeerMessage.ForwardingNews.builder(PEER, 0)
+                        .targetAges(List.of(new PeerMessage.TargetAge(ForwardingFixture.MODEL, 2, 6_000, false)))
+                        .build()));
+        RequestId after = fixture.call("/ask/2", ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s", "p"));
+        assertThat(fixture.sends(before)).hasSize(1);
+        assertThat(fixture.sends(after)).isEmpty();
+    }
+
     @Test
     void should_put_a_configuration_in_force_that_a_peer_relayed() {
         fixture.storeAnswers = false;
