Tell the version of a stream from its key after all routers lost power

Cause: what began a stream was known only to routers, so after the loss of all of them every stream that callers resumed was refused while two versions served, and for 30 s afterwards.

Change: version shares in the platform's store divide the keys of resumable streams among the software versions of a service. Routers begin a stream only at the version of its key, so any router can tell it later. Shares that are replaced stay in the store until streams under them have ended; the router that replaced them collects the streams that are open at all routers, so that soon only these are exceptions. Shares apply once all registered routers apply them.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ForwardingNewsBuilder.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ForwardingNewsBuilder.java
@@ -23,6 +23,8 @@
     private List<PeerMessage.TargetAge> targetAges = List.of();
     private List<PeerMessage.SeenPause> pauses = List.of();
     private List<UpstreamId> leaving = List.of();
+    private List<PeerMessage.OpenStreamQuery> openStreamQueries = List.of();
+    private List<PeerMessage.OpenStreamReply> openStreamReplies = List.of();
     private List<PeerMessage.ReadParts> reads = List.of();
     private List<PeerMessage.DomainWork> domains = List.of();
     private List<PeerMessage.CacheChanges> caches = List.of();
@@ -231,6 +233,28 @@
         return this;
     }
 
+    /**
+     * Sets the replaced version shares whose open streams the sender asks for.
+     *
+     * @param queries the queries
+     * @return this builder
+     */
+    public ForwardingNewsBuilder openStreamQueries(List<PeerMessage.OpenStreamQuery> queries) {
+        openStreamQueries = queries;
+        return this;
+    }
+
+    /**
+     * Sets the replies to queries for open streams.
+     *
+     * @param replies the replies
+     * @return this builder
+     */
+    public ForwardingNewsBuilder openStreamReplies(List<PeerMessage.OpenStreamReply> replies) {
+        openStreamReplies = replies;
+        return this;
+    }
+
     /**
      * Builds the update.
      *
@@ -258,6 +282,8 @@
                 streamReplies,
                 targetAges,
                 pauses,
-                leaving);
+                leaving,
+                openStreamQueries,
+                openStreamReplies);
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
@@ -192,6 +192,8 @@
      * @param targetAges how long ago the target versions of weights were set
      * @param pauses the pauses that upstreams asked for
      * @param leaving the incarnations of upstreams that said that they are leaving
+     * @param openStreamQueries replaced version shares whose open streams the sender asks for
+     * @param openStreamReplies replies to such queries
      */
     record ForwardingNews(
             EntryVm vm,
@@ -214,7 +216,9 @@
             List<StreamReply> streamReplies,
             List<TargetAge> targetAges,
             List<SeenPause> pauses,
-            List<UpstreamId> leaving)
+            List<UpstreamId> leaving,
+            List<OpenStreamQuery> openStreamQueries,
+            List<OpenStreamReply> openStreamReplies)
             implements PeerMessage {
 
         /** Replaces missing lists with empty ones. */
@@ -236,6 +240,8 @@
             targetAges = targetAges == null ? List.of() : targetAges;
             pauses = pauses == null ? List.of() : pauses;
             leaving = leaving == null ? List.of() : leaving;
+            openStreamQueries = openStreamQueries == null ? List.of() : openStreamQueries;
+            openStreamReplies = openStreamReplies == null ? List.of() : openStreamReplies;
         }
 
         /**
@@ -402,6 +408,30 @@
             List<String> recentVersions,
             long observedMillis) {}
 
+    /**
+     * A query for the resumable streams that are open at a router which knows newer version shares.
+     *
+     * @param service the service of the upstreams
+     * @param epoch the epoch of the version shares that were replaced
+     */
+    record OpenStreamQuery(String service, long epoch) {}
+
+    /**
+     * The resumable streams that are open at a router, among them all that began there under version shares that were
+     * replaced.
+     *
+     * @param service the service of the upstreams
+     * @param epoch the epoch of the version shares that were replaced
+     * @param streams the open streams
+     */
+    record OpenStreamReply(String service, long epoch, List<StartedStreams> streams) {
+
+        /** Replaces a missing list with an empty one. */
+        public OpenStreamReply {
+            streams = streams == null ? List.of() : streams;
+        }
+    }
+
     /**
      * A request that was running on an upstream when the upstream crashed.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/RoutingTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/RoutingTable.java
@@ -1,11 +1,13 @@
 package org.fuchsiatrail.forwarding;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 
 /** One version of the operators' routing configuration, indexed for lookups. Immutable. */
 public final class RoutingTable {
@@ -14,6 +16,7 @@
     private final Map<String, List<Route>> routesByHost = new HashMap<>();
     private final Map<String, ServiceDefinition> services = new HashMap<>();
     private final Map<String, CustomerEntry> customersByKey = new HashMap<>();
+    private final Map<String, Long> resumableMillisByService = new TreeMap<>();
     private final boolean keysRequired;
     private final CallerLimits limits;
 
@@ -41,6 +44,11 @@
         Comparator<Route> longestFirst = Comparator.comparingInt(
                         (Route route) -> route.pathPrefix().length())
                 .reversed();
+        routes.stream()
+                .filter(Route::resumable)
+                .forEach(route -> route.targets()
+                        .forEach(target ->
+                                resumableMillisByService.merge(target.service(), route.timeoutMillis(), Math::max)));
         routesByHost.values().forEach(list -> list.sort(longestFirst));
         services.forEach(service -> this.services.put(service.name(), service));
         customers.forEach(customer -> customer.apiKeys().forEach(key -> customersByKey.put(key, customer)));
@@ -82,6 +90,15 @@
         return Optional.ofNullable(services.get(name));
     }
 
+    /**
+     * Returns the services of routes whose streams callers may resume.
+     *
+     * @return the longest timeout of such a route for each of these services, in milliseconds
+     */
+    public Map<String, Long> resumableMillisByService() {
+        return Collections.unmodifiableMap(resumableMillisByService);
+    }
+
     /**
      * Returns the services that are KV cache stores.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/StoreCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/StoreCall.java
@@ -74,6 +74,28 @@
      */
     record PublishQuarantine(long fingerprint, List<UpstreamId> crashedUpstreams, long lease) implements StoreCall {}
 
+    /** Reads the version shares of all services, current and replaced ones. */
+    record ReadVersionShares() implements StoreCall {}
+
+    /**
+     * Sets the version shares of a service and keeps those that were in force, if no other router has set them.
+     *
+     * @param next the shares that come into force
+     * @param expectedRevision the revision of the item with the shares in force, or 0 if there is none
+     * @param replaced the shares that are replaced
+     * @param lease the lease with which the replaced shares are removed
+     */
+    record SetVersionShares(VersionShares next, long expectedRevision, VersionShares replaced, long lease)
+            implements StoreCall {}
+
+    /**
+     * Completes replaced version shares with the streams that are still open.
+     *
+     * @param completed the replaced shares
+     * @param lease the lease with which they are removed
+     */
+    record CompleteVersionShares(StoreItemContent.ReplacedVersionShares completed, long lease) implements StoreCall {}
+
     /**
      * Returns the name of the call for log lines.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/StoreItemContent.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/StoreItemContent.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.fuchsiatrail.EntryVm;
+import org.fuchsiatrail.PeerMessage.StartedStreams;
 import org.fuchsiatrail.UpstreamId;
 
 /** The parsed content of an item of the platform's store. */
@@ -35,11 +36,22 @@
      *
      * @param vm the router
      * @param callerAddress the IP address and port at which it accepts requests, or an empty string
+     * @param appliesVersionShares whether it begins resumable streams at the versions that the shares tell
      */
-    record Member(EntryVm vm, String callerAddress) implements StoreItemContent {
+    record Member(EntryVm vm, String callerAddress, boolean appliesVersionShares) implements StoreItemContent {
 
         /**
-         * Creates the registration of a router that accepts no relayed requests.
+         * Creates the registration of a router that does not apply version shares.
+         *
+         * @param vm the router
+         * @param callerAddress the IP address and port at which it accepts requests, or an empty string
+         */
+        public Member(EntryVm vm, String callerAddress) {
+            this(vm, callerAddress, false);
+        }
+
+        /**
+         * Creates the registration of a router that accepts no relayed requests and does not apply version shares.
          *
          * @param vm the router
          */
@@ -63,6 +75,23 @@
      */
     record Quarantine(long fingerprint, List<UpstreamId> crashedUpstreams) implements StoreItemContent {}
 
+    /**
+     * The versions at which the resumable streams of a service begin now.
+     *
+     * @param shares the shares in force
+     */
+    record CurrentVersionShares(VersionShares shares) implements StoreItemContent {}
+
+    /**
+     * Version shares that are no longer in force, kept while streams that began under them may be resumed.
+     *
+     * @param shares the former shares
+     * @param complete whether the open streams are all streams that began under these shares and may still be resumed
+     * @param openStreams the streams that routers reported as open after the shares were replaced
+     */
+    record ReplacedVersionShares(VersionShares shares, boolean complete, List<StartedStreams> openStreams)
+            implements StoreItemContent {}
+
     /**
      * The value of the item cannot be parsed, so the item provides no content.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -2,10 +2,12 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
 import org.fuchsiatrail.AttemptId;
+import org.fuchsiatrail.PeerMessage;
 import org.fuchsiatrail.RequestId;
 import org.fuchsiatrail.ResultCode;
 import org.fuchsiatrail.UpstreamId;
@@ -40,6 +42,7 @@
     private final CrashProtection crashProtection;
     private final PeerGossip gossip;
     private final StreamVersions streamVersions;
+    private final StreamBindings bindings;
     private final RelayRouters relayRouters;
     private final AnswerHeads answerHeads;
     private final Map<RequestId, PendingCall> pendingCalls = new LinkedHashMap<>();
@@ -55,7 +58,8 @@
             CrashProtection crashProtection,
             RequestLimits requestLimits,
             PeerGossip gossip,
-            StreamVersions streamVersions) {
+            StreamVersions streamVersions,
+            StreamBindings bindings) {
         this.context = context;
         this.storeReplica = storeReplica;
         this.upstreams = upstreams;
@@ -63,6 +67,7 @@
         this.crashProtection = crashProtection;
         this.gossip = gossip;
         this.streamVersions = streamVersions;
+        this.bindings = bindings;
         this.relayRouters = new RelayRouters(context, storeReplica);
         this.answerHeads = new AnswerHeads(context, requestLimits, upstreams);
         this.timers = new CallTimers(context);
@@ -118,6 +123,7 @@
         if (relayIfCutOff(pending, remainingMillis) || (pending.needsOrigin() && !bindToOrigin(pending))) {
             return;
         }
+        bindings.assign(pending);
         Optional<UpstreamPlacement.Placement> placement = selector.select(pending);
         if (placement.isEmpty()) {
             waitOrRefuse(pending);
@@ -354,30 +360,13 @@
                     pending.upstream.cache.recordPrefill(chain.shared(), capacityTokens, context.now()));
         }
         upstreams.recordSuccess(pending.upstream);
-        recordOrigin(pending);
+        bindings.recordOrigin(pending);
         pending.state = PendingCall.State.DELIVERING;
         pending.firstEventAtMillis = context.now();
         context.emit(new ForwardingOutput.Deliver(pending.request, pending.attempt));
         handleProgress(pending, started.firstEventId());
     }
 
-    private void recordOrigin(PendingCall pending) {
-        if (pending.relayed) {
-            return;
-        }
-        if (pending.streamVersion.isEmpty()) {
-            pending.streamVersion = Optional.of(pending.attemptVersion);
-        }
-        if (pending.route.retryable()) {
-            streamVersions
-                    .origins()
-                    .record(
-                            StreamOrigins.streamKey(pending.call),
-                            new StreamOrigins.Origin(pending.service, pending.streamVersion.get()));
-            gossip.streamStarted(pending.service);
-        }
-    }
-
     private void handleProgress(PendingCall pending, String eventId) {
         pending.lastEventAtMillis = context.now();
         if (!eventId.isEmpty()) {
@@ -476,6 +465,7 @@
         }
         // Counts requests whose caller disconnected before the answer was complete.
         context.count("requests.caller-left");
+        bindings.recordInterrupted(pending);
         if (callsByAttempt.containsKey(pending.attempt)) {
             crashProtection.recordGivenUp(pending);
         }
@@ -560,6 +550,7 @@
         boolean streamStarted = !pending.lastEventId.equals(pending.call.resumeAfterEventId())
                 || pending.state == PendingCall.State.DELIVERING;
         if (streamStarted) {
+            bindings.recordInterrupted(pending);
             context.emit(new ForwardingOutput.AbortStream(pending.request));
         } else {
             context.emit(new ForwardingOutput.Refuse(pending.request, reportedCode, retryAfterMillis));
@@ -591,6 +582,11 @@
         }
     }
 
+    /** Lists the streams of a service that are open here. */
+    List<PeerMessage.StartedStreams> openStreams(String service) {
+        return bindings.openStreams(pendingCalls.values(), service);
+    }
+
     int openRequests() {
         return pendingCalls.size() + startupQueue.queuedCalls();
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -29,6 +29,7 @@
     private final CrashProtection crashProtection;
     private final RequestLimits requestLimits;
     private final StreamVersions streamVersions;
+    private final VersionShareSystem versionShares;
     private final CallSystem calls;
     private final OrderLease orderLease;
     private final WeightsRollout rollout;
@@ -49,7 +50,7 @@
         storeWatcher = new StoreWatcher(context, storeCalls, storeReplica);
         memberRegistration = new MemberRegistration(context, storeCalls);
         EngineProbes probes = new EngineProbes(context);
-        streamVersions = StreamVersions.create(context, storeReplica);
+        streamVersions = StreamVersions.create(context, storeCalls, storeReplica);
         upstreams = new UpstreamTable(
                 context, storeCalls, probes, streamVersions.software(), new RequestedPauses(context, storeReplica));
         reachability = new UpstreamReachability(context, upstreams);
@@ -58,8 +59,19 @@
         orderLease = new OrderLease(context, storeCalls, storeReplica);
         requestLimits = new RequestLimits(context, storeReplica);
         gossip = new PeerGossip(context, storeReplica, upstreams, crashProtection, requestLimits, streamVersions);
+        versionShares =
+                new VersionShareSystem(context, storeCalls, storeReplica, upstreams, streamVersions.shareCompletion());
         calls = new CallSystem(
-                context, storeReplica, upstreams, retryBudgets, crashProtection, requestLimits, gossip, streamVersions);
+                context,
+                storeReplica,
+                upstreams,
+                retryBudgets,
+                crashProtection,
+                requestLimits,
+                gossip,
+                streamVersions,
+                new StreamBindings(context, streamVersions, versionShares, gossip));
+        streamVersions.shareCompletion().setOpenStreams(calls::openStreams);
         rollout = new WeightsRollout(context, storeReplica, upstreams, orderLease, probes, gossip::scheduleUpdate);
         gossip.setRollout(rollout);
         cacheEventReader = new CacheEventReader(context, storeReplica, upstreams, gossip);
@@ -79,6 +91,7 @@
         crashProtection.run();
         requestLimits.run();
         streamVersions.lookup().run();
+        versionShares.run();
         calls.run();
         orderLease.run();
         rollout.run();
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
@@ -256,6 +256,14 @@
             streamVersions.lookup().receive(from, update);
             return;
         }
+        if (!update.openStreamQueries().isEmpty()) {
+            streamVersions.shareCompletion().answer(from, update);
+            return;
+        }
+        if (!update.openStreamReplies().isEmpty()) {
+            streamVersions.shareCompletion().receive(from, update);
+            return;
+        }
         topology.recordContact(from, context.now());
         applyWork(from, update);
         boolean sameDomain = update.vm().failureDomain().equals(ownDomain());
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
@@ -72,6 +72,10 @@
     String attemptVersion;
     /** The software version that began the stream; only upstreams of this version may continue it. */
     Optional<String> streamVersion = Optional.empty();
+    /** The version at which the stream begins, as version shares tell; only upstreams of this version may begin it. */
+    Optional<String> assignedVersion = Optional.empty();
+    /** Whether other routers were told the version of the stream, so that it must not begin at another one. */
+    boolean reportedOpen;
     /** When the current attempt's first and last events were received, in milliseconds; equal before the first. */
     long firstEventAtMillis;
 
@@ -108,6 +112,11 @@
         return streamVersion.isEmpty() && (call.resumesStream() || !lastEventId.isEmpty());
     }
 
+    /** The software version of the upstreams that may run the request, or empty if any may. */
+    Optional<String> requiredVersion() {
+        return streamVersion.or(() -> assignedVersion);
+    }
+
     boolean mayHaveRun() {
         return possibleExecutions > 0;
     }
--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ReplacedShareCompletion.java
@@ -0,0 +1,194 @@
+package org.fuchsiatrail.internal.forwarding;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+import org.fuchsiatrail.EntryVm;
+import org.fuchsiatrail.EntryVmId;
+import org.fuchsiatrail.PeerMessage;
+import org.fuchsiatrail.forwarding.ForwardingOutput;
+import org.fuchsiatrail.forwarding.StoreCall;
+import org.fuchsiatrail.forwarding.StoreItemContent;
+import org.fuchsiatrail.forwarding.VersionShares;
+
+/**
+ * Completes replaced version shares: the router that replaced them collects the streams that are open at all routers
+ * and writes them to the store. From then on the version of every other stream can be told from the newer shares alone.
+ */
+final class ReplacedShareCompletion {
+
+    /** Interval at which routers that have not replied are asked again, in milliseconds. */
+    private static final long QUERY_INTERVAL_MILLIS = 300;
+
+    /** By how much replaced shares outlast the longest time in which a caller may resume a stream, in milliseconds. */
+    private static final long RETENTION_MARGIN_MILLIS = 1_000;
+
+    /** Timeout of a call, in milliseconds; a slow store takes 0.3 s. */
+    private static final long CALL_TIMEOUT_MILLIS = 800;
+
+    private final ForwardingContext context;
+    private final StoreCallTable store;
+    private final StoreReplica replica;
+    private final List<Collection> collections = new ArrayList<>();
+    private final Map<String, Long> epochAtStartByService = new HashMap<>();
+    private Function<String, List<PeerMessage.StartedStreams>> openStreams = service -> List.of();
+    private boolean startKnown;
+
+    /** The replies that are awaited before replaced shares are complete. */
+    private static final class Collection {
+        private final VersionShares replaced;
+        private final long lease;
+        private final long untilMillis;
+        private final Map<EntryVmId, EntryVm> awaited = new HashMap<>();
+        private final List<PeerMessage.StartedStreams> streams = new ArrayList<>();
+        private boolean ownIncluded;
+        private long nextQueryAtMillis;
+
+        private Collection(VersionShares replaced, long lease, long untilMillis) {
+            this.replaced = replaced;
+            this.lease = lease;
+            this.untilMillis = untilMillis;
+        }
+    }
+
+    ReplacedShareCompletion(ForwardingContext context, StoreCallTable store, StoreReplica replica) {
+        this.context = context;
+        this.store = store;
+        this.replica = replica;
+    }
+
+    /** Sets the function that lists the open streams of a service at this router. */
+    void setOpenStreams(Function<String, List<PeerMessage.StartedStreams>> function) {
+        openStreams = function;
+    }
+
+    /** How long replaced shares are kept, since streams that began under them may be resumed, in milliseconds. */
+    long retentionMillis(String service) {
+        long resumableMillis = replica.routing()
+                .map(routing -> routing.resumableMillisByService().get(service))
+                .orElse(0L);
+        return resumableMillis + RETENTION_MARGIN_MILLIS;
+    }
+
+    /** Begins to collect the streams that are open under replaced shares. */
+    void begin(VersionShares replaced, long lease) {
+        Collection collection = new Collection(replaced, lease, context.now() + retentionMillis(replaced.service()));
+        replica.members().forEach(member -> collection.awaited.put(member.vm().id(), member.vm()));
+        collection.awaited.remove(context.settings().self().id());
+        collections.add(collection);
+    }
+
+    void run() {
+        recordEpochsAtStart();
+        Iterator<Collection> iterator = collections.iterator();
+        while (iterator.hasNext()) {
+            Collection collection = iterator.next();
+            if (context.now() >= collection.untilMillis || advance(collection)) {
+                iterator.remove();
+            }
+        }
+    }
+
+    /** Asks routers for their open streams, or writes these once all have replied; returns whether it did. */
+    private boolean advance(Collection collection) {
+        VersionShares replaced = collection.replaced;
+        if (!collection.ownIncluded && canList(replaced.service(), replaced.epoch())) {
+            collection.streams.addAll(openStreams.apply(replaced.service()));
+            collection.ownIncluded = true;
+        }
+        if (collection.ownIncluded && collection.awaited.isEmpty()) {
+            complete(collection);
+            return true;
+        }
+        if (context.now() >= collection.nextQueryAtMillis) {
+            collection.nextQueryAtMillis = context.now() + QUERY_INTERVAL_MILLIS;
+            PeerMessage.ForwardingNews query = PeerMessage.ForwardingNews.builder(
+                            context.settings().self(), replica.revision())
+                    .openStreamQueries(List.of(new PeerMessage.OpenStreamQuery(replaced.service(), replaced.epoch())))
+                    .build();
+            collection.awaited.forEach(
+                    (id, vm) -> context.emit(new ForwardingOutput.SendToPeer(id, vm.address(), query)));
+            context.wakeAt(collection.nextQueryAtMillis);
+        }
+        return false;
+    }
+
+    private void complete(Collection collection) {
+        VersionShares replaced = collection.replaced;
+        store.call(
+                new StoreCall.CompleteVersionShares(
+                        new StoreItemContent.ReplacedVersionShares(replaced, true, List.copyOf(collection.streams)),
+                        collection.lease),
+                CALL_TIMEOUT_MILLIS,
+                reply -> context.log(
+                        "versions",
+                        "Streams that are open under replaced version shares recorded.",
+                        "service",
+                        replaced.service(),
+                        "epoch",
+                        replaced.epoch(),
+                        "streams",
+                        collection.streams.stream()
+                                .mapToInt(streams -> streams.streams().length)
+                                .sum(),
+                        "outcome",
+                        reply.getClass().getSimpleName()));
+    }
+
+    /** Remembers the shares in force when this router started; streams before are not known here. */
+    private void recordEpochsAtStart() {
+        if (!startKnown && replica.revision() > 0 && replica.routing().isPresent()) {
+            startKnown = true;
+            for (String service :
+                    replica.routing().get().resumableMillisByService().keySet()) {
+                epochAtStartByService.put(service, replica.versionShares().epoch(service));
+            }
+        }
+    }
+
+    /**
+     * Returns whether this router knows all streams that began here under replaced shares: it begins no more of them,
+     * and its predecessor of the same name began none, or none that may still be resumed.
+     */
+    private boolean canList(String service, long epoch) {
+        boolean replacedHere = replica.versionShares().epoch(service) > epoch;
+        boolean ranThroughout = startKnown && epochAtStartByService.getOrDefault(service, Long.MAX_VALUE) < epoch;
+        return replacedHere && (ranThroughout || context.uptimeMillis() >= retentionMillis(service));
+    }
+
+    /** Replies to queries of a peer; those that cannot be answered yet are asked again. */
+    void answer(EntryVmId from, PeerMessage.ForwardingNews message) {
+        List<PeerMessage.OpenStreamReply> replies = new ArrayList<>();
+        for (PeerMessage.OpenStreamQuery query : message.openStreamQueries()) {
+            if (canList(query.service(), query.epoch())) {
+                replies.add(new PeerMessage.OpenStreamReply(
+                        query.service(), query.epoch(), openStreams.apply(query.service())));
+            }
+        }
+        if (!replies.isEmpty()) {
+            context.emit(new ForwardingOutput.SendToPeer(
+                    from,
+                    message.vm().address(),
+                    PeerMessage.ForwardingNews.builder(context.settings().self(), replica.revision())
+                            .openStreamReplies(replies)
+                            .build()));
+        }
+    }
+
+    /** Applies the replies of a peer. */
+    void receive(EntryVmId from, PeerMessage.ForwardingNews message) {
+        for (PeerMessage.OpenStreamReply reply : message.openStreamReplies()) {
+            for (Collection collection : collections) {
+                boolean meant = collection.replaced.service().equals(reply.service())
+                        && collection.replaced.epoch() == reply.epoch();
+                if (meant && collection.awaited.remove(from) != null) {
+                    collection.streams.addAll(reply.streams());
+                }
+            }
+        }
+    }
+}
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreReplica.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreReplica.java
@@ -13,6 +13,7 @@
 import org.fuchsiatrail.forwarding.ServiceDefinition;
 import org.fuchsiatrail.forwarding.StoreItem;
 import org.fuchsiatrail.forwarding.StoreItemContent;
+import org.fuchsiatrail.forwarding.VersionShares;
 
 /**
  * A local replica of the platform's store: the newest known version of every item, received from the store or from a
@@ -29,6 +30,7 @@
     private final ForwardingContext context;
     private final Map<String, StoreItem> items = new HashMap<>();
     private final TargetWeightsHistory targetHistory;
+    private final VersionShareRegistry versionShares = new VersionShareRegistry();
 
     /** The quarantined requests, with the time at which this router learned of each, in milliseconds. */
     private final Map<Long, Long> quarantinedAtMillis = new HashMap<>();
@@ -50,6 +52,11 @@
         return targetHistory;
     }
 
+    /** The version shares in force. */
+    VersionShareRegistry versionShares() {
+        return versionShares;
+    }
+
     /** Sets the listener for changes; it receives the previous content and the new item. */
     void onChange(BiConsumer<StoreItemContent, StoreItem> action) {
         listener = action;
@@ -57,13 +64,13 @@
 
     /** Applies an item if it is newer than the known one. */
     void apply(StoreItem item) {
-        StoreItem current = items.get(item.key());
-        if (current != null && current.revision() >= item.revision()) {
+        StoreItem known = items.get(item.key());
+        if (known != null && known.revision() >= item.revision()) {
             return;
         }
         items.put(item.key(), item);
         memberCount += (item.content() instanceof StoreItemContent.Member ? 1 : 0)
-                - (current != null && current.content() instanceof StoreItemContent.Member ? 1 : 0);
+                - (known != null && known.content() instanceof StoreItemContent.Member ? 1 : 0);
         switch (item.content()) {
             case StoreItemContent.Routing configuration -> applyRouting(configuration.table(), item);
             case StoreItemContent.TargetWeights target -> {
@@ -106,9 +113,27 @@
                         "revision",
                         item.revision());
             }
-            case StoreItemContent.Removed removed -> applyRemoval(current, item.revision());
+            case StoreItemContent.CurrentVersionShares current -> logShares(current.shares(), item.revision());
+            case StoreItemContent.ReplacedVersionShares replaced -> context.count("store.replaced-version-shares");
+            case StoreItemContent.Removed removed -> applyRemoval(known, item.revision());
         }
-        listener.accept(current == null ? new StoreItemContent.Removed() : current.content(), item);
+        StoreItemContent previous = known == null ? new StoreItemContent.Removed() : known.content();
+        versionShares.itemChanged(previous, item);
+        listener.accept(previous, item);
+    }
+
+    private void logShares(VersionShares shares, long revision) {
+        context.log(
+                "versions",
+                "Version shares of resumable streams in force.",
+                "service",
+                shares.service(),
+                "epoch",
+                shares.epoch(),
+                "shares",
+                shares.shares(),
+                "revision",
+                revision);
     }
 
     private void applyRemoval(StoreItem removed, long revision) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StreamOriginLookup.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StreamOriginLookup.java
@@ -29,10 +29,14 @@
     /** How long replies of peers are awaited, in milliseconds. */
     private static final long TIMEOUT_MILLIS = 250;
 
+    /** How much longer a read of the version shares is awaited, in milliseconds; it may wait for an earlier one. */
+    private static final long SHARE_READ_TIMEOUT_MILLIS = 1_300;
+
     private final ForwardingContext context;
     private final StoreReplica replica;
     private final StreamOrigins origins;
     private final SoftwareVersions softwareVersions;
+    private final VersionShareReads shareReads;
     private final Map<Long, Query> queries = new HashMap<>();
     private Consumer<PendingCall> resolutionListener = pending -> {};
 
@@ -54,19 +58,29 @@
         private final Set<String> versions = new TreeSet<>();
         private final List<PendingCall> waiting = new ArrayList<>();
         private final long deadlineMillis;
+        /** The read of the version shares that started after the query, or 0 if none is awaited. */
+        private final long shareRead;
+
         private long observedMillis;
 
-        private Query(long deadlineMillis) {
+        private Query(long deadlineMillis, long shareRead) {
             this.deadlineMillis = deadlineMillis;
+            this.shareRead = shareRead;
         }
     }
 
     StreamOriginLookup(
-            ForwardingContext context, StoreReplica replica, StreamOrigins origins, SoftwareVersions softwareVersions) {
+            ForwardingContext context,
+            StoreReplica replica,
+            StreamOrigins origins,
+            SoftwareVersions softwareVersions,
+            VersionShareReads shareReads) {
         this.context = context;
         this.replica = replica;
         this.origins = origins;
         this.softwareVersions = softwareVersions;
+        this.shareReads = shareReads;
+        shareReads.onCompletion(this::notifyWaiting);
     }
 
     /** Sets the listener for requests whose awaited replies have arrived. */
@@ -86,13 +100,17 @@
         if (query == null) {
             query = ask(stream, services(pending));
         }
-        boolean complete = query.replied.size() == query.asked.size() || context.now() >= query.deadlineMillis;
-        if (!complete) {
+        boolean replied = query.replied.size() == query.asked.size() || context.now() >= query.deadlineMillis;
+        Resolution resolution = replied ? conclude(query, services(pending)) : new Awaiting(query.deadlineMillis);
+        if (resolution instanceof Unresolved && query.shareRead > 0) {
+            resolution = concludeFromShares(stream, query, services(pending));
+        }
+        if (resolution instanceof Awaiting) {
             query.waiting.add(pending);
-            return new Awaiting(query.deadlineMillis);
+        } else {
+            queries.remove(stream);
         }
-        queries.remove(stream);
-        return conclude(query, services(pending));
+        return resolution;
     }
 
     private static List<String> services(PendingCall pending) {
@@ -100,7 +118,7 @@
     }
 
     private Query ask(long stream, List<String> services) {
-        Query query = new Query(context.now() + TIMEOUT_MILLIS);
+        Query query = new Query(context.now() + TIMEOUT_MILLIS, appliesShares(services) ? shareReads.request() : 0);
         queries.put(stream, query);
         List<EntryVm> members =
                 replica.members().stream().map(StoreItemContent.Member::vm).toList();
@@ -130,6 +148,43 @@
                 + query.replied.size() + " of " + query.asked.size() + " peers replied");
     }
 
+    /** Whether all streams of the services begin as version shares tell, at every router. */
+    private boolean appliesShares(List<String> services) {
+        return services.stream()
+                        .allMatch(service ->
+                                replica.versionShares().current(service).isPresent())
+                && replica.members().stream().allMatch(StoreItemContent.Member::appliesVersionShares);
+    }
+
+    private Resolution concludeFromShares(long stream, Query query, List<String> services) {
+        long timeoutAtMillis = query.deadlineMillis + SHARE_READ_TIMEOUT_MILLIS;
+        if (!shareReads.isCompleted(query.shareRead)) {
+            return context.now() < timeoutAtMillis
+                    ? new Awaiting(timeoutAtMillis)
+                    : new Unresolved("origin of the stream is unknown: the store did not answer");
+        }
+        return switch (shareReads.find(stream, services)) {
+            case VersionShareReads.Known known -> new Resolved(known.service(), known.softwareVersion(), "shares");
+            case VersionShareReads.NotKnown notKnown ->
+                new Unresolved("origin of the stream is unknown: " + notKnown.reason());
+        };
+    }
+
+    /** Checks requests again for which a read of the version shares has completed. */
+    private void notifyWaiting() {
+        for (Query query : List.copyOf(queries.values())) {
+            if (query.shareRead > 0 && shareReads.isCompleted(query.shareRead)) {
+                notifyWaiting(query);
+            }
+        }
+    }
+
+    private void notifyWaiting(Query query) {
+        List<PendingCall> waiting = List.copyOf(query.waiting);
+        query.waiting.clear();
+        waiting.forEach(resolutionListener);
+    }
+
     /** Replies to a peer's queries. */
     void answer(EntryVmId from, PeerMessage.ForwardingNews message) {
         List<PeerMessage.StreamReply> replies = new ArrayList<>();
@@ -166,15 +221,15 @@
             query.versions.addAll(reply.recentVersions());
             query.observedMillis = Math.max(query.observedMillis, reply.observedMillis());
             if (reply.known() || query.replied.size() == query.asked.size()) {
-                List<PendingCall> waiting = List.copyOf(query.waiting);
-                query.waiting.clear();
-                waiting.forEach(resolutionListener);
+                notifyWaiting(query);
             }
         }
     }
 
     /** Discards queries whose requests have ended meanwhile. */
     void run() {
-        queries.values().removeIf(query -> context.now() > query.deadlineMillis + TIMEOUT_MILLIS);
+        shareReads.run();
+        queries.values()
+                .removeIf(query -> context.now() > query.deadlineMillis + SHARE_READ_TIMEOUT_MILLIS + TIMEOUT_MILLIS);
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StreamVersions.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StreamVersions.java
@@ -6,12 +6,22 @@
  * @param software the software versions of the upstreams of each service
  * @param origins what began each stream
  * @param lookup finds the version at which a stream may go on
+ * @param shareCompletion completes replaced version shares
  */
-record StreamVersions(SoftwareVersions software, StreamOrigins origins, StreamOriginLookup lookup) {
+record StreamVersions(
+        SoftwareVersions software,
+        StreamOrigins origins,
+        StreamOriginLookup lookup,
+        ReplacedShareCompletion shareCompletion) {
 
-    static StreamVersions create(ForwardingContext context, StoreReplica replica) {
+    static StreamVersions create(ForwardingContext context, StoreCallTable store, StoreReplica replica) {
         SoftwareVersions software = new SoftwareVersions(context);
         StreamOrigins origins = new StreamOrigins(context);
-        return new StreamVersions(software, origins, new StreamOriginLookup(context, replica, origins, software));
+        VersionShareReads reads = new VersionShareReads(context, store);
+        return new StreamVersions(
+                software,
+                origins,
+                new StreamOriginLookup(context, replica, origins, software, reads),
+                new ReplacedShareCompletion(context, store, replica));
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
@@ -121,7 +121,7 @@
     }
 
     private static boolean mayContinueAt(PendingCall pending, UpstreamState upstream) {
-        return pending.streamVersion
+        return pending.requiredVersion()
                 .map(version -> version.equals(upstream.entry.softwareVersion()))
                 .orElse(true);
     }
@@ -131,10 +131,18 @@
      * ones.
      */
     private List<UpstreamState> candidates(PendingCall pending) {
+        List<UpstreamState> active = candidates(pending, upstreams.activeUpstreams(pending.service));
+        // Version shares follow upstreams that drain after a moment; until then others may not begin these streams.
+        return active.isEmpty() && pending.assignedVersion.isPresent() && pending.streamVersion.isEmpty()
+                ? candidates(pending, upstreams.recentlyDraining(pending.service))
+                : active;
+    }
+
+    private List<UpstreamState> candidates(PendingCall pending, List<UpstreamState> registered) {
         List<UpstreamState> usable = new ArrayList<>();
         List<UpstreamState> lastResort = new ArrayList<>();
         List<UpstreamState> suspected = new ArrayList<>();
-        for (UpstreamState upstream : upstreams.activeUpstreams(pending.service)) {
+        for (UpstreamState upstream : registered) {
             boolean expectedToRefuse = context.now() < upstream.overloadedUntilMillis
                     || (pending.route.describesPrompt() && upstream.isSwitchingWeights(context.now()));
             RequestedPauses.Permission permission = availability.permission(upstream);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
@@ -35,6 +35,8 @@
     private static final double FAILURE_RATE_SMOOTHING = 0.1;
 
     UpstreamEntry entry;
+    /** When its entry first said that it is draining, in milliseconds. */
+    long drainingSinceMillis = Long.MAX_VALUE;
     /** When the upstream is removed, unless its entry appears in the store again before. */
     long removalAtMillis = Long.MAX_VALUE;
     /** Whether the end of this incarnation was reported after its entry was removed. */
@@ -118,6 +120,9 @@
      */
     void update(UpstreamEntry newerEntry) {
         boolean restarted = newerEntry.startedAtMillis() != entry.startedAtMillis();
+        if (!newerEntry.draining()) {
+            drainingSinceMillis = Long.MAX_VALUE;
+        }
         entry = newerEntry;
         removalAtMillis = Long.MAX_VALUE;
         endReported = false;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
@@ -30,6 +30,12 @@
     /** Backoff of an upstream after its first failure, in milliseconds; doubled by each further consecutive one. */
     private static final long INITIAL_BACKOFF_MILLIS = 300;
 
+    /**
+     * For how long a draining upstream may still receive requests that no other may run, in milliseconds; well below
+     * the time after which a leaving upstream receives no new work.
+     */
+    private static final long RECENT_DRAINING_MILLIS = 1_200;
+
     /** Interval between probes of an unreachable engine, in milliseconds; each probe is a paid call. */
     private static final long PROBE_INTERVAL_MILLIS = 400;
 
@@ -97,6 +103,9 @@
             reportEnd(upstream);
         }
         softwareVersions.removed(upstream.entry);
+        if (entry.draining() && !upstream.entry.draining()) {
+            upstream.drainingSinceMillis = context.now();
+        }
         upstream.update(entry);
         if (changed) {
             logEntry("Upstream restarted or changed its draining state.", entry);
@@ -224,6 +233,26 @@
         return active;
     }
 
+    /**
+     * The upstreams of a service whose entries began to say lately that they are draining. They still accept new
+     * requests for a few seconds.
+     */
+    List<UpstreamState> recentlyDraining(String service) {
+        List<UpstreamState> draining = new ArrayList<>();
+        for (UpstreamState upstream : upstreams.values()) {
+            boolean recent = upstream.entry.draining()
+                    && context.now() - upstream.drainingSinceMillis < RECENT_DRAINING_MILLIS
+                    && context.now() >= upstream.drainingSinceMillis;
+            if (recent
+                    && upstream.entry.service().equals(service)
+                    && context.now() < upstream.removalAtMillis
+                    && !leaving.contains(upstream)) {
+                draining.add(upstream);
+            }
+        }
+        return draining;
+    }
+
     /** Returns whether an upstream of a service said that it is leaving. */
     boolean isAnyLeaving(String service) {
         return upstreams.values().stream()
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -57,6 +57,7 @@
     private final Map<EntryVmId, Long> cutOffUntilMillis = new HashMap<>();
     private final Map<EntryVmId, Long> startedAtMillis = new HashMap<>();
     private final Map<EntryVmId, PathCut> pathCuts = new HashMap<>();
+    private final FleetStore store;
     private final PlannedActions plannedActions = new PlannedActions();
     private final List<Arrival> arrivals = new ArrayList<>();
     private final List<Answer> answers = new ArrayList<>();
@@ -85,33 +86,20 @@
         for (int number = 1; number <= routerCount; number++) {
             routers.add(new ForwardingFixture("vm-" + number, "domain-" + number % FAILURE_DOMAINS));
         }
-        List<StoreItemContent.Member> members = routers.stream()
-                .map(router -> new StoreItemContent.Member(
-                        router.self(), "10.0.0.1:" + router.self().id().value().substring(3)))
-                .toList();
-        for (ForwardingFixture router : routers) {
-            router.configured();
-            members.forEach(member -> router.put("members/" + member.vm().id(), member));
-        }
-        routers.forEach(this::connectToStore);
+        routers.forEach(ForwardingFixture::configured);
+        store = new FleetStore(routers, this::after);
+        store.registerMembers();
+        routers.forEach(store::connect);
         for (int number = 0; number < engineCount; number++) {
             startEngine(FIRST_VERSION);
         }
         routers.forEach(ForwardingFixture::start);
     }
 
-    private void connectToStore(ForwardingFixture router) {
-        Map<Long, String> keysByLease = new HashMap<>();
-        router.quarantineListener = quarantine -> {
-            keysByLease.put(quarantine.lease(), ForwardingFixture.quarantineKey(quarantine));
-            routers.forEach(other -> other.putQuarantine(quarantine));
-        };
-        router.leaseEndListener = lease -> {
-            String key = keysByLease.remove(lease);
-            if (key != null) {
-                routers.forEach(other -> other.remove(key));
-            }
-        };
+    /** Runs all routers in a build. */
+    void setBuild(RouterBuild build) {
+        routers.forEach(router -> router.build = build);
+        store.registerMembers();
     }
 
     /** Makes engines crash that start to answer a prompt with this part. */
@@ -333,10 +321,23 @@
         suspendedUntilMillis.remove(router.self().id());
         ForwardingFixture successor = router.restarted();
         routers.set(index, successor);
-        connectToStore(successor);
+        store.connect(successor);
+        store.registerMember(successor);
         breakRelayConnections(router);
     }
 
+    /** Ends all routers at once, for a time; their open attempts are lost with them. */
+    void losePower(long millis) {
+        openAttempts.clear();
+        requests.values().stream().filter(request -> !request.finished).forEach(request -> request.broken = true);
+        routers.forEach(ForwardingFixture::suspend);
+        after(millis, () -> {
+            for (int index = 0; index < routers.size(); index++) {
+                restart(index);
+            }
+        });
+    }
+
     /** Ends the attempts that other routers relayed to one that ended; its successor uses the same request ids. */
     private void breakRelayConnections(ForwardingFixture ended) {
         List<Attempt> broken = new ArrayList<>();
--- /dev/null
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetStore.java
@@ -0,0 +1,66 @@
+package org.fuchsiatrail.internal.forwarding;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+import org.fuchsiatrail.forwarding.StoreCall;
+import org.fuchsiatrail.forwarding.StoreItemContent;
+
+/** What the routers of an {@link EngineFleet} write to the platform's store. */
+final class FleetStore {
+
+    private final List<ForwardingFixture> routers;
+    private final BiConsumer<Long, Runnable> scheduler;
+    private final Map<String, RouterBuild> buildByMember = new HashMap<>();
+
+    /**
+     * Creates a store without entries.
+     *
+     * @param routers the routers, also those that start later
+     * @param scheduler performs an action after a time in milliseconds
+     */
+    FleetStore(List<ForwardingFixture> routers, BiConsumer<Long, Runnable> scheduler) {
+        this.routers = routers;
+        this.scheduler = scheduler;
+    }
+
+    /** Writes the member entries of all routers. */
+    void registerMembers() {
+        routers.forEach(this::registerMember);
+    }
+
+    /** Writes the member entry of a router, which depends on its build. */
+    void registerMember(ForwardingFixture router) {
+        String id = router.self().id().value();
+        if (buildByMember.put(id, router.build) == router.build) {
+            return;
+        }
+        StoreItemContent.Member member = new StoreItemContent.Member(
+                router.self(), "10.0.0.1:" + id.substring(3), router.build == RouterBuild.PRESENT);
+        routers.forEach(other -> other.put("members/" + id, member));
+    }
+
+    /** Passes what a router writes on to all routers. */
+    void connect(ForwardingFixture router) {
+        Map<Long, String> keysByLease = new HashMap<>();
+        router.quarantineListener = quarantine -> {
+            keysByLease.put(quarantine.lease(), ForwardingFixture.quarantineKey(quarantine));
+            routers.forEach(other -> other.putQuarantine(quarantine));
+        };
+        router.leaseEndListener = lease -> {
+            String key = keysByLease.remove(lease);
+            if (key != null) {
+                routers.forEach(other -> other.remove(key));
+            }
+        };
+        router.versionSharesListener = call -> {
+            routers.forEach(other -> other.putVersionShares(call));
+            if (call instanceof StoreCall.SetVersionShares set) {
+                String key = ForwardingFixture.replacedSharesKey(set.replaced());
+                scheduler.accept(router.lifetimeMillis(set.lease()), () -> routers.forEach(other -> other.remove(key)));
+            }
+        };
+    }
+}
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -35,6 +35,7 @@
 import org.fuchsiatrail.forwarding.StoreReply;
 import org.fuchsiatrail.forwarding.UpstreamEntry;
 import org.fuchsiatrail.forwarding.UpstreamLoad;
+import org.fuchsiatrail.forwarding.VersionShares;
 
 /** A forwarding core on virtual time, with a platform store that answers immediately unless that is switched off. */
 final class ForwardingFixture {
@@ -56,11 +57,17 @@
     boolean orderLeaseTaken = true;
     Consumer<StoreCall.PublishQuarantine> quarantineListener = this::putQuarantine;
     Consumer<Long> leaseEndListener = lease -> {};
+    /** Receives writes of version shares that the store accepts. */
+    Consumer<StoreCall> versionSharesListener = this::putVersionShares;
+    /** The calls to the store that set, complete or read version shares. */
+    int versionSharesCalls;
+
     long now = 1_000_000;
     /** The build of the router, as its peers see it. */
     RouterBuild build = RouterBuild.PRESENT;
 
     private long nextLease = 9;
+    private final Map<Long, Long> lifetimeMillisByLease = new HashMap<>();
     private final EntryVm self;
     private long revision;
     private long nextRequest = 1;
@@ -205,6 +212,86 @@
                 new StoreItemContent.Quarantine(quarantine.fingerprint(), quarantine.crashedUpstreams()));
     }
 
+    private static String currentSharesKey(String service) {
+        return "versions/" + service + "/current";
+    }
+
+    static String replacedSharesKey(VersionShares shares) {
+        return "versions/" + shares.service() + "/" + shares.epoch();
+    }
+
+    /** Applies a write of version shares. */
+    void putVersionShares(StoreCall call) {
+        if (call instanceof StoreCall.SetVersionShares set) {
+            put(currentSharesKey(set.next().service()), new StoreItemContent.CurrentVersionShares(set.next()));
+            put(
+                    replacedSharesKey(set.replaced()),
+                    new StoreItemContent.ReplacedVersionShares(set.replaced(), false, List.of()));
+        } else if (call instanceof StoreCall.CompleteVersionShares complete) {
+            put(replacedSharesKey(complete.completed().shares()), complete.completed());
+        }
+    }
+
+    /** How long a lease of this router lasts without renewal, in milliseconds. */
+    long lifetimeMillis(long lease) {
+        return lifetimeMillisByLease.get(lease);
+    }
+
+    private boolean mayWrite(StoreCall.SetVersionShares set) {
+        String key = currentSharesKey(set.next().service());
+        long currentRevision = items.stream()
+                .filter(item -> item.key().equals(key))
+                .mapToLong(StoreItem::revision)
+                .findFirst()
+                .orElse(0);
+        return currentRevision == set.expectedRevision();
+    }
+
+    private StoreReply answerVersionShares(StoreCall call) {
+        versionSharesCalls++;
+        return switch (call) {
+            case StoreCall.ReadVersionShares read ->
+                new StoreReply.Page(
+                        readableItems().stream()
+                                .filter(item -> item.key().startsWith("versions/"))
+                                .toList(),
+                        false,
+                        revision);
+            case StoreCall.SetVersionShares set -> {
+                if (!mayWrite(set)) {
+                    yield new StoreReply.Conflict();
+                }
+                versionSharesListener.accept(set);
+                yield new StoreReply.Written(revision);
+            }
+            case StoreCall.CompleteVersionShares complete -> {
+                boolean kept = items.stream()
+                        .anyMatch(item -> item.key()
+                                        .equals(replacedSharesKey(
+                                                complete.completed().shares()))
+                                && !(item.content() instanceof StoreItemContent.Removed));
+                if (kept) {
+                    versionSharesListener.accept(complete);
+                }
+                yield kept ? new StoreReply.Written(revision) : new StoreReply.LeaseExpired();
+            }
+            default -> throw new IllegalArgumentException(call.label());
+        };
+    }
+
+    /** The items as this build understands them; older builds know no version shares. */
+    private List<StoreItem> readableItems() {
+        return items.stream()
+                .map(item -> build == RouterBuild.PRESENT || !item.key().startsWith("versions/")
+                        ? item
+                        : new StoreItem(
+                                item.key(),
+                                item.revision(),
+                                item.value(),
+                                new StoreItemContent.Unreadable("the key is unknown to the router")))
+                .toList();
+    }
+
     /** Returns a router that replaces this one, with the same store and without any other state. */
     ForwardingFixture restarted() {
         ForwardingFixture successor =
@@ -289,12 +376,15 @@
     private void answerStoreCall(ForwardingOutput.CallStore call) {
         StoreReply reply =
                 switch (call.request()) {
-                    case StoreCall.ReadAll read -> new StoreReply.Page(List.copyOf(items), false, revision);
+                    case StoreCall.ReadAll read -> new StoreReply.Page(readableItems(), false, revision);
                     case StoreCall.Watch watch -> {
                         openWatch = call.call();
                         yield watch.afterRevision() < revision ? changes() : null;
                     }
-                    case StoreCall.GrantLease grant -> new StoreReply.LeaseGranted(nextLease++, grant.lifetimeMillis());
+                    case StoreCall.GrantLease grant -> {
+                        lifetimeMillisByLease.put(nextLease, grant.lifetimeMillis());
+                        yield new StoreReply.LeaseGranted(nextLease++, grant.lifetimeMillis());
+                    }
                     case StoreCall.KeepLease keep -> new StoreReply.LeaseRenewed();
                     case StoreCall.EndLease end -> {
                         leaseEndListener.accept(end.lease());
@@ -305,6 +395,9 @@
                         quarantineListener.accept(quarantine);
                         yield new StoreReply.Written(1);
                     }
+                    case StoreCall.ReadVersionShares read -> answerVersionShares(read);
+                    case StoreCall.SetVersionShares set -> answerVersionShares(set);
+                    case StoreCall.CompleteVersionShares complete -> answerVersionShares(complete);
                     case StoreCall.TakeOrderRight take ->
                         orderLeaseTaken ? new StoreReply.Conflict() : new StoreReply.Written(41);
                 };
@@ -314,7 +407,7 @@
     }
 
     private StoreReply changes() {
-        return new StoreReply.Changes(List.copyOf(items), revision);
+        return new StoreReply.Changes(readableItems(), revision);
     }
 
     private void answerWatch() {
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/MixedBuildsTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/MixedBuildsTest.java
@@ -159,9 +159,7 @@
             this.fleet = new EngineFleet(seed, routers, engineCount);
             this.startMillis = fleet.now() + WARM_UP_MILLIS;
             this.nextTargetAtMillis = startMillis + CALM_MILLIS + fleet.random.nextInt(4_000);
-            for (ForwardingFixture router : fleet.routers) {
-                router.build = order == Order.BACKWARDS ? RouterBuild.PRESENT : older;
-            }
+            fleet.setBuild(order == Order.BACKWARDS ? RouterBuild.PRESENT : older);
             if (hazard == Hazard.CRASHING_REQUESTS) {
                 fleet.crashOn(CRASHING, seed % 4 == 0);
             }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RouterBuild.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RouterBuild.java
@@ -14,11 +14,11 @@
 enum RouterBuild {
     PRESENT(List.of()),
 
-    /** The build at 5abd378. */
-    LAST_LANDING(List.of("startedStreams", "streamQueries", "streamReplies")),
+    /** The build at 32c2040. */
+    LAST_LANDING(List.of("startedStreams", "streamQueries", "streamReplies", "targetAges", "pauses", "leaving")),
 
-    /** The build at 8c2b425. */
-    LANDING_BEFORE(List.of());
+    /** The build at 5abd378. */
+    LANDING_BEFORE(List.of("startedStreams", "streamQueries", "streamReplies"));
 
     private static final List<String> FIELDS_OF_ALL_BUILDS = List.of(
             "vm",
