Let requests that cannot continue elsewhere run on when their engine loads other weights

Cause: every order to load weights reset the streams that ran on the engine, after a wait of at most 1.2 s.

Change: WeightSwitchDecision decides when an engine is ordered to switch and what becomes of its requests: when some that cannot continue elsewhere still run after the wait, they are retained; otherwise resumable streams are reset and go on at another engine. The order's log line names it.

WeightsRolloutTest#should_not_reset_requests_that_cannot_continue_elsewhere has no counterpart on the code before, whose orders named no mode and were all sent with evict.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingOutput.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingOutput.java
@@ -64,7 +64,7 @@
     record CallStore(long call, StoreCall request, long timeoutMillis) implements ForwardingOutput {}
 
     /**
-     * Orders an engine to load new weights at once; streams that still run on it are reset.
+     * Orders an engine to load new weights at once.
      *
      * @param engine the engine in its current incarnation
      * @param address its IP address and port
@@ -73,6 +73,7 @@
      * @param holder the lease holder, which is the router that issues the order
      * @param fencingToken the fencing token of the order lease
      * @param expectedOrders the number of orders that the engine must have accepted before this one
+     * @param switchMode what becomes of the requests that run on the engine
      */
     record OrderWeights(
             UpstreamId engine,
@@ -81,7 +82,8 @@
             long version,
             String holder,
             long fencingToken,
-            long expectedOrders)
+            long expectedOrders,
+            SwitchMode switchMode)
             implements ForwardingOutput {}
 
     /**
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/VersionShareSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/VersionShareSystem.java
@@ -88,7 +88,6 @@
             return;
         }
         nextCheckAtMillis = context.now() + CHECK_INTERVAL_MILLIS;
-        context.wakeAt(nextCheckAtMillis);
         if (context.stopping() || !allRoutersApplyShares()) {
             return;
         }
@@ -119,6 +118,7 @@
             return;
         }
         change.neededSinceMillis = Math.min(change.neededSinceMillis, context.now());
+        context.wakeAt(nextCheckAtMillis);
         boolean early = !VersionShareDecision.isUrgent(shares, versions)
                 && context.now() < change.changedAtMillis + MINIMUM_CHANGE_INTERVAL_MILLIS;
         if (!change.callPending && !early && context.now() >= change.neededSinceMillis + rankDelayMillis(service)) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WeightsRollout.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WeightsRollout.java
@@ -10,13 +10,13 @@
 import org.fuchsiatrail.forwarding.ForwardingOutput;
 import org.fuchsiatrail.forwarding.OrderReply;
 import org.fuchsiatrail.forwarding.StoreItemContent;
+import org.fuchsiatrail.forwarding.SwitchMode;
 
 /**
  * Orders engines to load the target weights, a few engines at a time.
  *
  * <p>Load pattern: new target weights every few seconds under traffic. The engines of a wave finish their requests and
- * load the weights while the others serve, and routers place requests on engines that have switched. The order waits
- * for non-resumable requests to finish; it resets resumable streams, which continue on another engine.
+ * load the weights while the others serve, and routers place requests on engines that have switched.
  */
 final class WeightsRollout {
 
@@ -29,12 +29,6 @@
     /** Interval between polls of the engines in a wave, in milliseconds. */
     private static final long POLL_INTERVAL_MILLIS = 50;
 
-    /** The time within which all routers receive a switching report and report their work on it, in milliseconds. */
-    private static final long MINIMUM_QUIESCE_MILLIS = 80;
-
-    /** The longest wait for non-resumable requests, in milliseconds; several short generations. */
-    private static final long MAXIMUM_QUIESCE_MILLIS = 1_200;
-
     /** Backoff after a failed query or order, in milliseconds. */
     private static final long UNRESPONSIVE_BACKOFF_MILLIS = 700;
 
@@ -177,9 +171,9 @@
             return;
         }
         long quiesceMillis = context.now() - state.startedAtMillis;
-        boolean finished = quiesceMillis >= MINIMUM_QUIESCE_MILLIS && engine.nonResumableRequests(context.now()) == 0;
-        if (finished || quiesceMillis >= MAXIMUM_QUIESCE_MILLIS) {
-            issueOrder(engine, state, state.acceptedOrders);
+        if (WeightSwitchDecision.decide(quiesceMillis, engine.nonResumableRequests(context.now()))
+                instanceof WeightSwitchDecision.Order order) {
+            issueOrder(engine, state, order.mode());
         }
     }
 
@@ -248,7 +242,7 @@
                 outcome);
     }
 
-    private void issueOrder(UpstreamState engine, WeightSwitch state, long acceptedOrders) {
+    private void issueOrder(UpstreamState engine, WeightSwitch state, SwitchMode switchMode) {
         OptionalLong token = orderLease.activeFencingToken();
         if (token.isEmpty()) {
             return;
@@ -267,7 +261,9 @@
                 "fencingToken",
                 token.getAsLong(),
                 "expectedOrders",
-                acceptedOrders,
+                state.acceptedOrders,
+                "switchMode",
+                switchMode,
                 "bound",
                 engine.nonResumableRequests(context.now()),
                 "running",
@@ -279,6 +275,7 @@
                 state.version,
                 context.settings().self().id().value(),
                 token.getAsLong(),
-                acceptedOrders));
+                state.acceptedOrders,
+                switchMode));
     }
 }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/WeightsRolloutTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/WeightsRolloutTest.java
@@ -15,6 +15,7 @@
 import org.fuchsiatrail.forwarding.StoreCall;
 import org.fuchsiatrail.forwarding.StoreItemContent;
 import org.fuchsiatrail.forwarding.StoreReply;
+import org.fuchsiatrail.forwarding.SwitchMode;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -88,6 +89,38 @@
         assertThat(orders()).hasSize(2);
     }
 
+    @Test
+    void should_not_reset_requests_that_cannot_continue_elsewhere() {
+        startSixEngines();
+        fixture.advanceTime(4_000);
+        for (int index = 0; index < 30; index++) {
+            fixture.call("/mark/" + index, ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s" + index, "o"));
+        }
+        setTargetVersion(2);
+        fixture.advanceTime(60);
+        answerStateQueries();
+        fixture.advanceTime(1_600);
+        assertThat(orders())
+                .hasSize(2)
+                .allSatisfy(order -> assertThat(order.switchMode()).isEqualTo(SwitchMode.RETAIN_RUNS));
+    }
+
+    @Test
+    void should_reset_resumable_streams_so_that_they_go_on_at_another_engine() {
+        startSixEngines();
+        fixture.advanceTime(4_000);
+        for (int index = 0; index < 30; index++) {
+            fixture.call("/ask/" + index, ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s" + index, "o"));
+        }
+        setTargetVersion(2);
+        fixture.advanceTime(60);
+        answerStateQueries();
+        fixture.advanceTime(100);
+        assertThat(orders())
+                .hasSize(2)
+                .allSatisfy(order -> assertThat(order.switchMode()).isEqualTo(SwitchMode.RESET_RUNS));
+    }
+
     @Test
     void should_place_no_new_requests_on_an_engine_that_switches_weights() {
         startSixEngines();
