Report open streams once callers of an earlier process have resumed theirs

Cause: a router reported its open streams for replaced shares only 16 s after its start, the time for which streams may be resumed.

Change: a caller that lost a stream comes back within the time in which it notices and the longest retry time that it follows, a third of its deadline; then the router knows the stream.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ReplacedShareCompletion.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ReplacedShareCompletion.java
@@ -27,6 +27,12 @@
     /** By how much replaced shares outlast the longest time in which a caller may resume a stream, in milliseconds. */
     private static final long RETENTION_MARGIN_MILLIS = 1_000;
 
+    /** The time within which callers notice that a stream was interrupted and connect again, in milliseconds. */
+    private static final long NOTICE_MILLIS = 5_000;
+
+    /** The fraction of the time left up to which callers follow a retry time. */
+    private static final double LONGEST_RETRY_FRACTION = 1 / 3.0;
+
     /** Timeout of a call, in milliseconds; a slow store takes 0.3 s. */
     private static final long CALL_TIMEOUT_MILLIS = 800;
 
@@ -68,10 +74,21 @@
 
     /** How long replaced shares are kept, since streams that began under them may be resumed, in milliseconds. */
     long retentionMillis(String service) {
-        long resumableMillis = replica.routing()
+        return resumableMillis(service) + RETENTION_MARGIN_MILLIS;
+    }
+
+    /**
+     * The longest time in which the caller of an interrupted stream sends nothing before it resumes the stream, in
+     * milliseconds: it notices the interruption, and it follows a retry time up to a fraction of the time that it has.
+     */
+    private long longestCallerSilenceMillis(String service) {
+        return NOTICE_MILLIS + Math.round(resumableMillis(service) * LONGEST_RETRY_FRACTION);
+    }
+
+    private long resumableMillis(String service) {
+        return replica.routing()
                 .map(routing -> routing.resumableMillisByService().get(service))
                 .orElse(0L);
-        return resumableMillis + RETENTION_MARGIN_MILLIS;
     }
 
     /** Begins to collect the streams that are open under replaced shares. */
@@ -152,12 +169,12 @@
 
     /**
      * Returns whether this router knows all streams that began here under replaced shares: it begins no more of them,
-     * and its predecessor of the same name began none, or none that may still be resumed.
+     * and its predecessor of the same name began none, or callers have resumed those here since.
      */
     private boolean canList(String service, long epoch) {
         boolean replacedHere = replica.versionShares().epoch(service) > epoch;
         boolean ranThroughout = startKnown && epochAtStartByService.getOrDefault(service, Long.MAX_VALUE) < epoch;
-        return replacedHere && (ranThroughout || context.uptimeMillis() >= retentionMillis(service));
+        return replacedHere && (ranThroughout || context.uptimeMillis() >= longestCallerSilenceMillis(service));
     }
 
     /** Replies to queries of a peer; those that cannot be answered yet are asked again. */
