--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/VersionShareSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/VersionShareSystem.java
@@ -88,7 +88,7 @@
             return;
         }
         nextCheckAtMillis = context.now() + CHECK_INTERVAL_MILLIS;
-        if (context.stopping() || !allRoutersApplyShares()) {
+        if (context.stopping()) {
             return;
         }
         replica.routing().get().resumableMillisByService().keySet().forEach(this::check);
@@ -113,7 +113,7 @@
         }
         Map<String, VersionShareDecision.Upstreams> versions = versions(service);
         Optional<List<VersionShares.Share>> next = VersionShareDecision.next(shares, versions);
-        if (next.isEmpty()) {
+        if (next.isEmpty() || !allRoutersApplyShares()) {
             change.neededSinceMillis = Long.MAX_VALUE;
             return;
         }
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerCodecTest.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerCodecTest.java
@@ -81,6 +81,9 @@
                 .leaving(List.of(ENGINE))
                 .pauses(List.of(new PeerMessage.SeenPause(ENGINE, 2_900)))
                 .startedStreams(List.of(new PeerMessage.StartedStreams("tutors", "v1", new long[] {5, -6})))
+                .openStreamQueries(List.of(new PeerMessage.OpenStreamQuery("tutors", 3)))
+                .openStreamReplies(List.of(new PeerMessage.OpenStreamReply(
+                        "tutors", 3, List.of(new PeerMessage.StartedStreams("tutors", "v1", new long[] {8})))))
                 .streamQueries(List.of(new PeerMessage.StreamQuery(-7, List.of("tutors"))))
                 .streamReplies(List.of(new PeerMessage.StreamReply(-7, true, "tutors", "v1", List.of("v1", "v2"), 400)))
                 .reads(List.of(new PeerMessage.ReadParts(ENGINE, new long[] {1, 2}, new long[] {300, 400})))
