Wait 0.6 s before engines with requests that cannot continue elsewhere are ordered to switch

Cause: as these requests now run on under the new weights, a long wait only keeps replaced weights in use at other engines.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WeightSwitchDecision.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WeightSwitchDecision.java
@@ -16,7 +16,7 @@
     private static final long MINIMUM_QUIESCE_MILLIS = 80;
 
     /** The longest wait for requests that cannot continue elsewhere, in milliseconds. */
-    private static final long MAXIMUM_QUIESCE_MILLIS = 1_200;
+    private static final long MAXIMUM_QUIESCE_MILLIS = 600;
 
     /** What to do now. */
     sealed interface Decision {}
