Pause between attempts to change version shares

Cause: after a refused or failed call a router asked the store again at its next check, 100 ms later, also while the store refuses everything. At most every 0.3 s now. With the pause taken out the new test sees 51 calls in 6 s, 25 are allowed.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ReplacedShareCompletion.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ReplacedShareCompletion.java
@@ -39,13 +39,13 @@
     private final ForwardingContext context;
     private final StoreCallTable store;
     private final StoreReplica replica;
-    private final List<Collection> collections = new ArrayList<>();
+    private final List<OpenStreamCollection> collections = new ArrayList<>();
     private final Map<String, Long> epochAtStartByService = new HashMap<>();
     private Function<String, List<PeerMessage.StartedStreams>> openStreams = service -> List.of();
     private boolean startKnown;
 
     /** The replies that are awaited before replaced shares are complete. */
-    private static final class Collection {
+    private static final class OpenStreamCollection {
         private final VersionShares replaced;
         private final long lease;
         private final long untilMillis;
@@ -54,7 +54,7 @@
         private boolean ownIncluded;
         private long nextQueryAtMillis;
 
-        private Collection(VersionShares replaced, long lease, long untilMillis) {
+        private OpenStreamCollection(VersionShares replaced, long lease, long untilMillis) {
             this.replaced = replaced;
             this.lease = lease;
             this.untilMillis = untilMillis;
@@ -93,7 +93,8 @@
 
     /** Begins to collect the streams that are open under replaced shares. */
     void begin(VersionShares replaced, long lease) {
-        Collection collection = new Collection(replaced, lease, context.now() + retentionMillis(replaced.service()));
+        OpenStreamCollection collection =
+                new OpenStreamCollection(replaced, lease, context.now() + retentionMillis(replaced.service()));
         replica.members().forEach(member -> collection.awaited.put(member.vm().id(), member.vm()));
         collection.awaited.remove(context.settings().self().id());
         collections.add(collection);
@@ -101,9 +102,9 @@
 
     void run() {
         recordEpochsAtStart();
-        Iterator<Collection> iterator = collections.iterator();
+        Iterator<OpenStreamCollection> iterator = collections.iterator();
         while (iterator.hasNext()) {
-            Collection collection = iterator.next();
+            OpenStreamCollection collection = iterator.next();
             if (context.now() >= collection.untilMillis || advance(collection)) {
                 iterator.remove();
             }
@@ -111,7 +112,7 @@
     }
 
     /** Asks routers for their open streams, or writes these once all have replied; returns whether it did. */
-    private boolean advance(Collection collection) {
+    private boolean advance(OpenStreamCollection collection) {
         VersionShares replaced = collection.replaced;
         if (!collection.ownIncluded && canList(replaced.service(), replaced.epoch())) {
             collection.streams.addAll(openStreams.apply(replaced.service()));
@@ -134,7 +135,7 @@
         return false;
     }
 
-    private void complete(Collection collection) {
+    private void complete(OpenStreamCollection collection) {
         VersionShares replaced = collection.replaced;
         store.call(
                 new StoreCall.CompleteVersionShares(
@@ -199,7 +200,7 @@
     /** Applies the replies of a peer. */
     void receive(EntryVmId from, PeerMessage.ForwardingNews message) {
         for (PeerMessage.OpenStreamReply reply : message.openStreamReplies()) {
-            for (Collection collection : collections) {
+            for (OpenStreamCollection collection : collections) {
                 boolean meant = collection.replaced.service().equals(reply.service())
                         && collection.replaced.epoch() == reply.epoch();
                 if (meant && collection.awaited.remove(from) != null) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/VersionShareSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/VersionShareSystem.java
@@ -36,6 +36,9 @@
     /** The longest such wait, in milliseconds. */
     private static final long MAXIMUM_RANK_DELAY_MILLIS = 4_000;
 
+    /** The shortest interval between attempts to change the shares of a service, in milliseconds. */
+    private static final long RETRY_DELAY_MILLIS = 300;
+
     /** Timeout of a call, in milliseconds; a slow store takes 0.3 s. */
     private static final long CALL_TIMEOUT_MILLIS = 800;
 
@@ -52,7 +55,12 @@
         private long neededSinceMillis = Long.MAX_VALUE;
         private long changedAtMillis = Long.MIN_VALUE / 2;
         private long knownEpoch;
+        private long retryAtMillis = Long.MIN_VALUE;
         private boolean callPending;
+
+        private boolean mayCall(long nowMillis) {
+            return !callPending && nowMillis >= retryAtMillis;
+        }
     }
 
     VersionShareSystem(
@@ -121,7 +129,9 @@
         context.wakeAt(nextCheckAtMillis);
         boolean early = !VersionShareDecision.isUrgent(shares, versions)
                 && context.now() < change.changedAtMillis + MINIMUM_CHANGE_INTERVAL_MILLIS;
-        if (!change.callPending && !early && context.now() >= change.neededSinceMillis + rankDelayMillis(service)) {
+        if (change.mayCall(context.now())
+                && !early
+                && context.now() >= change.neededSinceMillis + rankDelayMillis(service)) {
             change(service, change, current, new VersionShares(service, epoch + 1, next.get()));
         }
     }
@@ -155,6 +165,7 @@
                 set(change, current, next, granted.lease());
             } else {
                 change.callPending = false;
+                change.retryAtMillis = context.now() + RETRY_DELAY_MILLIS;
             }
         });
     }
@@ -167,6 +178,7 @@
         store.call(
                 new StoreCall.SetVersionShares(next, expectedRevision, replaced, lease), CALL_TIMEOUT_MILLIS, reply -> {
                     change.callPending = false;
+                    change.retryAtMillis = context.now() + RETRY_DELAY_MILLIS;
                     context.log(
                             "versions",
                             "Version shares of resumable streams set, or another router set them.",
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -54,6 +54,9 @@
     final Map<RequestId, ForwardedCall> calls = new HashMap<>();
 
     boolean storeAnswers = true;
+    /** Whether the store refuses calls other than watches. */
+    boolean storeRefuses;
+
     boolean orderLeaseTaken = true;
     Consumer<StoreCall.PublishQuarantine> quarantineListener = this::putQuarantine;
     Consumer<Long> leaseEndListener = lease -> {};
@@ -374,6 +377,10 @@
     }
 
     private void answerStoreCall(ForwardingOutput.CallStore call) {
+        if (storeRefuses && !(call.request() instanceof StoreCall.Watch)) {
+            tick(new ForwardingInput.StoreAnswered(call.call(), new StoreReply.Failed(false, "HTTP 503")));
+            return;
+        }
         StoreReply reply =
                 switch (call.request()) {
                     case StoreCall.ReadAll read -> new StoreReply.Page(readableItems(), false, revision);
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/VersionSharesLookupTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/VersionSharesLookupTest.java
@@ -12,6 +12,7 @@
 import org.fuchsiatrail.forwarding.ForwardedCall;
 import org.fuchsiatrail.forwarding.ForwardingInput;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
+import org.fuchsiatrail.forwarding.StoreCall;
 import org.fuchsiatrail.forwarding.StoreItemContent;
 import org.fuchsiatrail.forwarding.VersionShares;
 import org.fuchsiatrail.forwarding.VersionShares.Share;
@@ -163,6 +164,18 @@
         assertThat(fixture.versionSharesCalls).isLessThanOrEqualTo(5);
     }
 
+    @Test
+    void should_call_a_store_that_refuses_changes_four_times_a_second_at_most() {
+        fixture.put(CURRENT, new StoreItemContent.CurrentVersionShares(FIRST_ONLY));
+        fixture.start();
+        fixture.storeRefuses = true;
+        fixture.advanceTime(6_000);
+        long calls = fixture.all(ForwardingOutput.CallStore.class).stream()
+                .filter(call -> call.request().equals(new StoreCall.GrantLease(16_000)))
+                .count();
+        assertThat(calls).isBetween(3L, 25L);
+    }
+
     @Test
     void should_begin_streams_only_at_the_version_that_the_shares_tell() {
         register("e1", "v1");
