--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AttemptSender.java
@@ -0,0 +1,60 @@
+package org.fuchsiatrail.internal.forwarding;
+
+import org.fuchsiatrail.forwarding.Dispatch;
+import org.fuchsiatrail.forwarding.ForwardingOutput;
+import org.fuchsiatrail.forwarding.RequestKind;
+
+/** Sends requests to the upstreams on which they were placed. */
+final class AttemptSender {
+
+    private final ForwardingContext context;
+    private final CallTable calls;
+    private final CallTimers timers;
+    private final CallTiming timing;
+    private final UpstreamAvailability availability;
+    private final CrashProtection crashProtection;
+    private final CallLog log;
+
+    AttemptSender(
+            ForwardingContext context,
+            CallTable calls,
+            CallTimers timers,
+            CallTiming timing,
+            UpstreamAvailability availability,
+            CrashProtection crashProtection,
+            CallLog log) {
+        this.context = context;
+        this.calls = calls;
+        this.timers = timers;
+        this.timing = timing;
+        this.availability = availability;
+        this.crashProtection = crashProtection;
+        this.log = log;
+    }
+
+    /** Begins an attempt of a request at an upstream. */
+    void send(PendingCall pending, UpstreamPlacement.Placement placement, long remainingMillis) {
+        UpstreamState upstream = placement.upstream();
+        pending.state = PendingCall.State.SENT;
+        pending.placement = placement;
+        pending.upstream = upstream;
+        pending.incarnation = upstream.incarnationId();
+        pending.attemptVersion = upstream.entry.softwareVersion();
+        pending.sends++;
+        pending.firstEventAtMillis = context.now();
+        pending.lastEventAtMillis = context.now();
+        pending.attemptTimeoutAtMillis =
+                pending.mayRetry() && pending.possibleExecutions + 1 < pending.route.maximumAttempts()
+                        ? context.now() + timing.attemptTimeoutMillis(pending)
+                        : Long.MAX_VALUE;
+        calls.beginAttempt(pending);
+        availability.recordSend(upstream);
+        if (pending.attemptTimeoutAtMillis < pending.deadlineAtMillis) {
+            timers.schedule(pending, pending.attemptTimeoutAtMillis);
+        }
+        Dispatch dispatch = Dispatches.of(pending, remainingMillis);
+        log.sent(pending, dispatch, remainingMillis, crashProtection.knownCrashes(pending));
+        context.emit(new ForwardingOutput.Send(
+                pending.attempt, pending.request, pending.route.kind() == RequestKind.STREAM, dispatch));
+    }
+}
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -1,9 +1,6 @@
 package org.fuchsiatrail.internal.forwarding;
 
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
 import org.fuchsiatrail.AttemptId;
@@ -12,7 +9,6 @@
 import org.fuchsiatrail.ResultCode;
 import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.AttemptEvent;
-import org.fuchsiatrail.forwarding.Dispatch;
 import org.fuchsiatrail.forwarding.ForwardedCall;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
 import org.fuchsiatrail.forwarding.RequestKind;
@@ -45,10 +41,9 @@
     private final StreamBindings bindings;
     private final RelayRouters relayRouters;
     private final AnswerHeads answerHeads;
-    private final Map<RequestId, PendingCall> pendingCalls = new LinkedHashMap<>();
-    private final Map<AttemptId, PendingCall> callsByAttempt = new HashMap<>();
+    private final CallTable calls;
     private final CallTimers timers;
-    private long nextAttemptNumber = 1;
+    private final AttemptSender sender;
 
     CallSystem(
             ForwardingContext context,
@@ -70,11 +65,13 @@
         this.bindings = bindings;
         this.relayRouters = new RelayRouters(context, storeReplica);
         this.answerHeads = new AnswerHeads(context, requestLimits, upstreams);
+        this.calls = new CallTable(context);
         this.timers = new CallTimers(context);
         streamVersions.lookup().onResolution(pending -> timers.schedule(pending, context.now()));
         this.selector = new UpstreamSelector(context, storeReplica, upstreams, timing, requestLimits);
         this.intake = new CallIntake(context, storeReplica);
         this.log = new CallLog(context, storeReplica);
+        this.sender = new AttemptSender(context, calls, timers, timing, selector.availability(), crashProtection, log);
         this.startupQueue = new StartupCallQueue(context);
     }
 
@@ -96,7 +93,7 @@
                 PendingCall pending = accepted.pending();
                 pending.placementDeadlineMillis =
                         pending.receivedAtMillis + timing.placementTimeoutMillis(pending.route);
-                pendingCalls.put(request, pending);
+                calls.add(pending);
                 retryBudgets.recordRequest(pending.service);
                 timers.schedule(pending, pending.deadlineAtMillis);
                 place(pending);
@@ -145,7 +142,7 @@
             return;
         }
         pending.relayed = false;
-        send(pending, placement.get(), remainingMillis);
+        sender.send(pending, placement.get(), remainingMillis);
     }
 
     /**
@@ -168,7 +165,7 @@
         }
         context.count("attempts.relayed");
         pending.relayed = true;
-        send(pending, UpstreamPlacement.onRouter(router.get()), remainingMillis);
+        sender.send(pending, UpstreamPlacement.onRouter(router.get()), remainingMillis);
         return true;
     }
 
@@ -226,41 +223,15 @@
         refuseOrAbort(pending, ResultCode.NO_UPSTREAM, CallTiming.NO_UPSTREAM_RETRY_MILLIS, "no upstream is usable");
     }
 
-    private void send(PendingCall pending, UpstreamPlacement.Placement placement, long remainingMillis) {
-        UpstreamState upstream = placement.upstream();
-        pending.state = PendingCall.State.SENT;
-        pending.placement = placement;
-        pending.upstream = upstream;
-        pending.incarnation = upstream.incarnationId();
-        pending.attemptVersion = upstream.entry.softwareVersion();
-        pending.sends++;
-        pending.firstEventAtMillis = context.now();
-        pending.lastEventAtMillis = context.now();
-        pending.attempt = new AttemptId(context.settings().self().id() + "-" + nextAttemptNumber++);
-        pending.attemptTimeoutAtMillis =
-                pending.mayRetry() && pending.possibleExecutions + 1 < pending.route.maximumAttempts()
-                        ? context.now() + timing.attemptTimeoutMillis(pending)
-                        : Long.MAX_VALUE;
-        callsByAttempt.put(pending.attempt, pending);
-        selector.availability().recordSend(upstream);
-        upstream.inFlight.put(pending.attempt, new UpstreamState.InFlightAttempt(pending, context.now()));
-        if (pending.attemptTimeoutAtMillis < pending.deadlineAtMillis) {
-            timers.schedule(pending, pending.attemptTimeoutAtMillis);
-        }
-        Dispatch dispatch = Dispatches.of(pending, remainingMillis);
-        log.sent(pending, dispatch, remainingMillis, crashProtection.knownCrashes(pending));
-        context.emit(new ForwardingOutput.Send(
-                pending.attempt, pending.request, pending.route.kind() == RequestKind.STREAM, dispatch));
-    }
-
     /** Handles an event of an attempt. */
     void receiveAttemptEvent(AttemptId attempt, AttemptEvent event) {
-        PendingCall pending = callsByAttempt.get(attempt);
-        if (pending == null) {
+        Optional<PendingCall> sent = calls.find(attempt);
+        if (sent.isEmpty()) {
             context.count("attempts.late-events");
             crashProtection.recordLateEvent(attempt, event);
             return;
         }
+        PendingCall pending = sent.get();
         pending.upstream.recordContact(context.now());
         crashProtection.recordEvent(pending, event);
         if (!(event instanceof AttemptEvent.Lost)) {
@@ -459,14 +430,15 @@
      */
     void callerDisconnected(RequestId request) {
         startupQueue.discard(request);
-        PendingCall pending = pendingCalls.get(request);
-        if (pending == null) {
+        Optional<PendingCall> open = calls.find(request);
+        if (open.isEmpty()) {
             return;
         }
+        PendingCall pending = open.get();
         // Counts requests whose caller disconnected before the answer was complete.
         context.count("requests.caller-left");
         bindings.recordInterrupted(pending);
-        if (callsByAttempt.containsKey(pending.attempt)) {
+        if (calls.hasAttemptInFlight(pending)) {
             crashProtection.recordGivenUp(pending);
         }
         boolean keepAttempt =
@@ -483,7 +455,7 @@
      * cancelled: an upstream that leaves without draining still answers them.
      */
     void upstreamEnded(UpstreamId incarnation) {
-        for (PendingCall pending : callsByAttempt.values()) {
+        for (PendingCall pending : calls.sent()) {
             if (pending.incarnation.equals(incarnation)) {
                 crashProtection.recordGivenUp(pending);
             }
@@ -564,11 +536,7 @@
     }
 
     private void releaseAttempt(PendingCall pending) {
-        pending.attemptTimeoutAtMillis = Long.MAX_VALUE;
-        callsByAttempt.remove(pending.attempt);
-        UpstreamState.InFlightAttempt released = pending.upstream.inFlight.remove(pending.attempt);
-        boolean lastNonResumable =
-                released != null && released.nonResumable && pending.upstream.ownNonResumableRequests() == 0;
+        boolean lastNonResumable = calls.releaseAttempt(pending);
         if (lastNonResumable && pending.upstream.isSwitchingWeights(context.now())) {
             gossip.scheduleUpdate();
         }
@@ -576,7 +544,7 @@
 
     private void close(PendingCall pending) {
         pending.state = PendingCall.State.FINISHED;
-        pendingCalls.remove(pending.request);
+        calls.remove(pending);
         if (pending.attempt != null) {
             releaseAttempt(pending);
         }
@@ -584,10 +552,10 @@
 
     /** Lists the streams of a service that are open here. */
     List<PeerMessage.StartedStreams> openStreams(String service) {
-        return bindings.openStreams(pendingCalls.values(), service);
+        return bindings.openStreams(calls.pending(), service);
     }
 
     int openRequests() {
-        return pendingCalls.size() + startupQueue.queuedCalls();
+        return calls.size() + startupQueue.queuedCalls();
     }
 }
