End streams whose resumption is answered plainly instead of leaving them open

Callers saw a stream that stopped and then neither went on nor ended: their connection stayed open until their own deadline.

Cause: what becomes of an answer was decided by the state of the attempt, not of the response that an earlier attempt had begun. A 500 from the engine at which a stream was resumed was written into the stream as a second response; the encoder refused it, and the request counted as answered. Refusals of routers to which a begun stream had been relayed took the same way, and a stream whose events have no id was resumed from its beginning.

Once part of a stream was passed on, only events, its end or the end of the connection may follow, so no path is left that writes a second head.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -270,11 +270,12 @@
         releaseAttempt(pending);
         pending.possibleExecutions++;
         boolean failed = head.status() >= 500;
+        boolean unusable = failed || pending.streamBegun;
         pending.excludedUpstreams.add(pending.upstream.id());
-        boolean retry = failed && pending.mayRetry() && retryBudgets.mayRetry(pending.service);
+        boolean retry = unusable && pending.mayRetry() && retryBudgets.mayRetry(pending.service);
         if (retry && selector.hasCandidate(pending)) {
             log.failedByUpstream(pending, head);
-            pending.upstream.recordOutcome(true);
+            pending.upstream.recordOutcome(failed);
             context.emit(new ForwardingOutput.Cancel(pending.attempt));
             place(pending);
             return;
@@ -285,6 +286,12 @@
             upstreams.recordSuccess(pending.upstream);
             crashProtection.recordCompletion(pending);
         }
+        if (pending.streamBegun) {
+            context.emit(new ForwardingOutput.Cancel(pending.attempt));
+            refuseOrAbort(
+                    pending, ResultCode.OUTCOME_UNKNOWN, 0, "resumed stream was answered with status " + head.status());
+            return;
+        }
         context.emit(new ForwardingOutput.Deliver(pending.request, pending.attempt));
         finish(pending, "Answer delivered.", head.status());
     }
@@ -299,8 +306,10 @@
             pending.relayRefusals++;
             pending.sends--;
             place(pending);
-        } else if (head.status() < FIRST_ERROR_STATUS) {
-            handleLoss(pending, new AttemptEvent.Lost(true, true, "", "relayed answer lacks a valid signature"));
+        } else if (head.status() < FIRST_ERROR_STATUS || pending.streamBegun) {
+            handleLoss(
+                    pending,
+                    new AttemptEvent.Lost(true, true, "", "relayed answer is no stream or lacks a valid signature"));
         } else {
             upstreams.recordSuccess(pending.upstream);
             context.emit(new ForwardingOutput.Deliver(pending.request, pending.attempt));
@@ -332,6 +341,7 @@
         }
         upstreams.recordSuccess(pending.upstream);
         bindings.recordOrigin(pending);
+        pending.streamBegun = true;
         pending.state = PendingCall.State.DELIVERING;
         pending.firstEventAtMillis = context.now();
         context.emit(new ForwardingOutput.Deliver(pending.request, pending.attempt));
@@ -407,12 +417,12 @@
         if (!lost.lastEventId().isEmpty()) {
             pending.lastEventId = lost.lastEventId();
         }
-        retryAfterLoss(pending, lost.sent(), delivering);
+        retryAfterLoss(pending, lost.sent());
     }
 
-    private void retryAfterLoss(PendingCall pending, boolean possiblyExecuted, boolean delivering) {
+    private void retryAfterLoss(PendingCall pending, boolean possiblyExecuted) {
         boolean retry = (!possiblyExecuted || pending.mayRetry()) && pending.sends < CallTiming.MAXIMUM_SENDS;
-        if (retry && !delivering) {
+        if (retry && !pending.streamBegun) {
             pending.placementDeadlineMillis =
                     Math.max(pending.placementDeadlineMillis, context.now() + CallTiming.PLACEMENT_RETRY_MILLIS);
             place(pending);
@@ -519,9 +529,7 @@
         boolean codeApplies = code.mayHaveRun() || !pending.mayHaveRun();
         ResultCode reportedCode = codeApplies ? code : ResultCode.OUTCOME_UNKNOWN;
         log.refused(pending, reportedCode, retryAfterMillis, reason);
-        boolean streamStarted = !pending.lastEventId.equals(pending.call.resumeAfterEventId())
-                || pending.state == PendingCall.State.DELIVERING;
-        if (streamStarted) {
+        if (pending.streamBegun) {
             bindings.recordInterrupted(pending);
             context.emit(new ForwardingOutput.AbortStream(pending.request));
         } else {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
@@ -61,6 +61,9 @@
     /** Attempts that may have been executed. */
     int possibleExecutions;
 
+    /** Whether part of a stream was passed on, after which only further events or its end may follow. */
+    boolean streamBegun;
+
     String lastEventId;
     /** Whether the current attempt goes to another router. */
     boolean relayed;
@@ -123,7 +126,12 @@
 
     /** Returns whether the request may be sent again although an earlier attempt may have been executed. */
     boolean mayRetry() {
-        return route.retryable() && possibleExecutions < route.maximumAttempts();
+        return route.retryable() && possibleExecutions < route.maximumAttempts() && !isWithoutResumePosition();
+    }
+
+    /** Returns whether events were passed on of which none has an id, so that no upstream can continue after them. */
+    private boolean isWithoutResumePosition() {
+        return streamBegun && lastEventId.equals(call.resumeAfterEventId());
     }
 
     int priority() {
