Answer resumed streams in all ways in the random histories

The histories answered an attempt plainly only if nothing of its request had been passed on, so they could not meet a plain answer inside a stream.

--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RandomDeploymentTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RandomDeploymentTest.java
@@ -75,7 +75,10 @@
             final long deadlineMillis;
             AttemptId running;
             boolean mayHaveRun;
-            boolean started;
+            /** Whether the attempt in flight sends a stream. */
+            boolean attemptStarted;
+            /** Whether part of a stream was passed on to the caller. */
+            boolean streamBegun;
             int finalAnswers;
 
             Call(boolean atMostOnce, long deadlineMillis) {
@@ -225,26 +228,26 @@
             switch (random.nextInt(8)) {
                 case 0 -> endAttempt(attempt, call, new AttemptEvent.Lost(true, true, "", "reset"), true);
                 case 1 -> {
-                    if (!call.started) {
+                    if (!call.attemptStarted) {
                         endAttempt(attempt, call, new AttemptEvent.Lost(false, false, "", "refused"), false);
                     }
                 }
                 case 2 -> {
-                    if (!call.started) {
+                    if (!call.attemptStarted) {
                         endAttempt(attempt, call, new AttemptEvent.Answered(head(503, false, true)), false);
                     }
                 }
                 case 3 -> {
-                    if (!call.started) {
+                    if (!call.attemptStarted) {
                         endAttempt(attempt, call, new AttemptEvent.Answered(head(500, true, false)), true);
                     }
                 }
                 case 4 -> {
-                    call.started = true;
+                    call.attemptStarted = true;
                     fixture.deliverEvent(attempt, new AttemptEvent.Started(head(200, true, false), "1"));
                 }
                 default -> {
-                    if (call.started) {
+                    if (call.attemptStarted) {
                         call.finalAnswers++;
                         endAttempt(attempt, call, new AttemptEvent.Finished(), true);
                     } else {
@@ -303,6 +306,7 @@
                             .isFalse();
                     assertThat(send.dispatch().remainingMillis()).isPositive();
                     call.running = send.attempt();
+                    call.attemptStarted = false;
                     openAttempts.put(send.attempt(), call);
                 }
                 case ForwardingOutput.Cancel cancel -> {
@@ -314,6 +318,9 @@
                 }
                 case ForwardingOutput.Refuse refuse -> {
                     Call call = calls.get(refuse.request());
+                    assertThat(call.streamBegun)
+                            .as("no refusal inside a stream, seed %d", seed)
+                            .isFalse();
                     call.finalAnswers++;
                     boolean reportsNotExecuted = !refuse.code().mayHaveRun();
                     assertThat(reportsNotExecuted && call.mayHaveRun)
@@ -323,7 +330,12 @@
                 case ForwardingOutput.AbortStream aborted -> calls.get(aborted.request()).finalAnswers++;
                 case ForwardingOutput.Deliver deliver -> {
                     Call call = calls.get(deliver.request());
-                    if (!call.started) {
+                    if (call.attemptStarted) {
+                        call.streamBegun = true;
+                    } else {
+                        assertThat(call.streamBegun)
+                                .as("no plain answer inside a stream, seed %d", seed)
+                                .isFalse();
                         call.finalAnswers++;
                     }
                 }
