Check whose answer it is before believing anything in it

Callers were told "not executed, come back" for requests that an engine had run, and such requests ran at a second engine, when a faulty engine wrote an earlier refusal once more on a kept connection.

Cause: whether an answer bears the id of the request was one part of the flag `verified`, next to the signature, and was read after all else. An unverified answer with Not-Executed, or with status 421, sent the request elsewhere, and what it told of the engine (load, weights, limit, pause, that it is leaving, that it survived a crash) had been recorded before. Refusals of a router to which a request had been relayed were delivered without any check.

Why this works: the network side compares the id when the head arrives, before a head for the core exists. Another id, or none, ends the attempt as Mismatched, which has nothing but that id, and closes the connection: the outcome is unknown, so a request that must not run twice gets 502 and a retryable one goes elsewhere within its budget. Whoever has a Head may believe it. A refusal needs the id and no signature, as before; a 421 with the id still goes elsewhere. Routers repeat the id in refusals of relayed requests.

A test of CallSystemTest is renamed: what it delivers lacks the signature.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AnswerHeadBuilder.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AnswerHeadBuilder.java
@@ -22,7 +22,7 @@
     }
 
     /**
-     * Sets whether the response carries the request's id and the upstream's signature.
+     * Sets whether the response carries the upstream's signature.
      *
      * @param isVerified whether it does
      * @return this builder
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AttemptEvent.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AttemptEvent.java
@@ -8,10 +8,10 @@
 public sealed interface AttemptEvent {
 
     /**
-     * The status and headers of an upstream's response.
+     * The status and headers of an upstream's response to the request of the attempt.
      *
      * @param status the HTTP status
-     * @param verified whether the response carries the request's id and the upstream's signature
+     * @param verified whether the response carries the upstream's signature
      * @param notExecuted whether the upstream reports that it did not execute the request
      * @param load the upstream's load, when reported
      * @param weightsVersion the version of the weights that generate the answer, when reported
@@ -69,6 +69,14 @@
     /** The stream ended regularly. */
     record Finished() implements AttemptEvent {}
 
+    /**
+     * A response to another request, or one that does not show which request it answers, was received instead of the
+     * answer. It tells nothing of the request or the upstream; its connection was closed, and no answer will follow.
+     *
+     * @param answeredAttemptId the caller's id of the attempt that was answered, or an empty string
+     */
+    record Mismatched(String answeredAttemptId) implements AttemptEvent {}
+
     /**
      * The attempt failed; no complete answer will be received.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
@@ -120,6 +120,22 @@
                 pending.sends);
     }
 
+    void mismatched(PendingCall pending, AttemptEvent.Mismatched mismatched) {
+        // Counts answers that belong to another request than the one that was sent.
+        context.count("answers.mismatched");
+        context.log(
+                COMPONENT,
+                "Answer to another request received; connection closed.",
+                "request",
+                pending.call.callerAttemptId(),
+                "upstream",
+                pending.upstream.id(),
+                "answered",
+                mismatched.answeredAttemptId(),
+                "send",
+                pending.sends);
+    }
+
     void lost(PendingCall pending, AttemptEvent.Lost lost, boolean delivering) {
         context.count(lost.sent() ? "attempts.lost" : "attempts.not-sent");
         context.log(
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -24,6 +24,10 @@
     /** The loss of an attempt that is given up; whether its request was sent is not known. */
     private static final AttemptEvent.Lost NO_PROGRESS = new AttemptEvent.Lost(true, true, "", "no progress");
 
+    /** The loss of an attempt whose connection brought the answer of another request. */
+    private static final AttemptEvent.Lost MISMATCHED =
+            new AttemptEvent.Lost(true, true, "", "answer does not belong to this request");
+
     private static final int FIRST_ERROR_STATUS = 400;
 
     private final ForwardingContext context;
@@ -234,7 +238,7 @@
         PendingCall pending = sent.get();
         pending.upstream.recordContact(context.now());
         crashProtection.recordEvent(pending, event);
-        if (!(event instanceof AttemptEvent.Lost)) {
+        if (!(event instanceof AttemptEvent.Lost || event instanceof AttemptEvent.Mismatched)) {
             pending.upstream.lastAnswerAtMillis = context.now();
         }
         switch (event) {
@@ -246,6 +250,10 @@
                 crashProtection.recordCompletion(pending);
                 finish(pending, "Stream completed.", 200);
             }
+            case AttemptEvent.Mismatched mismatched -> {
+                log.mismatched(pending, mismatched);
+                handleLoss(pending, MISMATCHED);
+            }
             case AttemptEvent.Lost lost -> handleLoss(pending, lost);
         }
     }
@@ -261,10 +269,7 @@
             return;
         }
         if (!head.verified()) {
-            handleLoss(
-                    pending,
-                    new AttemptEvent.Lost(
-                            true, true, "", "answer lacks this request's id or a valid upstream signature"));
+            handleLoss(pending, new AttemptEvent.Lost(true, true, "", "answer lacks a valid upstream signature"));
             return;
         }
         releaseAttempt(pending);
@@ -320,10 +325,7 @@
     private void handleStreamStart(PendingCall pending, AttemptEvent.Started started) {
         answerHeads.record(pending, started.head());
         if (!started.head().verified()) {
-            handleLoss(
-                    pending,
-                    new AttemptEvent.Lost(
-                            true, true, "", "stream lacks this request's id or a valid upstream signature"));
+            handleLoss(pending, new AttemptEvent.Lost(true, true, "", "stream lacks a valid upstream signature"));
             return;
         }
         UpstreamState.InFlightAttempt inFlightAttempt = pending.upstream.inFlight.get(pending.attempt);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashProtection.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashProtection.java
@@ -86,6 +86,7 @@
     private static boolean comesFromExpectedUpstream(AttemptEvent event) {
         return switch (event) {
             case AttemptEvent.Answered answered -> answered.head().status() != CallTiming.MISDIRECTED_STATUS;
+            case AttemptEvent.Mismatched mismatched -> false;
             case AttemptEvent.Lost lost -> false;
             case AttemptEvent.Started started -> true;
             case AttemptEvent.Progressed progressed -> true;
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
@@ -123,7 +123,22 @@
     }
 
     @Test
-    void should_not_deliver_an_answer_that_does_not_belong_to_the_request() {
+    void should_not_believe_the_answer_to_another_request() {
+        startWithRecordServices();
+        RequestId call = fixture.call("/issue/1");
+        fixture.deliverEvent(fixture.send(call), new AttemptEvent.Mismatched("earlier"));
+        assertThat(fixture.sends(call)).hasSize(1);
+        assertThat(fixture.refusal(call).orElseThrow().code()).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+        RequestId retryable = fixture.call("/read/1");
+        fixture.deliverEvent(fixture.send(retryable), new AttemptEvent.Mismatched(""));
+        assertThat(fixture.sends(retryable)).hasSize(2);
+        fixture.answerNotExecuted(fixture.send(retryable));
+        fixture.advanceTime(1_000);
+        assertThat(fixture.refusal(retryable).orElseThrow().code()).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    void should_not_deliver_an_answer_that_does_not_bear_the_signature_of_an_upstream() {
         startWithRecordServices();
         RequestId request = fixture.call("/issue/1");
         fixture.deliverEvent(
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/CallDialect.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/CallDialect.java
@@ -1,5 +1,7 @@
 package org.fuchsiatrail.wire.forwarding;
 
+import java.util.Optional;
+
 import io.netty.handler.codec.http.HttpHeaders;
 import org.fuchsiatrail.forwarding.AttemptEvent;
 import org.fuchsiatrail.forwarding.Dispatch;
@@ -30,12 +32,27 @@
     void writeDispatchHeaders(HttpHeaders headers, Dispatch dispatch);
 
     /**
-     * Parses status and headers of an upstream's response.
+     * Sets the headers by which the refusal of a request shows which request it answers.
+     *
+     * @param headers the headers to send to the caller
+     * @param call the refused request
+     */
+    void writeRefusalHeaders(HttpHeaders headers, ForwardedCall call);
+
+    /**
+     * Returns which request a response of an upstream answers.
+     *
+     * @param headers the headers of the response
+     * @return the caller's attempt id that the upstream repeats, or empty if there is none
+     */
+    Optional<String> answeredAttemptId(HttpHeaders headers);
+
+    /**
+     * Parses status and headers of an upstream's response to the request that was sent to it.
      *
      * @param status the HTTP status
      * @param headers the headers
-     * @param callerAttemptId the caller's attempt id, which the response must contain
      * @return the parsed head
      */
-    AttemptEvent.Head parseHead(int status, HttpHeaders headers, String callerAttemptId);
+    AttemptEvent.Head parseHead(int status, HttpHeaders headers);
 }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingLoop.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingLoop.java
@@ -270,7 +270,8 @@
         }
         boolean callerDisconnected =
                 event instanceof AttemptEvent.Answered && !openRequests.containsKey(runningAttempt.request());
-        if (event instanceof AttemptEvent.Lost || callerDisconnected) {
+        boolean ended = event instanceof AttemptEvent.Lost || event instanceof AttemptEvent.Mismatched;
+        if (ended || callerDisconnected) {
             runningAttempts.remove(attempt);
         }
         if (event instanceof AttemptEvent.Finished) {
@@ -323,6 +324,7 @@
         String body = "{\"error\":{\"code\":" + refuse.code().number() + ",\"message\":\""
                 + refuse.code().meaning() + "\",\"advice\":\"" + refuse.code().advice() + "\"}}\n";
         headers.set("Content-Type", "application/json");
+        dialect.writeRefusalHeaders(headers, openRequest.call());
         openRequest.exchange().respond(refuse.code().httpStatus(), headers, body.getBytes(StandardCharsets.UTF_8));
     }
 }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAttempt.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAttempt.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.List;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.function.Consumer;
 
@@ -19,7 +20,7 @@
 
 /**
  * The HTTP response handler of one attempt at an upstream. It collects a plain response as a whole, and splits a stream
- * into events.
+ * into events. A response to another request ends the attempt and closes the connection, whatever it says.
  *
  * <p>Runs on the event loop. No part of a response reaches the caller before {@link #deliverTo} is called.
  */
@@ -41,6 +42,7 @@
     private HttpHeaders headers = new DefaultHttpHeaders();
     private boolean connected;
     private boolean requestSent;
+    private boolean answersThisRequest;
     private boolean streamStarted;
     private boolean responseComplete;
     private boolean finished;
@@ -78,7 +80,14 @@
     @Override
     public State onHeadersReceived(HttpHeaders received) {
         headers = received;
-        return State.CONTINUE;
+        Optional<String> answeredAttemptId = dialect.answeredAttemptId(received);
+        answersThisRequest = answeredAttemptId.equals(Optional.of(callerAttemptId));
+        return answersThisRequest ? State.CONTINUE : abortAsMismatched(answeredAttemptId.orElse(""));
+    }
+
+    private State abortAsMismatched(String answeredAttemptId) {
+        finish(new AttemptEvent.Mismatched(answeredAttemptId));
+        return State.ABORT;
     }
 
     private boolean isEventStream() {
@@ -91,6 +100,10 @@
         if (finished) {
             return State.ABORT;
         }
+        // The end of a response whose head arrived before this request was sent.
+        if (!answersThisRequest) {
+            return abortAsMismatched("");
+        }
         byte[] bytes = part.getBodyPartBytes();
         if (!isEventStream()) {
             body.writeBytes(bytes);
@@ -130,7 +143,7 @@
     }
 
     private AttemptEvent.Head head() {
-        return dialect.parseHead(status, headers, callerAttemptId);
+        return dialect.parseHead(status, headers);
     }
 
     private State abortAsLost(String reason) {
