Never send a request twice over one connection

Callers were told "not executed" for a stream that an engine had run twice, when the engine had refused the stream for other weights and then, when the stream came back with the weights that it has, wrote this refusal once more on the same kept connection.

Cause: the refusal bears the id of the same request, so the id does not tell it from the answer to the second attempt. The client gives the connection that was returned last to the next request, at times while the bytes that came with the refusal are still being read.

Why this works: an answer on a connection can only be that of a request which the connection has carried. The pool gives no request a connection that has carried it: it closes that one and takes another. So the time at which the repeated refusal arrives does not matter. A connection keeps the hashes of the ids of its requests, 1,000 at most, and is closed after so many.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingLoop.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingLoop.java
@@ -248,7 +248,9 @@
         dialect.writeDispatchHeaders(headers, send.dispatch());
         RequestBuilder request = new RequestBuilder(exchange.method(), true)
                 .setUri(Uri.create("http://" + send.dispatch().address() + exchange.uri()))
-                .setHeaders(headers);
+                .setHeaders(headers)
+                .setChannelPoolPartitioning(new UpstreamConnectionPool.RequestPartitioning(
+                        openRequest.call().callerAttemptId()));
         if (exchange.body().length > 0) {
             request.setBody(exchange.body());
         }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAttempt.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAttempt.java
@@ -59,11 +59,13 @@
     @Override
     public void onTcpConnectSuccess(InetSocketAddress address, Channel connection) {
         connected = true;
+        UpstreamConnection.of(connection).recordRequest(callerAttemptId);
     }
 
     @Override
     public void onConnectionPooled(Channel connection) {
         connected = true;
+        UpstreamConnection.of(connection).recordRequest(callerAttemptId);
     }
 
     @Override
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamClients.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamClients.java
@@ -7,6 +7,8 @@
 import io.netty.channel.EventLoopGroup;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.Dsl;
+import org.asynchttpclient.channel.ChannelPool;
+import org.asynchttpclient.netty.channel.DefaultChannelPool;
 import org.fuchsiatrail.wire.http.KeepAliveProbes;
 
 /** Creates the HTTP client of a forwarding router. */
@@ -21,6 +23,10 @@
     /** How long an idle connection is kept. Upstreams close theirs a little later, so the router closes first. */
     private static final Duration IDLE_CONNECTION_TIMEOUT = Duration.ofMillis(2_500);
 
+    private static final Duration IDLE_CONNECTION_CHECK_INTERVAL = Duration.ofMillis(100);
+
+    private static final Duration UNLIMITED_CONNECTION_LIFETIME = Duration.ofMillis(-1);
+
     private static final Duration NO_TIMEOUT = Duration.ofMillis(-1);
 
     private UpstreamClients() {}
@@ -33,16 +39,19 @@
      * @return a client, to be closed by the caller
      */
     public static AsyncHttpClient create(EventLoopGroup group, EventLoop loop) {
+        EventLoopTimer timer = new EventLoopTimer(loop);
+        ChannelPool idleConnections = new DefaultChannelPool(
+                IDLE_CONNECTION_TIMEOUT, UNLIMITED_CONNECTION_LIFETIME, timer, IDLE_CONNECTION_CHECK_INTERVAL);
         return Dsl.asyncHttpClient(Dsl.config()
                 .setEventLoopGroup(group)
-                .setNettyTimer(new EventLoopTimer(loop))
+                .setNettyTimer(timer)
+                .setChannelPool(new UpstreamConnectionPool(idleConnections))
                 .setSslEngineFactory(new RejectingSslEngineFactory())
                 .setMaxRequestRetry(0)
                 .setFollowRedirect(false)
                 .setEnableAutomaticDecompression(false)
                 .setDisableUrlEncodingForBoundRequests(true)
                 .setConnectTimeout(CONNECT_TIMEOUT)
-                .setPooledConnectionIdleTimeout(IDLE_CONNECTION_TIMEOUT)
                 .setReadTimeout(NO_TIMEOUT)
                 .setRequestTimeout(NO_TIMEOUT)
                 .setTcpNoDelay(true)
--- /dev/null
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamConnection.java
@@ -0,0 +1,67 @@
+package org.fuchsiatrail.wire.forwarding;
+
+import java.util.Arrays;
+
+import io.netty.channel.Channel;
+import io.netty.util.Attribute;
+import io.netty.util.AttributeKey;
+
+/** The requests that a connection to an upstream has carried, and whether it is idle. Used on the event loop only. */
+final class UpstreamConnection {
+
+    /** Bounds the memory for the requests of a connection, which is closed after so many. */
+    static final int MAXIMUM_REQUESTS = 1_000;
+
+    private static final int INITIAL_CAPACITY = 16;
+
+    private static final AttributeKey<UpstreamConnection> ATTRIBUTE =
+            AttributeKey.valueOf(UpstreamConnection.class, "connection");
+
+    private int[] requestHashes = new int[INITIAL_CAPACITY];
+    private int requestCount;
+    private boolean idle;
+
+    private UpstreamConnection() {}
+
+    /** Returns what is known of a connection. */
+    static UpstreamConnection of(Channel channel) {
+        Attribute<UpstreamConnection> attribute = channel.attr(ATTRIBUTE);
+        UpstreamConnection connection = attribute.get();
+        if (connection == null) {
+            connection = new UpstreamConnection();
+            attribute.set(connection);
+        }
+        return connection;
+    }
+
+    /** Records that a request is sent over the connection. */
+    void recordRequest(String callerAttemptId) {
+        if (requestCount == requestHashes.length) {
+            requestHashes = Arrays.copyOf(requestHashes, 2 * requestCount);
+        }
+        requestHashes[requestCount++] = callerAttemptId.hashCode();
+    }
+
+    /** Returns whether the request was sent over the connection before; at times also for another request. */
+    boolean hasCarried(String callerAttemptId) {
+        int hash = callerAttemptId.hashCode();
+        for (int index = 0; index < requestCount; index++) {
+            if (requestHashes[index] == hash) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    boolean mayCarryAnotherRequest() {
+        return requestCount < MAXIMUM_REQUESTS;
+    }
+
+    void setIdle(boolean isIdle) {
+        idle = isIdle;
+    }
+
+    boolean isIdle() {
+        return idle;
+    }
+}
