Discard responses that answer no waiting request

Callers got 502 for requests that an engine had answered, or no answer until their deadline, when the engine had written something else to the connection before the answer.

Cause: the HTTP client takes whatever comes first on a connection for the answer to the request that it has sent last, and lets what arrives on an idle connection pass. A response to another request therefore ended the attempt whose answer followed; half of a response that came while the connection was idle did so with its second half; and after bytes that are no response the codec reads nothing more on a connection that goes on being used.

Why this works: a response that bears the id of another request than the one that waits on its connection is nobody's, and is read to its end and dropped; the answer is what follows. Where nothing follows within 100 ms the outcome is unknown, as before. On an idle connection whole responses are dropped, and a connection on which a part of one has arrived, or bytes that are no response, is closed before a request is sent over it.

--- /dev/null
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAnswerFilter.java
@@ -0,0 +1,157 @@
+package org.fuchsiatrail.wire.forwarding;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.asynchttpclient.netty.channel.ChannelManager;
+import org.fuchsiatrail.wire.observe.LogLines;
+import org.fuchsiatrail.wire.observe.RouterMetrics;
+
+/**
+ * Discards responses of an upstream that answer no waiting request: those on an idle connection, and those to another
+ * request that arrive where the answer is expected. If the answer does not follow at once, the HTTP client receives the
+ * head of the other response.
+ */
+final class UpstreamAnswerFilter extends ChannelInboundHandlerAdapter {
+
+    /** How long after a response to another request the answer may follow, in milliseconds. */
+    private static final long ANSWER_FOLLOWS_MILLIS = 100;
+
+    /** The maximum size of the body of a discarded response, in bytes; its connection is closed beyond that. */
+    private static final int MAXIMUM_DISCARDED_BYTES = 1024 * 1024;
+
+    private final CallDialect dialect;
+    private final RouterMetrics metrics;
+    private boolean discarding;
+    private long discardedBytes;
+    private ScheduledFuture<?> withheldHead;
+
+    private UpstreamAnswerFilter(CallDialect dialect, RouterMetrics metrics) {
+        this.dialect = dialect;
+        this.metrics = metrics;
+    }
+
+    /** Filters what arrives on a connection of the HTTP client. */
+    static void install(Channel connection, CallDialect dialect, RouterMetrics metrics) {
+        connection.pipeline().addFirst(new ReceivedBytes());
+        connection
+                .pipeline()
+                .addBefore(ChannelManager.AHC_HTTP_HANDLER, null, new UpstreamAnswerFilter(dialect, metrics));
+    }
+
+    /** Records that bytes arrived on an idle connection, which may be the beginning of a response. */
+    private static final class ReceivedBytes extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object bytes) {
+            UpstreamConnection connection = UpstreamConnection.of(context.channel());
+            if (connection.isIdle()) {
+                connection.setInsideResponse(true);
+            }
+            context.fireChannelRead(bytes);
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        UpstreamConnection connection = UpstreamConnection.of(context.channel());
+        if (connection.isIdle()) {
+            reportOnIdleConnection(context.channel(), connection, (HttpObject) message);
+            discard(context.channel(), message);
+            return;
+        }
+        if (message instanceof HttpResponse response) {
+            discarding = answersAnotherRequest(connection, response);
+            if (discarding) {
+                withhold(context, connection, response);
+            } else {
+                dropWithheldHead();
+            }
+        }
+        if (discarding) {
+            discard(context.channel(), message);
+        } else {
+            context.fireChannelRead(message);
+        }
+    }
+
+    private void discard(Channel channel, Object message) {
+        if (message instanceof HttpResponse) {
+            discardedBytes = 0;
+        }
+        if (message instanceof HttpContent content) {
+            discardedBytes += content.content().readableBytes();
+        }
+        ReferenceCountUtil.release(message);
+        boolean unreadable =
+                message instanceof HttpObject part && part.decoderResult().isFailure();
+        if (unreadable || discardedBytes > MAXIMUM_DISCARDED_BYTES) {
+            channel.close();
+        }
+    }
+
+    private void reportOnIdleConnection(Channel channel, UpstreamConnection connection, HttpObject message) {
+        if (message instanceof HttpResponse && channel.isOpen()) {
+            metrics.count("connections.unexpected-responses", 1);
+            LogLines.info(
+                    "upstreams",
+                    "Response received on an idle connection; discarded.",
+                    Map.of("address", String.valueOf(channel.remoteAddress())));
+        }
+        connection.setInsideResponse(!(message instanceof LastHttpContent));
+    }
+
+    private boolean answersAnotherRequest(UpstreamConnection connection, HttpResponse response) {
+        Optional<String> answered = dialect.answeredAttemptId(response.headers());
+        return answered.isPresent()
+                && !answered.equals(connection.currentRequest())
+                && response.decoderResult().isSuccess();
+    }
+
+    private void withhold(ChannelHandlerContext context, UpstreamConnection connection, HttpResponse head) {
+        metrics.count("connections.mismatched-responses", 1);
+        LogLines.info(
+                "upstreams",
+                "Response to another request received; awaiting the answer.",
+                Map.of(
+                        "address",
+                        String.valueOf(context.channel().remoteAddress()),
+                        "request",
+                        connection.currentRequest().orElse(""),
+                        "answered",
+                        dialect.answeredAttemptId(head.headers()).orElse("")));
+        if (withheldHead == null && connection.currentRequest().isPresent()) {
+            withheldHead = context.executor()
+                    .schedule(() -> passOn(context, head), ANSWER_FOLLOWS_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void passOn(ChannelHandlerContext context, HttpResponse head) {
+        withheldHead = null;
+        if (context.channel().isOpen()) {
+            context.fireChannelRead(head);
+        }
+    }
+
+    private void dropWithheldHead() {
+        if (withheldHead != null) {
+            withheldHead.cancel(false);
+            withheldHead = null;
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        dropWithheldHead();
+        context.fireChannelInactive();
+    }
+}
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamClients.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamClients.java
@@ -10,6 +10,7 @@
 import org.asynchttpclient.channel.ChannelPool;
 import org.asynchttpclient.netty.channel.DefaultChannelPool;
 import org.fuchsiatrail.wire.http.KeepAliveProbes;
+import org.fuchsiatrail.wire.observe.RouterMetrics;
 
 /** Creates the HTTP client of a forwarding router. */
 public final class UpstreamClients {
@@ -36,15 +37,20 @@
      *
      * @param group the group that contains only the event loop
      * @param loop the event loop
+     * @param dialect tells which request a response answers
+     * @param metrics counts responses that answer no request
      * @return a client, to be closed by the caller
      */
-    public static AsyncHttpClient create(EventLoopGroup group, EventLoop loop) {
+    public static AsyncHttpClient create(
+            EventLoopGroup group, EventLoop loop, CallDialect dialect, RouterMetrics metrics) {
         EventLoopTimer timer = new EventLoopTimer(loop);
         ChannelPool idleConnections = new DefaultChannelPool(
                 IDLE_CONNECTION_TIMEOUT, UNLIMITED_CONNECTION_LIFETIME, timer, IDLE_CONNECTION_CHECK_INTERVAL);
         return Dsl.asyncHttpClient(Dsl.config()
                 .setEventLoopGroup(group)
                 .setNettyTimer(timer)
+                .setHttpAdditionalChannelInitializer(
+                        connection -> UpstreamAnswerFilter.install(connection, dialect, metrics))
                 .setChannelPool(new UpstreamConnectionPool(idleConnections))
                 .setSslEngineFactory(new RejectingSslEngineFactory())
                 .setMaxRequestRetry(0)
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamConnection.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamConnection.java
@@ -1,6 +1,7 @@
 package org.fuchsiatrail.wire.forwarding;
 
 import java.util.Arrays;
+import java.util.Optional;
 
 import io.netty.channel.Channel;
 import io.netty.util.Attribute;
@@ -19,7 +20,9 @@
 
     private int[] requestHashes = new int[INITIAL_CAPACITY];
     private int requestCount;
+    private Optional<String> currentRequest = Optional.empty();
     private boolean idle;
+    private boolean insideResponse;
 
     private UpstreamConnection() {}
 
@@ -40,6 +43,7 @@
             requestHashes = Arrays.copyOf(requestHashes, 2 * requestCount);
         }
         requestHashes[requestCount++] = callerAttemptId.hashCode();
+        currentRequest = Optional.of(callerAttemptId);
     }
 
     /** Returns whether the request was sent over the connection before; at times also for another request. */
@@ -57,11 +61,26 @@
         return requestCount < MAXIMUM_REQUESTS;
     }
 
+    /** Returns the caller's id of the request that waits for its answer; empty if no caller's request does. */
+    Optional<String> currentRequest() {
+        return currentRequest;
+    }
+
     void setIdle(boolean isIdle) {
         idle = isIdle;
+        currentRequest = Optional.empty();
     }
 
     boolean isIdle() {
         return idle;
     }
+
+    /** Sets whether a response that answers no request has begun and not ended on the idle connection. */
+    void setInsideResponse(boolean isInsideResponse) {
+        insideResponse = isInsideResponse;
+    }
+
+    boolean isInsideResponse() {
+        return insideResponse;
+    }
 }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamConnectionPool.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamConnectionPool.java
@@ -48,7 +48,7 @@
     @Override
     public Channel poll(Object partitionKey) {
         Channel channel = connections.poll(address(partitionKey));
-        while (channel != null && hasCarried(channel, partitionKey)) {
+        while (channel != null && !isUsable(channel, partitionKey)) {
             channel.close();
             channel = connections.poll(address(partitionKey));
         }
@@ -58,9 +58,11 @@
         return channel;
     }
 
-    private static boolean hasCarried(Channel channel, Object partitionKey) {
-        return partitionKey instanceof RequestKey request
-                && UpstreamConnection.of(channel).hasCarried(request.callerAttemptId());
+    private static boolean isUsable(Channel channel, Object partitionKey) {
+        UpstreamConnection connection = UpstreamConnection.of(channel);
+        boolean carried =
+                partitionKey instanceof RequestKey request && connection.hasCarried(request.callerAttemptId());
+        return !carried && !connection.isInsideResponse();
     }
 
     @Override
