Let engines say which request they refuse

Cause: all events of an engine echo their request but Refused, which was believed as it came. A refusal as busy also brings the same request back to the same engine, and then over the same connection.

Why this works: Refused echoes the request, and the client reports one of another request, or of none, as a lost attempt. After a refusal it closes the connection, so that the next refusal of the same request can only be that of its next attempt. Engines refuse seldom: routers hold requests back. Outcomes of services echo the request and were checked before, and reports of load and cache name engine and incarnation.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/EngineEvent.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/EngineEvent.java
@@ -32,10 +32,11 @@
     /**
      * The engine refused the attempt.
      *
+     * @param request the request that it refused
      * @param reason one of {@code busy}, {@code weights}, {@code incarnation}, {@code draining}, {@code invalid}
      * @param retryAfterMillis the time after which to try this engine again, in milliseconds
      */
-    record Refused(String reason, long retryAfterMillis) implements EngineEvent {}
+    record Refused(RequestId request, String reason, long retryAfterMillis) implements EngineEvent {}
 
     /**
      * The connection was closed before the answer was complete.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatSystem.java
@@ -274,7 +274,13 @@
                     handleEnded(row, ended);
                 }
             }
-            case EngineEvent.Refused refused -> handleRefused(row, refused);
+            case EngineEvent.Refused refused -> {
+                if (refused.request().equals(row.request)) {
+                    handleRefused(row, refused);
+                } else {
+                    context.count("streams.crossed-events");
+                }
+            }
             case EngineEvent.Lost lost -> handleLost(row, lost);
         }
     }
--- a/fuchsiatrail-standins/src/main/java/org/fuchsiatrail/standins/model/EngineModel.java
+++ b/fuchsiatrail-standins/src/main/java/org/fuchsiatrail/standins/model/EngineModel.java
@@ -110,13 +110,13 @@
      */
     public void start(long now, EngineCall call, Consumer<EngineEvent> listener) {
         if (draining) {
-            listener.accept(new EngineEvent.Refused("draining", 0));
+            listener.accept(new EngineEvent.Refused(call.request(), "draining", 0));
         } else if (call.expectedIncarnation() != 0 && call.expectedIncarnation() != incarnation) {
-            listener.accept(new EngineEvent.Refused("incarnation", 0));
+            listener.accept(new EngineEvent.Refused(call.request(), "incarnation", 0));
         } else if (!loadedModels.contains(call.model())) {
-            listener.accept(new EngineEvent.Refused("weights", 0));
+            listener.accept(new EngineEvent.Refused(call.request(), "weights", 0));
         } else if (prefillQueue.size() + runningRequests.size() >= traits.maximumStreams()) {
-            listener.accept(new EngineEvent.Refused("busy", 200));
+            listener.accept(new EngineEvent.Refused(call.request(), "busy", 200));
         } else {
             if (prefillQueue.isEmpty()) {
                 prefillDoneUntilMillis = Math.max(prefillDoneUntilMillis, now);
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/client/EngineClient.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/client/EngineClient.java
@@ -83,7 +83,7 @@
      * @return a handle of the attempt
      */
     public RunningAttempt start(String address, EngineCall call, Consumer<EngineEvent> listener) {
-        EventStreamHandler stream = new EventStreamHandler(listener);
+        EventStreamHandler stream = new EventStreamHandler(call.request(), listener);
         ListenableFuture<Void> future = http.preparePost("http://" + address + "/v1/run")
                 .setHeader("Content-Type", "application/json")
                 .setHeader("traceparent", call.traceparent())
@@ -209,12 +209,15 @@
     private final class EventStreamHandler implements AsyncHandler<Void> {
         private static final int MAXIMUM_LINE_BYTES = 1024 * 1024;
 
+        private final RequestId request;
         private final Consumer<EngineEvent> listener;
         private final AtomicBoolean finished = new AtomicBoolean();
         private final ByteArrayOutputStream lineBuffer = new ByteArrayOutputStream();
         private volatile boolean requestSent;
+        private boolean refused;
 
-        EventStreamHandler(Consumer<EngineEvent> listener) {
+        EventStreamHandler(RequestId request, Consumer<EngineEvent> listener) {
+            this.request = request;
             this.listener = listener;
         }
 
@@ -246,7 +249,8 @@
                     return State.ABORT;
                 }
             }
-            return State.CONTINUE;
+            // A refused request may come back, and another refusal of it could not be told from this one.
+            return refused ? State.ABORT : State.CONTINUE;
         }
 
         private void processLine() {
@@ -257,6 +261,12 @@
             }
             try {
                 EngineEvent event = eventReader.readValue(bytes);
+                if (event instanceof EngineEvent.Refused refusal) {
+                    refused = true;
+                    boolean ofThisRequest = request.equals(refusal.request());
+                    finish(ofThisRequest ? refusal : new EngineEvent.Lost(true, "refusal of another request received"));
+                    return;
+                }
                 boolean last = !(event instanceof EngineEvent.Started || event instanceof EngineEvent.Token);
                 if (last) {
                     finish(event);
