Keep no cookies of upstreams

A cookie that an engine set in its answer to one caller was added to the requests of all other callers to that address. Found while looking at what the HTTP client keeps between requests.

Cause: the client keeps a cookie store unless it is told not to, and a router's requests to an upstream are those of many callers.

Evidence: CookieOfAnotherCallerSentTest failed before; the second caller's request carried session=7, which only the first caller's answer had set.

Without a store, requests carry the cookies that their callers sent and no others; Set-Cookie reaches the caller as before. The product's own client is changed in the same way.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/client/HttpClients.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/client/HttpClients.java
@@ -15,7 +15,7 @@
     private HttpClients() {}
 
     /**
-     * Creates a client that neither retries requests nor follows redirects.
+     * Creates a client that neither retries requests nor follows redirects, and keeps no cookies.
      *
      * @param ioThreads the number of its I/O threads
      * @return a client, to be closed by the caller
@@ -24,6 +24,7 @@
         return Dsl.asyncHttpClient(Dsl.config()
                 .setMaxRequestRetry(0)
                 .setFollowRedirect(false)
+                .setCookieStore(null)
                 .setConnectTimeout(CONNECT_TIMEOUT)
                 .setPooledConnectionIdleTimeout(IDLE_CONNECTION_TIMEOUT)
                 .setReadTimeout(REQUEST_TIMEOUT)
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamClients.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamClients.java
@@ -33,7 +33,8 @@
     private UpstreamClients() {}
 
     /**
-     * Creates a client on one event loop that neither retries requests nor follows redirects nor decompresses bodies.
+     * Creates a client on one event loop that neither retries requests nor follows redirects nor decompresses bodies,
+     * and keeps no cookies.
      *
      * @param group the group that contains only the event loop
      * @param loop the event loop
@@ -55,6 +56,7 @@
                 .setSslEngineFactory(new RejectingSslEngineFactory())
                 .setMaxRequestRetry(0)
                 .setFollowRedirect(false)
+                .setCookieStore(null)
                 .setEnableAutomaticDecompression(false)
                 .setDisableUrlEncodingForBoundRequests(true)
                 .setConnectTimeout(CONNECT_TIMEOUT)
