Keep a connection for others when a request comes back to it

The pool closed an idle connection that had carried the request which needs one.

The pool now sets such connections aside and takes another idle one. A new one is opened only if there is none.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamConnectionPool.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamConnectionPool.java
@@ -1,5 +1,7 @@
 package org.fuchsiatrail.wire.forwarding;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
 
@@ -47,11 +49,17 @@
 
     @Override
     public Channel poll(Object partitionKey) {
+        List<Channel> carriedBefore = new ArrayList<>();
         Channel channel = connections.poll(address(partitionKey));
         while (channel != null && !isUsable(channel, partitionKey)) {
-            channel.close();
+            if (UpstreamConnection.of(channel).isInsideResponse()) {
+                channel.close();
+            } else {
+                carriedBefore.add(channel);
+            }
             channel = connections.poll(address(partitionKey));
         }
+        carriedBefore.forEach(other -> connections.offer(other, address(partitionKey)));
         if (channel != null) {
             UpstreamConnection.of(channel).setIdle(false);
         }
