--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingLoop.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingLoop.java
@@ -248,7 +248,9 @@
         dialect.writeDispatchHeaders(headers, send.dispatch());
         RequestBuilder request = new RequestBuilder(exchange.method(), true)
                 .setUri(Uri.create("http://" + send.dispatch().address() + exchange.uri()))
-                .setHeaders(headers);
+                .setHeaders(headers)
+                .setChannelPoolPartitioning(new UpstreamConnectionPool.RequestPartitioning(
+                        openRequest.call().callerAttemptId()));
         if (exchange.body().length > 0) {
             request.setBody(exchange.body());
         }
@@ -270,7 +272,8 @@
         }
         boolean callerDisconnected =
                 event instanceof AttemptEvent.Answered && !openRequests.containsKey(runningAttempt.request());
-        if (event instanceof AttemptEvent.Lost || callerDisconnected) {
+        boolean ended = event instanceof AttemptEvent.Lost || event instanceof AttemptEvent.Mismatched;
+        if (ended || callerDisconnected) {
             runningAttempts.remove(attempt);
         }
         if (event instanceof AttemptEvent.Finished) {
@@ -323,6 +326,7 @@
         String body = "{\"error\":{\"code\":" + refuse.code().number() + ",\"message\":\""
                 + refuse.code().meaning() + "\",\"advice\":\"" + refuse.code().advice() + "\"}}\n";
         headers.set("Content-Type", "application/json");
+        dialect.writeRefusalHeaders(headers, openRequest.call());
         openRequest.exchange().respond(refuse.code().httpStatus(), headers, body.getBytes(StandardCharsets.UTF_8));
     }
 }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamClients.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamClients.java
@@ -7,7 +7,10 @@
 import io.netty.channel.EventLoopGroup;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.Dsl;
+import org.asynchttpclient.channel.ChannelPool;
+import org.asynchttpclient.netty.channel.DefaultChannelPool;
 import org.fuchsiatrail.wire.http.KeepAliveProbes;
+import org.fuchsiatrail.wire.observe.RouterMetrics;
 
 /** Creates the HTTP client of a forwarding router. */
 public final class UpstreamClients {
@@ -21,28 +24,42 @@
     /** How long an idle connection is kept. Upstreams close theirs a little later, so the router closes first. */
     private static final Duration IDLE_CONNECTION_TIMEOUT = Duration.ofMillis(2_500);
 
+    private static final Duration IDLE_CONNECTION_CHECK_INTERVAL = Duration.ofMillis(100);
+
+    private static final Duration UNLIMITED_CONNECTION_LIFETIME = Duration.ofMillis(-1);
+
     private static final Duration NO_TIMEOUT = Duration.ofMillis(-1);
 
     private UpstreamClients() {}
 
     /**
-     * Creates a client on one event loop that neither retries requests nor follows redirects nor decompresses bodies.
+     * Creates a client on one event loop that neither retries requests nor follows redirects nor decompresses bodies,
+     * and keeps no cookies.
      *
      * @param group the group that contains only the event loop
      * @param loop the event loop
+     * @param dialect tells which request a response answers
+     * @param metrics counts responses that answer no request
      * @return a client, to be closed by the caller
      */
-    public static AsyncHttpClient create(EventLoopGroup group, EventLoop loop) {
+    public static AsyncHttpClient create(
+            EventLoopGroup group, EventLoop loop, CallDialect dialect, RouterMetrics metrics) {
+        EventLoopTimer timer = new EventLoopTimer(loop);
+        ChannelPool idleConnections = new DefaultChannelPool(
+                IDLE_CONNECTION_TIMEOUT, UNLIMITED_CONNECTION_LIFETIME, timer, IDLE_CONNECTION_CHECK_INTERVAL);
         return Dsl.asyncHttpClient(Dsl.config()
                 .setEventLoopGroup(group)
-                .setNettyTimer(new EventLoopTimer(loop))
+                .setNettyTimer(timer)
+                .setHttpAdditionalChannelInitializer(
+                        connection -> UpstreamAnswerFilter.install(connection, dialect, metrics))
+                .setChannelPool(new UpstreamConnectionPool(idleConnections))
                 .setSslEngineFactory(new RejectingSslEngineFactory())
                 .setMaxRequestRetry(0)
                 .setFollowRedirect(false)
+                .setCookieStore(null)
                 .setEnableAutomaticDecompression(false)
                 .setDisableUrlEncodingForBoundRequests(true)
                 .setConnectTimeout(CONNECT_TIMEOUT)
-                .setPooledConnectionIdleTimeout(IDLE_CONNECTION_TIMEOUT)
                 .setReadTimeout(NO_TIMEOUT)
                 .setRequestTimeout(NO_TIMEOUT)
                 .setTcpNoDelay(true)
