--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreWatcher.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreWatcher.java
@@ -109,7 +109,7 @@
         }
         pages.addAll(page.items());
         if (page.more() && !page.items().isEmpty()) {
-            afterKey = page.items().getLast().key();
+            readNextPage(page);
             return;
         }
         afterKey = "";
@@ -119,6 +119,22 @@
         context.log("store", "All store items read.", "revision", firstPageRevision);
     }
 
+    /** The next page begins after the last key that can be read; items without a readable key have an empty one. */
+    private void readNextPage(StoreReply.Page page) {
+        String lastKey = page.items().stream()
+                .map(StoreItem::key)
+                .filter(key -> !key.isEmpty())
+                .reduce("", (earlier, later) -> later);
+        if (lastKey.isEmpty() || lastKey.equals(afterKey)) {
+            context.log(
+                    "store", "Page of store items without a new key; reading all items again.", "afterKey", afterKey);
+            afterKey = "";
+            backOff();
+            return;
+        }
+        afterKey = lastKey;
+    }
+
     private void receiveWatchReply(StoreReply reply) {
         callPending = false;
         switch (reply) {
