Keep decisions in force while their store items are unreadable

An item of another writer under the key of target weights, a quarantine, version shares or the order lease revoked what it held: routers forgot the target weights and shares, a quarantine outlived its item, and routers asked for a lease that somebody held. Each revision of an unreadable item was logged, so an odd entry that is written with each heartbeat filled the log.

Cause: the replica replaced the content of an item whatever the newer one held; only the configuration was kept, in a field of its own.

Over sockets (OddStoreEntryStopsRouterTest): a router keeps serving with its former configuration, adopts the next one, and is not ready when it starts with an unreadable one alone.

The replica keeps the former content under the newer revision, so the next write on the condition of that revision mends the item. Upstreams and routers with an unreadable item are not used. An unreadable item is logged once until its key is readable again or removed, and each is counted in store.unreadable-items.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreReplica.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreReplica.java
@@ -29,6 +29,7 @@
 
     private final ForwardingContext context;
     private final Map<String, StoreItem> items = new HashMap<>();
+    private final Set<String> unreadableKeys = new HashSet<>();
     private final TargetWeightsHistory targetHistory;
     private final VersionShareRegistry versionShares = new VersionShareRegistry();
 
@@ -68,6 +69,13 @@
         if (known != null && known.revision() >= item.revision()) {
             return;
         }
+        recordReadability(item);
+        if (known != null && keepsContentInForce(known, item)) {
+            StoreItem inForce = new StoreItem(item.key(), item.revision(), item.value(), known.content());
+            items.put(item.key(), inForce);
+            versionShares.itemChanged(known.content(), inForce);
+            return;
+        }
         items.put(item.key(), item);
         memberCount += (item.content() instanceof StoreItemContent.Member ? 1 : 0)
                 - (known != null && known.content() instanceof StoreItemContent.Member ? 1 : 0);
@@ -87,16 +95,6 @@
                         "assumedAgeMillis",
                         assumedAgeMillis);
             }
-            case StoreItemContent.Unreadable unreadable ->
-                context.log(
-                        "store",
-                        "Unreadable store item ignored.",
-                        "key",
-                        item.key(),
-                        "revision",
-                        item.revision(),
-                        "reason",
-                        unreadable.reason());
             case StoreItemContent.Upstream upstream -> context.count("store.upstream-entries");
             case StoreItemContent.Member member -> context.count("store.member-entries");
             case StoreItemContent.OrderLeaseHolder holder ->
@@ -116,12 +114,57 @@
             case StoreItemContent.CurrentVersionShares current -> logShares(current.shares(), item.revision());
             case StoreItemContent.ReplacedVersionShares replaced -> context.count("store.replaced-version-shares");
             case StoreItemContent.Removed removed -> applyRemoval(known, item.revision());
+            case StoreItemContent.Unreadable unreadable -> {
+                // Counted and logged before.
+            }
         }
         StoreItemContent previous = known == null ? new StoreItemContent.Removed() : known.content();
         versionShares.itemChanged(previous, item);
         listener.accept(previous, item);
     }
 
+    /** Logs an unreadable item once until its key is readable again or removed, however often it is written. */
+    private void recordReadability(StoreItem item) {
+        if (!(item.content() instanceof StoreItemContent.Unreadable unreadable)) {
+            unreadableKeys.remove(item.key());
+            return;
+        }
+        context.count("store.unreadable-items");
+        if (unreadableKeys.add(item.key())) {
+            context.log(
+                    "store",
+                    "Unreadable store item ignored.",
+                    "key",
+                    item.key(),
+                    "revision",
+                    item.revision(),
+                    "reason",
+                    unreadable.reason());
+        }
+    }
+
+    /**
+     * Returns whether the known content of an item stays in force. What operators or routers decided does while its
+     * item is unreadable; an upstream or a router whose item is unreadable is not used.
+     */
+    private static boolean keepsContentInForce(StoreItem known, StoreItem newer) {
+        if (!(newer.content() instanceof StoreItemContent.Unreadable)) {
+            return false;
+        }
+        return switch (known.content()) {
+            case StoreItemContent.Routing routing -> true;
+            case StoreItemContent.TargetWeights target -> true;
+            case StoreItemContent.Quarantine quarantine -> true;
+            case StoreItemContent.CurrentVersionShares current -> true;
+            case StoreItemContent.ReplacedVersionShares replaced -> true;
+            case StoreItemContent.OrderLeaseHolder holder -> true;
+            case StoreItemContent.Upstream upstream -> false;
+            case StoreItemContent.Member member -> false;
+            case StoreItemContent.Unreadable unreadable -> false;
+            case StoreItemContent.Removed removed -> false;
+        };
+    }
+
     private void logShares(VersionShares shares, long revision) {
         context.log(
                 "versions",
