Do not take an unreadable entry for the end of its upstream

A request that lost its connection to an upstream whose entry had been overwritten by another writer was attributed a crash of that upstream.

Cause: whatever took the place of an upstream's entry counted as its removal.

Evidence: UnreadableEntryTakenForEndTest, before: 'Upstream crash attributed to a request.' after one lost connection and one unreadable entry; now none. The other two tests passed before: requests at such an upstream end there, and new ones are not sent to it until its entry is readable again.

Only a removed or replaced entry reports the end of an incarnation.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
@@ -153,6 +153,8 @@
         boolean mayHaveExpired = item.content() instanceof StoreItemContent.Removed
                 && context.now() - store.lastFailureAtMillis() < RECENT_FAILURE_MILLIS;
         upstream.removalAtMillis = context.now() + (mayHaveExpired ? EXPIRY_GRACE_MILLIS : 0);
+        // An unreadable entry names no upstream to use, but does not tell that the upstream ended.
+        upstream.endReported = item.content() instanceof StoreItemContent.Unreadable;
         context.wakeAt(upstream.removalAtMillis);
         context.log(
                 "upstreams",
