Refuse streams that may have begun under unreadable version shares

A stream that no router knew was taken up at the version that the readable shares tell, although it may have begun under shares whose item in the store had become unreadable: its caller could get events of two versions.

Cause: the read of the shares skipped unreadable items.

Evidence: UnreadableSharesJoinVersionsTest, before: sent to an engine of the readable shares; now refused with 2007 as when the store does not answer.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/VersionShareReads.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/VersionShareReads.java
@@ -106,6 +106,9 @@
         if (items.isEmpty()) {
             return new NotKnown("the store did not answer");
         }
+        if (items.get().stream().anyMatch(item -> item.content() instanceof StoreItemContent.Unreadable)) {
+            return new NotKnown("version shares are unreadable");
+        }
         Set<String> versions = new TreeSet<>();
         boolean told = true;
         for (String service : services) {
