Drop messages to invalid addresses of peers

A router whose item names an address that is none made every message to it throw ('Output failed and is not retried.' at each heartbeat), and after the first one collect without being sent, up to 8 MB.

Cause: the address was parsed after the connection counted as connecting.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/Addresses.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/Addresses.java
@@ -5,6 +5,8 @@
 /** Parses addresses of the form {@code IP:port}. */
 public final class Addresses {
 
+    private static final int MAXIMUM_PORT = 65_535;
+
     private Addresses() {}
 
     /**
@@ -27,7 +29,25 @@
         if (separator <= 0) {
             throw new IllegalArgumentException("'" + address + "' must have the form IP:port.");
         }
-        return new HostAndPort(address.substring(0, separator), Integer.parseInt(address.substring(separator + 1)));
+        int port = Integer.parseInt(address.substring(separator + 1));
+        if (port < 0 || port > MAXIMUM_PORT) {
+            throw new IllegalArgumentException("The port of '" + address + "' must be from 0 to " + MAXIMUM_PORT + ".");
+        }
+        return new HostAndPort(address.substring(0, separator), port);
+    }
+
+    /**
+     * Returns whether an address can be parsed.
+     *
+     * @param address any text
+     * @return whether it has the form {@code IP:port}
+     */
+    static boolean isValid(String address) {
+        try {
+            return parse(address).port() > 0;
+        } catch (IllegalArgumentException e) {
+            return false;
+        }
     }
 
     /**
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerTransport.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerTransport.java
@@ -93,7 +93,7 @@
     }
 
     /**
-     * Sends a message, or drops it if the peer is unreachable or its connection is congested.
+     * Sends a message, or drops it if the address is invalid, the peer is unreachable or its connection is congested.
      *
      * @param to the peer
      * @param address the peer's IP address and port
@@ -104,6 +104,10 @@
             dropped.incrementAndGet();
             return;
         }
+        if (!Addresses.isValid(address)) {
+            dropped.incrementAndGet();
+            return;
+        }
         byte[] bytes = encode(message);
         sentBytes.addAndGet(bytes.length + LENGTH_FIELD_BYTES);
         outboundConnections.computeIfAbsent(address, OutboundConnection::new).send(bytes);
