Ignore updates of peers that lack a part, and bound their numbers

A peer's update without its sender, or with a null in a list, ended the tick with everything that was received beside it.

Cause: decoded updates were applied unchecked; missing lists are replaced, but not missing parts of their elements.

PeerUpdateCheck refuses such an update as a whole: no build sends one. It is counted and logged once a peer. Numbers are bounded where they are summed, since a caller's own counts may be in them.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 import org.fuchsiatrail.EntryVm;
@@ -54,6 +56,12 @@
     /** The most cache readers whose last report number is kept; a restarted router counts as another reader. */
     private static final int MAXIMUM_READERS = 500;
 
+    /** The most requests that a peer may have in flight on an upstream. */
+    private static final int MAXIMUM_REQUESTS = 1_000_000;
+
+    /** The most tokens that the requests of a peer or a prompt part may have. */
+    private static final long MAXIMUM_TOKENS = 1L << 40;
+
     private final ForwardingContext context;
     private final StoreReplica replica;
     private final UpstreamTable upstreams;
@@ -67,6 +75,9 @@
     private final SharedParts sharedParts = new SharedParts();
     private final Map<String, Long> lastNumberByReader = new LinkedHashMap<>();
     private final Map<FailureDomain, PeerMessage.DomainWork> remoteWork = new HashMap<>();
+    /** The peers that sent an incomplete update, which is logged once for each. */
+    private final Set<EntryVmId> incompleteFrom = new HashSet<>();
+
     private List<PeerMessage.UpstreamWork> lastSentWork = List.of();
     private boolean isRelay;
     private WeightsRollout rollout;
@@ -244,6 +255,13 @@
 
     /** Processes an update or a request for store items from a peer. */
     void receive(EntryVmId from, PeerMessage.ForwardingNews update) {
+        if (!PeerUpdateCheck.isComplete(update)) {
+            context.count("peers.incomplete-updates");
+            if (incompleteFrom.add(from)) {
+                context.log("peers", "Incomplete update of a peer ignored.", "peer", from);
+            }
+            return;
+        }
         if (update.wantsItems()) {
             itemRelay.sendItems(from, update);
             return;
@@ -294,10 +312,21 @@
         for (PeerMessage.UpstreamWork upstreamWork : work) {
             upstreams
                     .find(upstreamWork.upstream())
-                    .ifPresent(upstream -> upstream.recordPeerWork(source, upstreamWork, context.now()));
+                    .ifPresent(upstream -> upstream.recordPeerWork(source, bounded(upstreamWork), context.now()));
         }
     }
 
+    /** Returns work of which the sum over all peers does not overflow. */
+    private static PeerMessage.UpstreamWork bounded(PeerMessage.UpstreamWork work) {
+        return new PeerMessage.UpstreamWork(
+                work.upstream(),
+                Math.clamp(work.running(), 0, MAXIMUM_REQUESTS),
+                Math.clamp(work.bound(), 0, MAXIMUM_REQUESTS),
+                Math.clamp(work.promptTokens(), 0, MAXIMUM_TOKENS),
+                Math.clamp(work.shortPromptTokens(), 0, MAXIMUM_TOKENS),
+                Math.clamp(work.memoryTokens(), 0, MAXIMUM_TOKENS));
+    }
+
     private void applyUpdates(PeerMessage.ForwardingNews update, GossipBuffer.Updates updates) {
         update.reads().forEach(prefilled -> applyPrefilledParts(prefilled, updates));
         for (PeerMessage.SeenWeights seen : update.weights()) {
@@ -326,7 +355,7 @@
             }
         }
         for (PeerMessage.NamedLimit limit : update.limits()) {
-            if (requestLimits.receive(limit) && isRelay) {
+            if (isPlausible(limit) && requestLimits.receive(limit) && isRelay) {
                 updates.limits.add(limit);
                 scheduleUpdate();
             }
@@ -344,6 +373,12 @@
         }
     }
 
+    private static boolean isPlausible(PeerMessage.NamedLimit limit) {
+        return limit.requestsPerSecond() >= 0
+                && limit.requestsPerSecond() <= MAXIMUM_REQUESTS
+                && limit.ageMillis() >= 0;
+    }
+
     private void applyPause(PeerMessage.SeenPause pause, GossipBuffer.Updates updates) {
         if (upstreams.pauses().receive(pause) && isRelay) {
             updates.pauses.add(pause);
@@ -379,7 +414,8 @@
         }
         List<PromptChain.Link> links = new ArrayList<>();
         for (int index = 0; index < Math.min(prefilled.keys().length, prefilled.tokens().length); index++) {
-            links.add(new PromptChain.Link(prefilled.keys()[index], prefilled.tokens()[index]));
+            long tokens = Math.clamp(prefilled.tokens()[index], 0, MAXIMUM_TOKENS);
+            links.add(new PromptChain.Link(prefilled.keys()[index], tokens));
         }
         upstreams.find(prefilled.engine()).ifPresent(upstream -> {
             List<PromptChain.Link> newLinks =
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingLoop.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingLoop.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
@@ -111,7 +112,9 @@
             return;
         }
         metrics.count("peers.received-messages", 1);
-        update.items().forEach(item -> inputs.add(new ForwardingInput.StoreItemRelayed(store.parseItem(item))));
+        update.items().stream()
+                .filter(Objects::nonNull)
+                .forEach(item -> inputs.add(new ForwardingInput.StoreItemRelayed(store.parseItem(item))));
         accept(new ForwardingInput.PeerMessageReceived(from, update));
     }
 
