Shorten texts of other programs in the log

Keys, reasons, headers and names that other programs wrote went into the log in full: a header of 16 KB or a name of 1 MB in one line.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/observe/LogLines.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/observe/LogLines.java
@@ -28,6 +28,9 @@
     /** The capacity of the queue to the writer thread: one second of the highest log rate of a router. */
     private static final int MAXIMUM_QUEUED_LINES = 8_192;
 
+    /** The longest text of a field, in characters; texts may come from other programs. */
+    private static final int MAXIMUM_TEXT_LENGTH = 1_000;
+
     /** The longest time for which a flush waits for a slow reader of the log, in milliseconds. */
     private static final long FLUSH_TIMEOUT_MILLIS = 2_000;
 
@@ -130,7 +133,7 @@
                     writeField(json, field.getKey(), field.getValue());
                 }
                 if (cause != null) {
-                    json.writeStringField("cause", cause.toString());
+                    json.writeStringField("cause", shorten(cause.toString()));
                     StackTraceElement[] trace = cause.getStackTrace();
                     json.writeStringField("at", trace.length == 0 ? "" : trace[0].toString());
                 }
@@ -149,9 +152,15 @@
             } else if (value instanceof Boolean flag) {
                 json.writeBooleanField(name, flag);
             } else {
-                json.writeStringField(name, String.valueOf(value));
+                json.writeStringField(name, shorten(String.valueOf(value)));
             }
         }
+
+        private static String shorten(String text) {
+            return text.length() <= MAXIMUM_TEXT_LENGTH
+                    ? text
+                    : text.substring(0, MAXIMUM_TEXT_LENGTH) + "... (" + text.length() + " characters)";
+        }
     }
 
     private static final class QueueHandler extends Handler {
