--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/store/Documents.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/store/Documents.java
@@ -53,7 +53,11 @@
      */
     public static <T> T read(byte[] value, Class<T> type) {
         try (GZIPInputStream decompressed = new GZIPInputStream(new ByteArrayInputStream(value))) {
-            return MAPPER.readValue(decompressed.readNBytes(MAXIMUM_DECOMPRESSED_BYTES), type);
+            T document = MAPPER.readValue(decompressed.readNBytes(MAXIMUM_DECOMPRESSED_BYTES), type);
+            if (document == null) {
+                throw new IOException("The document is null.");
+            }
+            return document;
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/client/EngineClient.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/client/EngineClient.java
@@ -4,8 +4,10 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
+import java.util.Objects;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -118,7 +120,7 @@
     public void queryLoad(String address, Consumer<LoadReport> listener) {
         http.prepareGet("http://" + address + "/v1/load")
                 .setRequestTimeout(CONTROL_REQUEST_TIMEOUT)
-                .execute(new JsonResponseHandler<>(LoadReport.class, listener));
+                .execute(new JsonResponseHandler<>(LoadReport.class, EngineClient::isComplete, listener));
     }
 
     /**
@@ -131,7 +133,7 @@
     public void readCacheEvents(String address, long fromSequence, Consumer<CacheEvents> listener) {
         http.prepareGet("http://" + address + "/v1/cache-events?from=" + fromSequence)
                 .setRequestTimeout(CONTROL_REQUEST_TIMEOUT)
-                .execute(new JsonResponseHandler<>(CacheEvents.class, listener));
+                .execute(new JsonResponseHandler<>(CacheEvents.class, EngineClient::isComplete, listener));
     }
 
     /**
@@ -161,6 +163,22 @@
                 });
     }
 
+    private static boolean isComplete(LoadReport report) {
+        return report.engine() != null
+                && report.models() != null
+                && report.models().stream().allMatch(Objects::nonNull)
+                && report.queuedTokens() >= 0
+                && report.runningStreams() >= 0
+                && report.maximumStreams() >= 0
+                && report.prefillTokensPerSecond() >= 0;
+    }
+
+    private static boolean isComplete(CacheEvents events) {
+        return events.engine() != null
+                && events.runs() != null
+                && events.runs().stream().allMatch(run -> run != null && run.stored() != null && run.evicted() != null);
+    }
+
     private byte[] toJson(Object value) {
         try {
             return json.writeValueAsBytes(value);
@@ -178,10 +196,12 @@
 
     private final class JsonResponseHandler<T> extends AsyncCompletionHandlerBase {
         private final Class<T> type;
+        private final Predicate<T> complete;
         private final Consumer<T> listener;
 
-        JsonResponseHandler(Class<T> type, Consumer<T> listener) {
+        JsonResponseHandler(Class<T> type, Predicate<T> complete, Consumer<T> listener) {
             this.type = type;
+            this.complete = complete;
             this.listener = listener;
         }
 
@@ -192,10 +212,10 @@
                 if (response.getStatusCode() == OK) {
                     value = json.readValue(response.getResponseBodyAsBytes(), type);
                 }
-            } catch (IOException e) {
+            } catch (IOException | RuntimeException e) {
                 value = null;
             }
-            listener.accept(value);
+            listener.accept(value != null && complete.test(value) ? value : null);
             return response;
         }
 
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/Addresses.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/Addresses.java
@@ -42,7 +42,7 @@
      * @param address any text
      * @return whether it has the form {@code IP:port}
      */
-    static boolean isValid(String address) {
+    public static boolean isValid(String address) {
         try {
             return parse(address).port() > 0;
         } catch (IllegalArgumentException e) {
--- /dev/null
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/client/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the package of the same name. */
+package org.fuchsiatrail.wire.client;
