Answer requests whose input or output fails with an exception

Callers got neither an answer nor a refusal when an exception ended the tick that held their request, an output that concerned it (a response header or status that cannot be written, a failed send), or the reading of it. Causes: one exception ended the whole tick and lost all its inputs; an output that failed was logged and not replaced; an exchange counted as finished before its response was accepted; an upstream's interim response (1xx) and an answer without a usable status ended no attempt.

Each input and each part of the core now runs by itself. What failed is reported with the request that it belongs to, which is answered 502 if it may have run and 503 (2009 NOT_HANDLED) if not; the others go on. An output that fails is compensated. Each is counted and logged.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ResultCode.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ResultCode.java
@@ -55,6 +55,13 @@
             false,
             "This router reaches no upstream of the service.",
             "Ask another router, or again after Retry-After."),
+    /** An exception ended the handling of the request before it was sent to any upstream. */
+    NOT_HANDLED(
+            2009,
+            503,
+            false,
+            "The router could not handle the request and sent it to no upstream.",
+            "Ask again after Retry-After."),
     /** A call with the same idempotency key is running. */
     STILL_RUNNING(
             3001, 409, true, "A call with this key is running.", "Ask again with the same key after Retry-After."),
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingOutput.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingOutput.java
@@ -1,6 +1,7 @@
 package org.fuchsiatrail.forwarding;
 
 import java.util.Map;
+import java.util.Optional;
 
 import org.fuchsiatrail.AttemptId;
 import org.fuchsiatrail.EntryVmId;
@@ -146,6 +147,24 @@
      */
     record Measure(String metric, long millis) implements ForwardingOutput {}
 
+    /**
+     * Reports that an exception ended the handling of an input. The request that it belongs to gets no other answer of
+     * the core.
+     *
+     * @param input the input, whose effects are incomplete
+     * @param cause the exception
+     */
+    record InputFailed(ForwardingInput input, Throwable cause) implements ForwardingOutput {}
+
+    /**
+     * Reports that an exception ended a part of the core, which runs again at the next tick.
+     *
+     * @param system the part
+     * @param request the request that it worked on, which gets no other answer of the core; empty if it was none
+     * @param cause the exception
+     */
+    record SystemFailed(String system, Optional<RequestId> request, Throwable cause) implements ForwardingOutput {}
+
     /** The graceful shutdown is complete; the process may exit. */
     record Stopped() implements ForwardingOutput {}
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTimers.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTimers.java
@@ -45,6 +45,7 @@
             boolean replaced = timer.atMillis() != pending.timerAtMillis;
             if (pending.state != PendingCall.State.FINISHED && !replaced) {
                 pending.timerAtMillis = Long.MAX_VALUE;
+                context.beginWorkOn(pending.request);
                 return Optional.of(pending);
             }
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.fuchsiatrail.RequestId;
 import org.fuchsiatrail.forwarding.ForwardingCore;
 import org.fuchsiatrail.forwarding.ForwardingInput;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
@@ -19,6 +20,12 @@
      */
     private static final long SHUTDOWN_GRACE_MILLIS = 3_200;
 
+    /** The most requests at which a system may fail in one tick; the others are processed in the next one. */
+    private static final int MAXIMUM_FAILURES_PER_TICK = 100;
+
+    /** A part of the core that runs once per tick. */
+    private record CoreSystem(String name, Runnable action) {}
+
     private final ForwardingContext context;
     private final StoreReplica storeReplica;
     private final StoreCallTable storeCalls;
@@ -35,6 +42,7 @@
     private final WeightsRollout rollout;
     private final PeerGossip gossip;
     private final CacheEventReader cacheEventReader;
+    private final List<CoreSystem> systems;
     private long shutdownGraceUntilMillis = Long.MAX_VALUE;
     private boolean stopped;
 
@@ -77,30 +85,44 @@
         cacheEventReader = new CacheEventReader(context, storeReplica, upstreams, gossip);
         storeReplica.onChange(upstreams::itemChanged);
         upstreams.onIncarnationEnded(calls::upstreamEnded);
+        systems = systemsInOrder();
+    }
+
+    private List<CoreSystem> systemsInOrder() {
+        return List.of(
+                new CoreSystem("store calls", storeCalls::run),
+                new CoreSystem("store watch", storeWatcher::run),
+                new CoreSystem("members", memberRegistration::run),
+                new CoreSystem("upstreams", upstreams::run),
+                new CoreSystem("reachability", reachability::run),
+                new CoreSystem("crash protection", crashProtection::run),
+                new CoreSystem("request limits", requestLimits::run),
+                new CoreSystem("origins of streams", streamVersions.lookup()::run),
+                new CoreSystem("version shares", versionShares::run),
+                new CoreSystem("calls", calls::run),
+                new CoreSystem("order lease", orderLease::run),
+                new CoreSystem("weights", rollout::run),
+                new CoreSystem("cache events", cacheEventReader::run),
+                new CoreSystem("gossip", gossip::run),
+                new CoreSystem("shutdown", this::finishShutdown));
     }
 
     @Override
     public List<ForwardingOutput> tick(long nowMillis, List<ForwardingInput> inputs) {
         context.beginTick(nowMillis);
-        inputs.forEach(this::handle);
-        storeCalls.run();
-        storeWatcher.run();
-        memberRegistration.run();
-        upstreams.run();
-        reachability.run();
-        crashProtection.run();
-        requestLimits.run();
-        streamVersions.lookup().run();
-        versionShares.run();
-        calls.run();
-        orderLease.run();
-        rollout.run();
-        cacheEventReader.run();
-        gossip.run();
-        finishShutdown();
+        inputs.forEach(input -> context.handleGuarded(input, this::handle));
+        systems.forEach(this::run);
         return context.endTick();
     }
 
+    /** Runs a system; once more for each request that it failed at, since that one is no longer due. */
+    private void run(CoreSystem system) {
+        Optional<RequestId> failed = context.runGuarded(system.name(), system.action());
+        for (int failures = 1; failed.isPresent() && failures < MAXIMUM_FAILURES_PER_TICK; failures++) {
+            failed = context.runGuarded(system.name(), system.action());
+        }
+    }
+
     private void handle(ForwardingInput input) {
         switch (input) {
             case ForwardingInput.CallReceived received -> calls.submit(received.request(), received.call());
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardingContext.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardingContext.java
@@ -4,9 +4,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 
+import org.fuchsiatrail.RequestId;
+import org.fuchsiatrail.forwarding.ForwardingInput;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
 import org.fuchsiatrail.forwarding.ForwardingSettings;
 
@@ -16,6 +20,9 @@
  */
 final class ForwardingContext {
 
+    /** How soon a tick follows one in which something failed, since its own wake-up may be lost, in milliseconds. */
+    private static final long WAKE_UP_AFTER_FAILURE_MILLIS = 50;
+
     private final ForwardingSettings settings;
     private final SplittableRandom random;
     private final Suspensions suspensions = new Suspensions(this);
@@ -25,6 +32,7 @@
     private long startedAtMillis = Long.MIN_VALUE;
     private boolean stopping;
     private long stopRequestedAtMillis = Long.MAX_VALUE;
+    private Optional<RequestId> requestInWork = Optional.empty();
 
     ForwardingContext(ForwardingSettings settings) {
         this.settings = settings;
@@ -93,6 +101,38 @@
         return wakeUps.isEmpty() ? Long.MAX_VALUE : wakeUps.peek();
     }
 
+    /** Records the request that the part of the core that runs works on, which fails if that part throws. */
+    void beginWorkOn(RequestId request) {
+        requestInWork = Optional.of(request);
+    }
+
+    /** Handles an input. An exception ends only that: it is reported, and what was emitted so far stays. */
+    void handleGuarded(ForwardingInput input, Consumer<ForwardingInput> handler) {
+        try {
+            handler.accept(input);
+        } catch (RuntimeException | Error e) {
+            emit(new ForwardingOutput.InputFailed(input, e));
+            wakeAt(nowMillis + WAKE_UP_AFTER_FAILURE_MILLIS);
+        }
+    }
+
+    /**
+     * Runs a part of the core. An exception ends only that: it is reported, and what was emitted so far stays.
+     *
+     * @return the request that the part worked on when it failed, or empty if it completed or worked on none
+     */
+    Optional<RequestId> runGuarded(String system, Runnable action) {
+        requestInWork = Optional.empty();
+        try {
+            action.run();
+            return Optional.empty();
+        } catch (RuntimeException | Error e) {
+            emit(new ForwardingOutput.SystemFailed(system, requestInWork, e));
+            wakeAt(nowMillis + WAKE_UP_AFTER_FAILURE_MILLIS);
+            return requestInWork;
+        }
+    }
+
     void emit(ForwardingOutput output) {
         outputs.add(output);
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StartupCallQueue.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StartupCallQueue.java
@@ -1,7 +1,6 @@
 package org.fuchsiatrail.internal.forwarding;
 
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -64,23 +63,26 @@
     }
 
     /**
-     * Removes and returns the requests to process now: all of them once there is a configuration or the router is
-     * stopping, otherwise those that have waited for the maximum time.
+     * Returns the requests to process now: all of them once there is a configuration or the router is stopping,
+     * otherwise those that have waited for the maximum time. Each is removed when the iteration reaches it, so that
+     * those behind one that cannot be processed stay queued.
      */
-    List<QueuedCall> drain(boolean configured) {
-        List<QueuedCall> drained = new ArrayList<>();
-        Iterator<Map.Entry<RequestId, QueueEntry>> entryIterator =
-                entries.entrySet().iterator();
-        while (entryIterator.hasNext()) {
-            Map.Entry<RequestId, QueueEntry> entry = entryIterator.next();
-            if (configured
-                    || context.stopping()
-                    || context.now() >= entry.getValue().expiresAtMillis()) {
-                drained.add(new QueuedCall(entry.getKey(), entry.getValue().call()));
-                entryIterator.remove();
-            }
+    Iterable<QueuedCall> drain(boolean configured) {
+        if (entries.isEmpty()) {
+            return List.of();
         }
-        return drained;
+        List<RequestId> due = new ArrayList<>();
+        entries.forEach((request, entry) -> {
+            if (configured || context.stopping() || context.now() >= entry.expiresAtMillis()) {
+                due.add(request);
+            }
+        });
+        return () -> due.stream().map(this::take).iterator();
+    }
+
+    private QueuedCall take(RequestId request) {
+        context.beginWorkOn(request);
+        return new QueuedCall(request, entries.remove(request).call());
     }
 
     int queuedCalls() {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreCallTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreCallTable.java
@@ -40,7 +40,13 @@
             return;
         }
         updateHealth(answered, reply);
-        answered.listener().accept(reply);
+        try {
+            answered.listener().accept(reply);
+        } catch (RuntimeException | Error e) {
+            // Whoever made the call waits for its reply, and repeats calls that have failed.
+            answered.listener().accept(new StoreReply.Failed(true, "reply could not be handled: " + e));
+            throw e;
+        }
     }
 
     private void updateHealth(PendingStoreCall answered, StoreReply reply) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreReplica.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreReplica.java
@@ -200,17 +200,22 @@
                 "configuration", "Configuration in force.", "version", table.version(), "revision", item.revision());
     }
 
+    /** Applies an item if it is newer than the known one; one that cannot be applied does not keep others from it. */
+    void applyGuarded(StoreItem item) {
+        context.runGuarded("store item " + item.key(), () -> apply(item));
+    }
+
     /** Applies a full read of the store at a revision; known items that are missing from it were removed. */
     void replaceAll(List<StoreItem> allItems, long readAtRevision) {
         Set<String> presentKeys = new HashSet<>();
         for (StoreItem item : allItems) {
             presentKeys.add(item.key());
-            apply(item);
+            applyGuarded(item);
         }
         for (StoreItem known : List.copyOf(items.values())) {
             boolean missing = !presentKeys.contains(known.key()) && known.revision() <= readAtRevision;
             if (missing && !(known.content() instanceof StoreItemContent.Removed)) {
-                apply(new StoreItem(known.key(), readAtRevision, new byte[0], new StoreItemContent.Removed()));
+                applyGuarded(new StoreItem(known.key(), readAtRevision, new byte[0], new StoreItemContent.Removed()));
             }
         }
         advanceRevision(readAtRevision);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreWatcher.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreWatcher.java
@@ -90,7 +90,7 @@
                         if (watchNumber == callNumber) {
                             receiveWatchReply(reply);
                         } else if (reply instanceof StoreReply.Changes lateChanges) {
-                            lateChanges.items().forEach(replica::apply);
+                            lateChanges.items().forEach(replica::applyGuarded);
                         }
                     });
         }
@@ -140,7 +140,7 @@
         switch (reply) {
             case StoreReply.Changes changes -> {
                 backoffMillis = MINIMUM_BACKOFF_MILLIS;
-                changes.items().forEach(replica::apply);
+                changes.items().forEach(replica::applyGuarded);
                 replica.advanceRevision(changes.revision());
                 delayNextCall(batchDelayMillis(replica.memberCount()));
             }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -57,6 +57,9 @@
     /** Whether the store refuses calls other than watches. */
     boolean storeRefuses;
 
+    /** Whether the core may report exceptions; otherwise each of them fails the test. */
+    boolean failuresExpected;
+
     boolean orderLeaseTaken = true;
     Consumer<StoreCall.PublishQuarantine> quarantineListener = this::putQuarantine;
     Consumer<Long> leaseEndListener = lease -> {};
@@ -370,12 +373,25 @@
     private void recordOutputs(List<ForwardingOutput> results) {
         outputs.addAll(results);
         for (ForwardingOutput output : results) {
+            failOnException(output);
             if (output instanceof ForwardingOutput.CallStore call && storeAnswers) {
                 answerStoreCall(call);
             }
         }
     }
 
+    private void failOnException(ForwardingOutput output) {
+        if (failuresExpected) {
+            return;
+        }
+        if (output instanceof ForwardingOutput.InputFailed failed) {
+            throw new AssertionError("the core could not handle " + failed.input(), failed.cause());
+        }
+        if (output instanceof ForwardingOutput.SystemFailed failed) {
+            throw new AssertionError("a part of the core failed: " + failed.system(), failed.cause());
+        }
+    }
+
     private void answerStoreCall(ForwardingOutput.CallStore call) {
         if (storeRefuses && !(call.request() instanceof StoreCall.Watch)) {
             tick(new ForwardingInput.StoreAnswered(call.call(), new StoreReply.Failed(false, "HTTP 503")));
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RandomDeploymentTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RandomDeploymentTest.java
@@ -79,6 +79,7 @@
             boolean attemptStarted;
             /** Whether part of a stream was passed on to the caller. */
             boolean streamBegun;
+
             int finalAnswers;
 
             Call(boolean atMostOnce, long deadlineMillis) {
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/CallerResponse.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/CallerResponse.java
@@ -29,8 +29,8 @@
      */
     void beginStream(int status, HttpHeaders headers) {
         if (!streamBegun) {
-            streamBegun = true;
             exchange.beginStream(status, endToEndHeaders(headers));
+            streamBegun = true;
         }
     }
 
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAttempt.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAttempt.java
@@ -17,6 +17,7 @@
 import org.asynchttpclient.HttpResponseStatus;
 import org.asynchttpclient.netty.request.NettyRequest;
 import org.fuchsiatrail.forwarding.AttemptEvent;
+import org.fuchsiatrail.wire.http.HttpExchange;
 
 /**
  * The HTTP response handler of one attempt at an upstream. It collects a plain response as a whole, and splits a stream
@@ -76,7 +77,9 @@
     @Override
     public State onStatusReceived(HttpResponseStatus received) {
         status = received.getStatusCode();
-        return State.CONTINUE;
+        return HttpExchange.isFinalStatus(status)
+                ? State.CONTINUE
+                : abortAsLost("HTTP status " + status + " ends no request");
     }
 
     @Override
@@ -207,9 +210,9 @@
         }
     }
 
-    /** Returns whether a plain response was delivered, after which nothing follows. */
-    boolean plainResponseDelivered() {
-        return callerResponse != null && !streamStarted;
+    /** Returns whether the whole response was delivered, after which nothing follows. */
+    boolean deliveryComplete() {
+        return callerResponse != null && (!streamStarted || responseComplete);
     }
 
     /** Returns whether the request has not been sent yet, for example because no connection is established. */
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamClients.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamClients.java
@@ -50,8 +50,10 @@
         return Dsl.asyncHttpClient(Dsl.config()
                 .setEventLoopGroup(group)
                 .setNettyTimer(timer)
-                .setHttpAdditionalChannelInitializer(
-                        connection -> UpstreamAnswerFilter.install(connection, dialect, metrics))
+                .setHttpAdditionalChannelInitializer(connection -> {
+                    InterimResponseFilter.install(connection);
+                    UpstreamAnswerFilter.install(connection, dialect, metrics);
+                })
                 .setChannelPool(new UpstreamConnectionPool(idleConnections))
                 .setSslEngineFactory(new RejectingSslEngineFactory())
                 .setMaxRequestRetry(0)
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpExchange.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpExchange.java
@@ -12,6 +12,16 @@
  */
 public interface HttpExchange {
 
+    /**
+     * Returns whether a status belongs to the response that ends a request, after which no other follows.
+     *
+     * @param status the HTTP status
+     * @return true for three digits of which the first is above 1
+     */
+    static boolean isFinalStatus(int status) {
+        return status >= 200 && status <= 999;
+    }
+
     /**
      * Returns the HTTP method.
      *
@@ -64,21 +74,23 @@
     byte[] body();
 
     /**
-     * Sends the complete response. Has no effect once the response is complete or the connection is closed.
+     * Sends the complete response. Has no effect once the response is complete or the connection is closed; closes the
+     * connection if a stream was begun, so that the caller detects that it is incomplete.
      *
      * @param status the HTTP status
      * @param headers the headers
      * @param body the body
+     * @throws IllegalArgumentException if status or headers cannot be written; another response may be sent then
      */
     void respond(int status, Map<String, String> headers, byte[] body);
 
     /**
-     * Sends the complete response, with headers that may have several values. Has no effect once the response is
-     * complete or the connection is closed.
+     * Sends the complete response, with headers that may have several values, like {@link #respond(int, Map, byte[])}.
      *
      * @param status the HTTP status
      * @param headers the headers
      * @param body the body
+     * @throws IllegalArgumentException if status or headers cannot be written; another response may be sent then
      */
     void respond(int status, HttpHeaders headers, byte[] body);
 
@@ -87,6 +99,7 @@
      *
      * @param status the HTTP status
      * @param headers the headers
+     * @throws IllegalArgumentException if status or headers cannot be written; another response may be sent then
      */
     void beginStream(int status, HttpHeaders headers);
 
@@ -102,6 +115,7 @@
      *
      * @param status the HTTP status
      * @param headers the headers
+     * @throws IllegalArgumentException if status or headers cannot be written; another response may be sent then
      */
     void beginStream(int status, Map<String, String> headers);
 
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/observe/LogLines.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/observe/LogLines.java
@@ -117,7 +117,19 @@
      * @param cause the exception; its text and the top of its stack trace are logged
      */
     public static void error(String component, String message, Throwable cause) {
-        LOGGER.atSevere().log("%s", new Line(component, message, Map.of(), cause));
+        error(component, message, Map.of(), cause);
+    }
+
+    /**
+     * Logs an error with the fields of the event that it ended.
+     *
+     * @param component the component that logs
+     * @param message a short sentence that names the error
+     * @param fields the fields of the event
+     * @param cause the exception; its text and the top of its stack trace are logged
+     */
+    public static void error(String component, String message, Map<String, Object> fields, Throwable cause) {
+        LOGGER.atSevere().log("%s", new Line(component, message, fields, cause));
     }
 
     /** A log event, converted to JSON only if its level is enabled. */
