Answer all requests read behind a response that closes its connection

Requests that were read whole behind a response with Connection: close (during a stop, after a refusal of the connection itself) were dropped without an answer, and a connection that was closed with unread bytes was reset, so that callers lost responses that they had not read. Refusals of the connection itself (413, 417, 100) were written before the response to an earlier request. An exception in a handler closed the connection without a word. Limits and timeouts were those in force when the connection was opened.

A response closes its connection only when nothing was received behind it; all input after that is left unread, and only the output is closed first. Refusals wait for their turn. At the end of the grace period, open requests are answered before the process ends. The listener's limits are looked up for each request.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/CallerRequestDecoder.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/CallerRequestDecoder.java
@@ -1,21 +1,29 @@
 package org.fuchsiatrail.wire.http;
 
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import org.fuchsiatrail.Clock;
+import org.fuchsiatrail.wire.SteadyClock;
 
 /**
- * Decodes HTTP requests strictly and enforces the timeouts of {@link HttpLimits}.
+ * Decodes HTTP requests strictly and enforces the {@link HttpLimits} that are in force when each of them begins.
  *
  * <p>A request whose body length is ambiguous is rejected as malformed, which prevents request smuggling.
  */
@@ -23,72 +31,183 @@
 
     private static final int MAXIMUM_REQUEST_LINE_BYTES = 8 * 1024;
     private static final int MAXIMUM_CHUNK_BYTES = 64 * 1024;
+    private static final Clock CLOCK = SteadyClock.ofThisMachine();
 
-    /** A user event of the channel pipeline: the caller exceeded a timeout. */
-    enum TimeoutEvent {
-        /** The head or the body of a request did not arrive in time. */
-        REQUEST,
-        /** No further request arrived on the connection in time. */
-        IDLE
-    }
-
-    private final HttpLimits limits;
+    private final Supplier<HttpLimits> limitsInForce;
+    private HttpLimits limits;
     private ScheduledFuture<?> headerTimeout;
     private ScheduledFuture<?> idleCheck;
+    private boolean inHead;
     private boolean inBody;
-    private boolean receivedSinceIdleCheck;
+    private boolean discarding;
+    private long headBytes;
+    private long bodyBytes;
+    private long lastActivityAtMillis;
+    private long idleCheckDelayMillis;
 
-    CallerRequestDecoder(HttpLimits limits) {
-        super(MAXIMUM_REQUEST_LINE_BYTES, limits.headerBytes(), MAXIMUM_CHUNK_BYTES);
-        this.limits = limits;
+    CallerRequestDecoder(Supplier<HttpLimits> limitsInForce) {
+        // The decoder's own limit on headers is fixed for the life of the connection.
+        super(MAXIMUM_REQUEST_LINE_BYTES, Integer.MAX_VALUE, MAXIMUM_CHUNK_BYTES);
+        this.limitsInForce = limitsInForce;
+        this.limits = limitsInForce.get();
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext context) throws Exception {
         super.handlerAdded(context);
-        scheduleIdleCheck(context);
+        recordActivity();
+        scheduleIdleCheck(context, limits.idleTimeoutMillis());
+    }
+
+    /** Begins the idle time anew, because a byte was received or a response was sent. */
+    void recordActivity() {
+        lastActivityAtMillis = CLOCK.nowMillis();
+    }
+
+    private void scheduleIdleCheck(ChannelHandlerContext context, long delayMillis) {
+        idleCheckDelayMillis = delayMillis;
+        idleCheck = context.executor().schedule(() -> checkIdle(context), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void checkIdle(ChannelHandlerContext context) {
+        long timeoutMillis = limitsInForce.get().idleTimeoutMillis();
+        long remainingMillis = lastActivityAtMillis + timeoutMillis - CLOCK.nowMillis();
+        if (remainingMillis <= 0 && (inHead || inBody) && !discarding) {
+            refuse(context, HttpResponseStatus.REQUEST_TIMEOUT);
+        } else if (remainingMillis <= 0) {
+            context.fireUserEventTriggered(new CallerInput.Idle());
+        }
+        if (context.channel().isOpen()) {
+            scheduleIdleCheck(context, remainingMillis > 0 ? remainingMillis : timeoutMillis);
+        }
+    }
+
+    /** Returns whether bytes were received behind the last complete request. */
+    boolean hasBytesBehindLastRequest() {
+        return inHead || inBody || internalBuffer().isReadable();
     }
 
-    private void scheduleIdleCheck(ChannelHandlerContext context) {
-        receivedSinceIdleCheck = false;
-        idleCheck = context.executor()
-                .schedule(
-                        () -> {
-                            if (!receivedSinceIdleCheck) {
-                                context.fireUserEventTriggered(inBody ? TimeoutEvent.REQUEST : TimeoutEvent.IDLE);
-                            }
-                            if (context.channel().isOpen()) {
-                                scheduleIdleCheck(context);
-                            }
-                        },
-                        limits.idleTimeoutMillis(),
-                        TimeUnit.MILLISECONDS);
+    /** Drops all further bytes, which belong to no request that is answered. */
+    void discardInput() {
+        discarding = true;
+        cancelHeaderTimeout();
+    }
+
+    private void refuse(ChannelHandlerContext context, HttpResponseStatus status) {
+        discardInput();
+        context.fireUserEventTriggered(new CallerInput.Refused(status.code()));
     }
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
-        receivedSinceIdleCheck = true;
+        recordActivity();
+        if (discarding) {
+            buffer.skipBytes(buffer.readableBytes());
+            return;
+        }
+        if (!inHead && !inBody) {
+            adoptLimitsInForce(context);
+            headBytes = 0;
+        }
         int sizeBefore = out.size();
+        int indexBefore = buffer.readerIndex();
+        boolean inHeadBefore = inHead;
         super.decode(context, buffer, out);
-        for (Object message : out.subList(sizeBefore, out.size())) {
-            if (message instanceof HttpRequest) {
+        boolean nothingDecoded = out.size() == sizeBefore;
+        headBytes += inBody ? 0 : buffer.readerIndex() - indexBefore;
+        inHead = !inBody && nothingDecoded && (inHeadBefore || beginsRequest(buffer, indexBefore));
+        List<Object> decoded = out.subList(sizeBefore, out.size());
+        HttpResponseStatus refusal = check(context, buffer, decoded);
+        if (refusal != null) {
+            decoded.forEach(ReferenceCountUtil::release);
+            decoded.clear();
+            refuse(context, refusal);
+            buffer.skipBytes(buffer.readableBytes());
+            return;
+        }
+        updateHeaderTimeout(context);
+    }
+
+    private void adoptLimitsInForce(ChannelHandlerContext context) {
+        limits = limitsInForce.get();
+        if (limits.idleTimeoutMillis() < idleCheckDelayMillis) {
+            idleCheck.cancel(false);
+            scheduleIdleCheck(context, limits.idleTimeoutMillis());
+        }
+    }
+
+    /** Returns whether bytes are more than the empty lines that may precede a request. */
+    private static boolean beginsRequest(ByteBuf buffer, int fromIndex) {
+        return buffer.forEachByte(fromIndex, buffer.writerIndex() - fromIndex, value -> value == '\r' || value == '\n')
+                >= 0;
+    }
+
+    /** Returns the status with which the request is refused, or null if it is within the limits so far. */
+    private HttpResponseStatus check(ChannelHandlerContext context, ByteBuf buffer, List<Object> decoded) {
+        if (inHead && headBytes + buffer.readableBytes() > limits.headerBytes() + MAXIMUM_REQUEST_LINE_BYTES) {
+            return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+        }
+        for (Object message : decoded) {
+            HttpResponseStatus refusal = null;
+            if (message instanceof HttpRequest request) {
                 inBody = true;
+                bodyBytes = 0;
+                refusal = checkHead(context, request);
+            }
+            if (message instanceof HttpContent content) {
+                bodyBytes += content.content().readableBytes();
+                refusal = bodyBytes > limits.bodyBytes() ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : refusal;
             }
             if (message instanceof LastHttpContent) {
                 inBody = false;
             }
+            if (refusal != null) {
+                return refusal;
+            }
+        }
+        return null;
+    }
+
+    private HttpResponseStatus checkHead(ChannelHandlerContext context, HttpRequest request) {
+        if (request.decoderResult().isFailure()) {
+            return null;
+        }
+        long size = 0;
+        for (Map.Entry<String, String> header : request.headers()) {
+            size += header.getKey().length() + header.getValue().length() + 2;
+        }
+        if (size > limits.headerBytes()) {
+            return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+        }
+        if (HttpUtil.getContentLength(request, 0L) > limits.bodyBytes()) {
+            return HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
         }
-        boolean headIncomplete = !inBody && buffer.isReadable() && out.size() == sizeBefore;
-        if (headIncomplete && headerTimeout == null) {
+        String expectation = request.headers().get(HttpHeaderNames.EXPECT);
+        if (expectation == null || request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) < 0) {
+            return null;
+        }
+        if (!HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expectation)) {
+            return HttpResponseStatus.EXPECTATION_FAILED;
+        }
+        request.headers().remove(HttpHeaderNames.EXPECT);
+        context.fireUserEventTriggered(new CallerInput.ContinueExpected());
+        return null;
+    }
+
+    private void updateHeaderTimeout(ChannelHandlerContext context) {
+        if (!inHead) {
+            cancelHeaderTimeout();
+        } else if (headerTimeout == null) {
             headerTimeout = context.executor()
                     .schedule(
-                            () -> {
-                                headerTimeout = null;
-                                context.fireUserEventTriggered(TimeoutEvent.REQUEST);
-                            },
+                            () -> refuse(context, HttpResponseStatus.REQUEST_TIMEOUT),
                             limits.headerTimeoutMillis(),
                             TimeUnit.MILLISECONDS);
-        } else if (out.size() > sizeBefore && headerTimeout != null) {
+        }
+    }
+
+    private void cancelHeaderTimeout() {
+        if (headerTimeout != null) {
             headerTimeout.cancel(false);
             headerTimeout = null;
         }
@@ -115,9 +234,7 @@
 
     @Override
     protected void handlerRemoved0(ChannelHandlerContext context) throws Exception {
-        if (headerTimeout != null) {
-            headerTimeout.cancel(false);
-        }
+        cancelHeaderTimeout();
         if (idleCheck != null) {
             idleCheck.cancel(false);
         }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/ConnectionExchange.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/ConnectionExchange.java
@@ -1,14 +1,14 @@
 package org.fuchsiatrail.wire.http;
 
+import java.io.IOException;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.BooleanSupplier;
+import java.util.concurrent.atomic.AtomicReference;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundBuffer;
@@ -17,9 +17,12 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -32,33 +35,34 @@
  */
 final class ConnectionExchange implements HttpExchange {
 
+    /** The progress of the response. */
+    private enum Progress {
+        NOT_ANSWERED,
+        /** The head of a streamed response was sent. */
+        STREAM_BEGUN,
+        /** The response is complete or aborted, or the connection is closed. */
+        FINISHED
+    }
+
     private final ChannelHandlerContext context;
+    private final HttpConnection connection;
     private final String method;
     private final String uri;
     private final HttpHeaders headers;
     private final byte[] body;
     private final QueryStringDecoder query;
-    private final boolean keepAlive;
-    private final BooleanSupplier closeRequested;
-    private final Runnable onFinished;
-    private final AtomicBoolean finished = new AtomicBoolean();
+    private final AtomicReference<Progress> progress = new AtomicReference<>(Progress.NOT_ANSWERED);
     private volatile Runnable disconnectAction = () -> {};
     private boolean closeAfterResponse;
 
-    ConnectionExchange(
-            ChannelHandlerContext context,
-            FullHttpRequest request,
-            BooleanSupplier closeRequested,
-            Runnable onFinished) {
+    ConnectionExchange(ChannelHandlerContext context, HttpConnection connection, FullHttpRequest request) {
         this.context = context;
+        this.connection = connection;
         this.method = request.method().name();
         this.uri = request.uri();
         this.headers = request.headers();
         this.body = ByteBufUtil.getBytes(request.content());
         this.query = new QueryStringDecoder(request.uri());
-        this.keepAlive = HttpUtil.isKeepAlive(request);
-        this.closeRequested = closeRequested;
-        this.onFinished = onFinished;
     }
 
     @Override
@@ -104,18 +108,24 @@
 
     @Override
     public void respond(int status, HttpHeaders responseHeaders, byte[] bytes) {
-        if (!finished.compareAndSet(false, true)) {
-            return;
-        }
-        runOnEventLoop(() -> {
-            ByteBuf content = Unpooled.wrappedBuffer(bytes);
-            DefaultFullHttpResponse response =
-                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content);
-            response.headers().set(responseHeaders);
+        boolean withoutBody = method.equals(HttpMethod.HEAD.name());
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                finalStatus(status),
+                withoutBody ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(bytes));
+        copyValidated(responseHeaders, response.headers());
+        if (!withoutBody || !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
-            setConnectionHeader(response.headers());
-            writeLast(response);
-        });
+        }
+        Progress before = progress.getAndSet(Progress.FINISHED);
+        if (before == Progress.STREAM_BEGUN) {
+            context.close();
+        } else if (before == Progress.NOT_ANSWERED) {
+            runOnEventLoop(() -> {
+                setConnectionHeader(response.headers());
+                writeLast(response);
+            });
+        }
     }
 
     @Override
@@ -125,15 +135,28 @@
 
     @Override
     public void beginStream(int status, HttpHeaders responseHeaders) {
-        runOnEventLoop(() -> {
-            DefaultHttpResponse response =
-                    new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
-            response.headers().set(responseHeaders);
-            response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
-            HttpUtil.setTransferEncodingChunked(response, true);
-            setConnectionHeader(response.headers());
-            context.writeAndFlush(response);
-        });
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, finalStatus(status));
+        copyValidated(responseHeaders, response.headers());
+        response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+        HttpUtil.setTransferEncodingChunked(response, true);
+        if (progress.compareAndSet(Progress.NOT_ANSWERED, Progress.STREAM_BEGUN)) {
+            runOnEventLoop(() -> {
+                setConnectionHeader(response.headers());
+                write(response);
+            });
+        }
+    }
+
+    private static HttpResponseStatus finalStatus(int status) {
+        if (!HttpExchange.isFinalStatus(status)) {
+            throw new IllegalArgumentException("HTTP status " + status + " ends no request");
+        }
+        return HttpResponseStatus.valueOf(status);
+    }
+
+    /** Adds the headers one by one, since only that checks them, whatever the source allows. */
+    private static void copyValidated(HttpHeaders source, HttpHeaders target) {
+        source.forEach(header -> target.add(header.getKey(), header.getValue()));
     }
 
     private static HttpHeaders toHttpHeaders(Map<String, String> headerMap) {
@@ -143,7 +166,7 @@
     }
 
     private void setConnectionHeader(HttpHeaders responseHeaders) {
-        closeAfterResponse = !keepAlive || closeRequested.getAsBoolean();
+        closeAfterResponse = connection.endsWithResponse();
         if (closeAfterResponse) {
             responseHeaders.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -151,19 +174,34 @@
 
     /** Writes the last message of the response, then closes the connection or goes on with its next request. */
     private void writeLast(Object last) {
+        ChannelFuture written = write(last).addListener(done -> connection.responseWritten());
         if (closeAfterResponse) {
-            context.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
+            written.addListener(done -> connection.closeOutput(context));
         } else {
-            context.writeAndFlush(last);
-            onFinished.run();
+            connection.startNext(context, written);
         }
     }
 
+    /** Writes a message; closes the connection if that fails, since the caller cannot make out a response then. */
+    private ChannelFuture write(Object message) {
+        return context.writeAndFlush(message).addListener((ChannelFutureListener) written -> {
+            if (written.isSuccess()) {
+                return;
+            }
+            if (!(written.cause() instanceof IOException)) {
+                connection
+                        .handler()
+                        .connectionFailed("Response could not be written; its connection is closed.", written.cause());
+            }
+            written.channel().close();
+        });
+    }
+
     @Override
     public void sendChunk(byte[] bytes) {
         runOnEventLoop(() -> {
-            if (!finished.get()) {
-                context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+            if (progress.get() == Progress.STREAM_BEGUN) {
+                write(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
             }
         });
     }
@@ -171,7 +209,7 @@
     @Override
     public void endStream() {
         runOnEventLoop(() -> {
-            if (finished.compareAndSet(false, true)) {
+            if (progress.compareAndSet(Progress.STREAM_BEGUN, Progress.FINISHED)) {
                 writeLast(LastHttpContent.EMPTY_LAST_CONTENT);
             }
         });
@@ -179,7 +217,7 @@
 
     @Override
     public void abort() {
-        finished.set(true);
+        progress.set(Progress.FINISHED);
         context.close();
     }
 
@@ -198,8 +236,13 @@
     }
 
     void connectionClosed() {
-        if (finished.compareAndSet(false, true)) {
+        if (progress.getAndSet(Progress.FINISHED) == Progress.FINISHED) {
+            return;
+        }
+        try {
             disconnectAction.run();
+        } catch (RuntimeException | Error e) {
+            connection.handler().connectionFailed("End of a caller's connection could not be handled.", e);
         }
     }
 
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
@@ -1,12 +1,16 @@
 package org.fuchsiatrail.wire.http;
 
+import java.io.IOException;
 import java.util.ArrayDeque;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 import com.google.common.flogger.FluentLogger;
-import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -14,7 +18,10 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.ssl.SslHandler;
+import io.netty.util.concurrent.ScheduledFuture;
 
 /**
  * Hands the requests of one connection to the handler as exchanges, one at a time.
@@ -28,10 +35,21 @@
     /** The number of unanswered requests above which reading from the connection is paused. */
     private static final int MAXIMUM_PIPELINED_REQUESTS = 4;
 
+    /** How long a caller may take to close a connection after its last response, in milliseconds. */
+    private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
+
     private final HttpHandler handler;
+    private final CallerRequestDecoder decoder;
     private final BooleanSupplier closeRequested;
     private final ArrayDeque<PendingRequest> pendingRequests = new ArrayDeque<>();
-    private boolean refusing;
+    /** Requests whose response is not written, which another thread may look at. */
+    private volatile int unwrittenResponses;
+
+    private boolean inputEnded;
+    private boolean continueExpected;
+    private boolean readingStopped;
+    private ChannelHandlerContext context;
+    private ScheduledFuture<?> closeTimeout;
 
     /**
      * A request whose response is not complete.
@@ -41,32 +59,96 @@
      */
     private record PendingRequest(ConnectionExchange exchange, int refusalStatus) {}
 
-    HttpConnection(HttpHandler handler, BooleanSupplier closeRequested) {
+    HttpConnection(HttpHandler handler, CallerRequestDecoder decoder, BooleanSupplier closeRequested) {
         this.handler = handler;
+        this.decoder = decoder;
         this.closeRequested = closeRequested;
     }
 
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-        if (refusing) {
+        if (inputEnded || !context.channel().isActive()) {
             return;
         }
+        continueExpected = false;
         DecoderResult decoderResult = request.decoderResult();
         if (decoderResult.isFailure()) {
-            refusing = true;
+            endInput();
             enqueue(
                     context,
                     new PendingRequest(null, decoderResult.cause() instanceof TooLongFrameException ? 431 : 400));
             return;
         }
-        enqueue(
-                context,
-                new PendingRequest(
-                        new ConnectionExchange(context, request, closeRequested, () -> startNext(context)), 0));
+        if (!HttpUtil.isKeepAlive(request)) {
+            endInput();
+        }
+        enqueue(context, new PendingRequest(new ConnectionExchange(context, this, request), 0));
+    }
+
+    /** Reads no further request; all bytes that follow are dropped. */
+    private void endInput() {
+        inputEnded = true;
+        decoder.discardInput();
+    }
+
+    HttpHandler handler() {
+        return handler;
+    }
+
+    /**
+     * Decides whether the response that is sent now is the last of the connection. If it is, no further request is
+     * read; while a request behind it was received, even in part, it is not.
+     */
+    boolean endsWithResponse() {
+        boolean requestsBehind = pendingRequests.size() > 1 || (!inputEnded && decoder.hasBytesBehindLastRequest());
+        boolean last = !requestsBehind && (inputEnded || closeRequested.getAsBoolean());
+        if (last) {
+            endInput();
+        }
+        return last;
+    }
+
+    /**
+     * Closes the connection after its last response. Only the output is closed first: closing a connection with unread
+     * bytes resets it, and the caller would lose what it has not read yet.
+     */
+    void closeOutput(ChannelHandlerContext context) {
+        endInput();
+        if (!(context.channel() instanceof DuplexChannel channel)
+                || context.pipeline().get(SslHandler.class) != null) {
+            context.close();
+            return;
+        }
+        channel.config().setAutoRead(true);
+        channel.shutdownOutput();
+        closeTimeout = context.executor().schedule(() -> context.close(), CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Leaves what a caller sends from now on unread. */
+    void stopReading() {
+        readingStopped = true;
+        context.channel().config().setAutoRead(false);
+    }
+
+    /** Returns whether the responses to all requests that were read are written. */
+    boolean allWritten() {
+        return unwrittenResponses == 0;
+    }
+
+    /** Counts a response as written, or as one that cannot be written any more. */
+    void responseWritten() {
+        unwrittenResponses--;
+        decoder.recordActivity();
     }
 
     private void enqueue(ChannelHandlerContext context, PendingRequest pending) {
         pendingRequests.add(pending);
+        unwrittenResponses++;
         if (pendingRequests.size() == 1) {
             start(context, pending);
         } else if (pendingRequests.size() > MAXIMUM_PIPELINED_REQUESTS) {
@@ -78,42 +160,83 @@
         if (pending.exchange() == null) {
             refuse(context, pending.refusalStatus());
         } else {
-            handler.handle(pending.exchange());
+            handle(pending.exchange());
         }
     }
 
-    private void startNext(ChannelHandlerContext context) {
+    private void handle(ConnectionExchange exchange) {
+        try {
+            handler.handle(exchange);
+        } catch (RuntimeException | Error e) {
+            handler.connectionFailed("Request could not be handled.", e);
+            exchange.respond(HttpResponseStatus.INTERNAL_SERVER_ERROR.code(), Map.of(), new byte[0]);
+        }
+    }
+
+    /** Goes on with the next request, since the response to the first one is complete, although not yet written. */
+    void startNext(ChannelHandlerContext context, ChannelFuture responseWritten) {
         pendingRequests.poll();
-        context.channel().config().setAutoRead(true);
+        if (!readingStopped) {
+            context.channel().config().setAutoRead(true);
+        }
         if (!pendingRequests.isEmpty() && context.channel().isActive()) {
             start(context, pendingRequests.peek());
+        } else if (pendingRequests.isEmpty() && inputEnded) {
+            responseWritten.addListener(done -> closeOutput(context));
         }
+        sendContinueIfDue(context);
     }
 
-    private static void refuse(ChannelHandlerContext context, int status) {
+    private void refuse(ChannelHandlerContext context, int status) {
         DefaultFullHttpResponse response =
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        context.writeAndFlush(response).addListener(done -> {
+            responseWritten();
+            closeOutput(context);
+        });
     }
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
-        if (event == CallerRequestDecoder.TimeoutEvent.REQUEST) {
-            refusing = true;
-            enqueue(context, new PendingRequest(null, 408));
-        } else if (event == CallerRequestDecoder.TimeoutEvent.IDLE && pendingRequests.isEmpty()) {
-            context.close();
-        } else {
+        if (!(event instanceof CallerInput input)) {
             super.userEventTriggered(context, event);
+            return;
+        }
+        switch (input) {
+            case CallerInput.Refused refused -> {
+                endInput();
+                enqueue(context, new PendingRequest(null, refused.status()));
+            }
+            case CallerInput.ContinueExpected expected -> {
+                continueExpected = true;
+                sendContinueIfDue(context);
+            }
+            case CallerInput.Idle idle -> {
+                if (pendingRequests.isEmpty()) {
+                    context.close();
+                }
+            }
+        }
+    }
+
+    /** Asks for the body of a request once no response to an earlier one is due. */
+    private void sendContinueIfDue(ChannelHandlerContext context) {
+        if (continueExpected && pendingRequests.isEmpty()) {
+            continueExpected = false;
+            context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
+        if (closeTimeout != null) {
+            closeTimeout.cancel(false);
+        }
         PendingRequest current = pendingRequests.peek();
         pendingRequests.clear();
+        unwrittenResponses = 0;
         if (current != null && current.exchange() != null) {
             current.exchange().connectionClosed();
         }
@@ -122,7 +245,17 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        LOGGER.atFine().log("Caller connection failed and is closed: %s", cause);
-        context.close();
+        if (cause instanceof IOException) {
+            LOGGER.atFine().log("Caller connection failed and is closed: %s", cause);
+            context.close();
+            return;
+        }
+        handler.connectionFailed("Caller connection failed.", cause);
+        if (context.pipeline().get(SslHandler.class) != null) {
+            context.close();
+        } else if (!inputEnded) {
+            endInput();
+            enqueue(context, new PendingRequest(null, HttpResponseStatus.INTERNAL_SERVER_ERROR.code()));
+        }
     }
 }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpListener.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpListener.java
@@ -1,6 +1,8 @@
 package org.fuchsiatrail.wire.http;
 
 import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
@@ -9,19 +11,32 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.ssl.SslContext;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import io.netty.util.concurrent.Promise;
 
 /** An HTTP server on one port, plain or with TLS. */
 public final class HttpListener implements AutoCloseable {
 
+    /** How often connections are checked for responses that are not written yet, in milliseconds. */
+    private static final long WRITTEN_CHECK_MILLIS = 5;
+
+    /** How long written responses may be on their way before their connections are closed, in milliseconds. */
+    private static final long DELIVERY_MILLIS = 50;
+
     private final Channel channel;
+    private final ChannelGroup connections;
 
-    private HttpListener(Channel channel) {
+    private HttpListener(Channel channel, ChannelGroup connections) {
         this.channel = channel;
+        this.connections = connections;
     }
 
     /**
@@ -48,7 +63,7 @@
      *
      * @param group the event loops that serve the connections
      * @param address the address to listen on; port 0 selects a free port
-     * @param limits supplies the size limits and timeouts of each new connection
+     * @param limits supplies the size limits and timeouts in force, also for connections that are open
      * @param tls supplies the TLS context of each new connection, or null for plain HTTP
      * @param closeRequested returns whether responses close their connection, with {@code Connection: close}
      * @param handler handles the requests
@@ -61,6 +76,7 @@
             Supplier<SslContext> tls,
             BooleanSupplier closeRequested,
             HttpHandler handler) {
+        ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
@@ -74,16 +90,17 @@
                         if (tls != null) {
                             connection.pipeline().addLast(tls.get().newHandler(connection.alloc()));
                         }
-                        HttpLimits connectionLimits = limits.get();
+                        CallerRequestDecoder decoder = new CallerRequestDecoder(limits);
                         connection
                                 .pipeline()
-                                .addLast(new CallerRequestDecoder(connectionLimits))
+                                .addLast(decoder)
                                 .addLast(new HttpResponseEncoder())
-                                .addLast(new HttpObjectAggregator(connectionLimits.bodyBytes()))
-                                .addLast(new HttpConnection(handler, closeRequested));
+                                .addLast(new HttpObjectAggregator(Integer.MAX_VALUE))
+                                .addLast(new HttpConnection(handler, decoder, closeRequested));
+                        connections.add(connection);
                     }
                 });
-        return new HttpListener(bootstrap.bind(address).syncUninterruptibly().channel());
+        return new HttpListener(bootstrap.bind(address).syncUninterruptibly().channel(), connections);
     }
 
     /**
@@ -95,6 +112,42 @@
         return ((InetSocketAddress) channel.localAddress()).getPort();
     }
 
+    /**
+     * Prepares the end of the process: accepts no further connection and reads no further request.
+     *
+     * @return completes once the responses to all requests that were read are delivered, and the connections closed
+     */
+    public Future<Void> shutDown() {
+        Promise<Void> delivered = channel.eventLoop().newPromise();
+        channel.close();
+        connections.forEach(connection -> connection
+                .eventLoop()
+                .execute(() -> httpConnection(connection).ifPresent(HttpConnection::stopReading)));
+        channel.eventLoop().execute(() -> awaitDelivery(delivered));
+        return delivered;
+    }
+
+    private void awaitDelivery(Promise<Void> delivered) {
+        boolean written = connections.stream()
+                .flatMap(connection -> httpConnection(connection).stream())
+                .allMatch(HttpConnection::allWritten);
+        channel.eventLoop()
+                .schedule(
+                        () -> {
+                            if (written) {
+                                connections.close().addListener(closed -> delivered.setSuccess(null));
+                            } else {
+                                awaitDelivery(delivered);
+                            }
+                        },
+                        written ? DELIVERY_MILLIS : WRITTEN_CHECK_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private static Optional<HttpConnection> httpConnection(Channel connection) {
+        return Optional.ofNullable(connection.pipeline().get(HttpConnection.class));
+    }
+
     @Override
     public void close() {
         channel.close().syncUninterruptibly();
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/http/HttpConnectionTest.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/http/HttpConnectionTest.java
@@ -157,4 +157,16 @@
             assertThat(readAll(socket)).contains("/first").contains("HTTP/1.1 400");
         }
     }
+
+    /** A body after the answer to a HEAD request would be taken for the beginning of the next answer. */
+    @Test
+    void should_send_no_body_in_answer_to_a_head_request() throws Exception {
+        try (RawCaller caller = RawCaller.connect(listener.port())
+                .send("HEAD /first HTTP/1.1\r\nHost: a\r\n\r\n"
+                        + "GET /last HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")) {
+            assertThat(caller.readHead()).contains("content-length: 6");
+            assertThat(caller.readHead()).contains("content-length: 5");
+            assertThat(caller.readUntilEnd()).isEqualTo("/last");
+        }
+    }
 }
