--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -31,7 +31,6 @@
 
     static final long STEP_MILLIS = 50;
     private static final String FIRST_VERSION = "v1";
-    private static final String FIRST_EVENT = "1";
     private static final int STREAM_MILLIS = 800;
     private static final int START_MILLIS = 60;
     private static final long ENTRY_DROPPED_MILLIS = 3_300;
@@ -264,7 +263,7 @@
             FleetRequest.Stream stream, ForwardingFixture router, List<ForwardedCall.PromptPart> prompt) {
         String attemptId = "a-" + ++lastRequestNumber;
         FleetRequest request = new FleetRequest(stream, attemptId, now(), router, prompt);
-        String resumeAfterEventId = stream.firstAttemptId.isEmpty() ? "" : FIRST_EVENT;
+        String resumeAfterEventId = stream.firstAttemptId.isEmpty() ? "" : stream.lastEventId();
         RequestId id = router.call(
                 attemptId,
                 "/ask/" + lastRequestNumber,
@@ -461,7 +460,11 @@
     }
 
     private void startRelayed(Attempt relayed) {
-        deliver(relayed, new AttemptEvent.Started(ForwardingFixture.head(200, true, false), FIRST_EVENT));
+        deliver(
+                relayed,
+                new AttemptEvent.Started(
+                        ForwardingFixture.head(200, true, false),
+                        relayed.request().stream.lastEventId()));
     }
 
     private void refuseRelayed(Attempt relayed, ResultCode code) {
@@ -515,7 +518,8 @@
         }
         request.stream.softwareVersions.add(attempt.engine().softwareVersion);
         beginnings.add(new Beginning(now(), attempt.router().self().id(), attempt.engine().weightsVersion));
-        deliver(attempt, new AttemptEvent.Started(attempt.engine().head(), FIRST_EVENT));
+        request.stream.lastEventNumber++;
+        deliver(attempt, new AttemptEvent.Started(attempt.engine().head(), request.stream.lastEventId()));
         after(STREAM_MILLIS, () -> finish(attempt));
     }
 
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetRequest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetRequest.java
@@ -18,6 +18,12 @@
         boolean begunCutOff;
         /** The software versions of the engines whose events it holds. */
         final Set<String> softwareVersions = new HashSet<>();
+        /** The number of its events so far. */
+        int lastEventNumber;
+
+        String lastEventId() {
+            return Integer.toString(lastEventNumber);
+        }
     }
 
     final Stream stream;
