--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -460,11 +460,8 @@
     }
 
     private void startRelayed(Attempt relayed) {
-        deliver(
-                relayed,
-                new AttemptEvent.Started(
-                        ForwardingFixture.head(200, true, false),
-                        relayed.request().stream.lastEventId()));
+        String eventId = relayed.request().stream.lastEventId();
+        deliver(relayed, new AttemptEvent.Started(ForwardingFixture.head(200, true, false), eventId));
     }
 
     private void refuseRelayed(Attempt relayed, ResultCode code) {
@@ -518,8 +515,7 @@
         }
         request.stream.softwareVersions.add(attempt.engine().softwareVersion);
         beginnings.add(new Beginning(now(), attempt.router().self().id(), attempt.engine().weightsVersion));
-        request.stream.lastEventNumber++;
-        deliver(attempt, new AttemptEvent.Started(attempt.engine().head(), request.stream.lastEventId()));
+        deliver(attempt, new AttemptEvent.Started(attempt.engine().head(), request.stream.nextEventId()));
         after(STREAM_MILLIS, () -> finish(attempt));
     }
 
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetRequest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetRequest.java
@@ -19,7 +19,12 @@
         /** The software versions of the engines whose events it holds. */
         final Set<String> softwareVersions = new HashSet<>();
         /** The number of its events so far. */
-        int lastEventNumber;
+        private int lastEventNumber;
+
+        String nextEventId() {
+            lastEventNumber++;
+            return lastEventId();
+        }
 
         String lastEventId() {
             return Integer.toString(lastEventNumber);
