Report what may have run as such when another router refuses it

Callers were told with 429 or 503, which promise that a request has not run, that it was refused, although an upstream may have run it.

Cause: a router that lost an attempt and then its paths relays the request to another router. The refusal of that router speaks of its own attempts only, and was delivered as the outcome of the whole request. The class is that of streams answered plainly: the state of one attempt taken for the state of the whole request.

Once an attempt may have run, a refusal of another router with a status that promises the opposite (408, 421, 429, 503) is answered with 502 and the code for an unknown outcome, as the refusals of the router itself are.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import org.fuchsiatrail.AttemptId;
 import org.fuchsiatrail.PeerMessage;
@@ -30,6 +31,9 @@
 
     private static final int FIRST_ERROR_STATUS = 400;
 
+    /** The HTTP statuses that promise callers that the request has not run. */
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
+
     private final ForwardingContext context;
     private final StoreReplica storeReplica;
     private final UpstreamTable upstreams;
@@ -315,6 +319,11 @@
             handleLoss(
                     pending,
                     new AttemptEvent.Lost(true, true, "", "relayed answer is no stream or lacks a valid signature"));
+        } else if (pending.mayHaveRun() && NOT_RUN_STATUSES.contains(head.status())) {
+            upstreams.recordSuccess(pending.upstream);
+            context.emit(new ForwardingOutput.Cancel(pending.attempt));
+            refuseOrAbort(
+                    pending, ResultCode.OUTCOME_UNKNOWN, 0, "another router refused with status " + head.status());
         } else {
             upstreams.recordSuccess(pending.upstream);
             context.emit(new ForwardingOutput.Deliver(pending.request, pending.attempt));
