Start pipelined requests in a loop instead of by recursion

Requests that were read whole got no answer, and their connection stayed open. A caller whose connection holds a request that takes time, and behind it some thousand that are refused at once, such as malformed ones, saw the first answered and then nothing.

Cause: the end of a response started the next request from within the write of the last one, so each request answered at once added its calls to the stack. 64 KB of the shortest requests, which is one read, exhausted it. The StackOverflowError was caught at an arbitrary depth; in a listener without the forwarding loop it ended the thread that serves all connections.

The first response to end starts those behind it one by one; the responses that end meanwhile only mark the next one as due.

RequestsLostBehindLongPipelineTest and MalformedRequestsLeftUnansweredTest (a router over sockets), 3,000 requests each: before, the callers' reads timed out after 5 s; now each request is answered. On a router another caller was served before and after.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
@@ -48,6 +48,8 @@
     private boolean inputEnded;
     private boolean continueExpected;
     private boolean readingStopped;
+    private boolean startingRequests;
+    private boolean nextDue;
     private ChannelHandlerContext context;
     private ScheduledFuture<?> closeTimeout;
 
@@ -179,14 +181,31 @@
         if (!readingStopped) {
             context.channel().config().setAutoRead(true);
         }
-        if (!pendingRequests.isEmpty() && context.channel().isActive()) {
-            start(context, pendingRequests.peek());
-        } else if (pendingRequests.isEmpty() && inputEnded) {
+        if (pendingRequests.isEmpty() && inputEnded) {
             responseWritten.addListener(done -> closeOutput(context));
         }
+        nextDue = true;
+        startRequestsDue(context);
         sendContinueIfDue(context);
     }
 
+    /** Starts requests until one is not answered at once. A loop, since a recursion would exhaust the stack. */
+    private void startRequestsDue(ChannelHandlerContext context) {
+        if (startingRequests) {
+            return;
+        }
+        startingRequests = true;
+        try {
+            while (nextDue && !pendingRequests.isEmpty() && context.channel().isActive()) {
+                nextDue = false;
+                start(context, pendingRequests.peek());
+            }
+        } finally {
+            startingRequests = false;
+            nextDue = false;
+        }
+    }
+
     private void refuse(ChannelHandlerContext context, int status) {
         DefaultFullHttpResponse response =
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
