Refuse as not run what no upstream ran when its deadline is near

Callers got 504, which promises nothing, for requests that no upstream had run: calls that must not be repeated could not be sent again by them.

Cause: an attempt that had ended, because its upstream did not execute the request or no connection was established, left the request in the state 'sent'. When too little time remained for another attempt, that state was taken for an attempt in flight, counted as a possible execution, recorded as given up and cancelled once more. The class is that of streams answered plainly: the state of an attempt taken for the state of the request.

Whether an attempt is in flight is now asked of the table of attempts.

RefusedRequestCountedAsRunTest, virtual time: 2 of 4 cases failed before (TIMED_OUT instead of NO_UPSTREAM), none after.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -517,9 +517,7 @@
     }
 
     private void handleDeadline(PendingCall pending) {
-        boolean attemptInFlight =
-                pending.state == PendingCall.State.SENT || pending.state == PendingCall.State.DELIVERING;
-        if (attemptInFlight) {
+        if (calls.hasAttemptInFlight(pending)) {
             if (pending.upstream.millisWithoutResponse(context.now()) > CallTiming.UNRESPONSIVE_MILLIS) {
                 upstreams.recordFailure(pending.upstream, "no response before the request's deadline");
             }
