Continue resumed streams whose upstream repeats the last event's id

A stream that a caller had resumed was cut when its attempt was lost, although another upstream could go on: when the only event so far had the id after which the caller had resumed.

Cause: that no event with an id was passed on was concluded from the last id being the one that the caller had named, which an upstream may send again.

Whether an event with an id was passed on is recorded when it is. Resumed streams whose events have no id are cut as before, since events would repeat.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -361,9 +361,7 @@
 
     private void handleProgress(PendingCall pending, String eventId) {
         pending.lastEventAtMillis = context.now();
-        if (!eventId.isEmpty()) {
-            pending.lastEventId = eventId;
-        }
+        pending.recordEventId(eventId);
         if (pending.state == PendingCall.State.DELIVERING
                 && pending.mayRetry()
                 && pending.possibleExecutions + 1 < pending.route.maximumAttempts()) {
@@ -425,9 +423,7 @@
             pending.unsentAttempts++;
             crashProtection.recordEnded(pending.incarnation);
         }
-        if (!lost.lastEventId().isEmpty()) {
-            pending.lastEventId = lost.lastEventId();
-        }
+        pending.recordEventId(lost.lastEventId());
         retryAfterLoss(pending, lost.sent());
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
@@ -64,7 +64,12 @@
     /** Whether part of a stream was passed on, after which only further events or its end may follow. */
     boolean streamBegun;
 
+    /** The id of the last event that the caller has, or an empty string. */
     String lastEventId;
+
+    /** Whether an event that was passed on has an id. */
+    private boolean eventIdPassedOn;
+
     /** Whether the current attempt goes to another router. */
     boolean relayed;
     /** Routers that refused the request because they reach no upstream either. */
@@ -131,7 +136,15 @@
 
     /** Returns whether events were passed on of which none has an id, so that no upstream can continue after them. */
     private boolean isWithoutResumePosition() {
-        return streamBegun && lastEventId.equals(call.resumeAfterEventId());
+        return streamBegun && !eventIdPassedOn;
+    }
+
+    /** Records the id of an event that was passed on, or an empty string if it has none. */
+    void recordEventId(String eventId) {
+        if (!eventId.isEmpty()) {
+            lastEventId = eventId;
+            eventIdPassedOn = true;
+        }
     }
 
     int priority() {
