Try another way when a router denies a request that was relayed to it

Callers got 401 or 404 for requests that the router they asked had accepted under its configuration.

Cause: a router without a path to its upstreams relays requests to others. One of which the configuration is another, in the moments of a change or while it is out of step, knows no route or customer for the request, and its denial was delivered as the answer.

Such a denial is now treated like that of a router without a path: the request has not run there and goes to another router, or to the router's own paths after three of them, until its deadline.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -34,6 +34,9 @@
     /** The HTTP statuses that promise callers that the request has not run. */
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
+    /** The HTTP statuses of a router that has no route or customer for a request. */
+    private static final Set<Integer> OTHER_CONFIGURATION_STATUSES = Set.of(401, 404);
+
     private final ForwardingContext context;
     private final StoreReplica storeReplica;
     private final UpstreamTable upstreams;
@@ -305,11 +308,19 @@
         finish(pending, "Answer delivered.", head.status());
     }
 
-    /** Tries another way if the router to which a request was relayed has no path either; else delivers its refusal. */
+    /**
+     * Tries another way if the router to which a request was relayed has no path either, or knows no route or customer
+     * for a request that this router accepted; else delivers its refusal.
+     */
     private void handleRefusalOfRouter(PendingCall pending, AttemptEvent.Head head) {
-        if (head.withoutPath()) {
+        boolean otherConfiguration = OTHER_CONFIGURATION_STATUSES.contains(head.status());
+        if (head.withoutPath() || otherConfiguration) {
             releaseAttempt(pending);
-            upstreams.recordFailure(pending.upstream, "the router reaches no upstream");
+            upstreams.recordFailure(
+                    pending.upstream,
+                    otherConfiguration
+                            ? "the router has another configuration in force"
+                            : "the router reaches no upstream");
             pending.excludedUpstreams.add(pending.upstream.id());
             context.emit(new ForwardingOutput.Cancel(pending.attempt));
             pending.relayRefusals++;
