Answer callers of the chat daemon when an output fails

Callers got no answer when an output of the product's own router threw, for example when a service answered with a status that cannot be passed on (102, 199 or 1000). The outputs behind it in the same tick were lost as well.

Cause: one exception ended the execution of all outputs of a tick, and nothing replaced the one that failed.

Each output is now executed by itself.

--- a/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/OutputHandler.java
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/OutputHandler.java
@@ -1,5 +1,6 @@
 package org.fuchsiatrail.daemon;
 
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
@@ -13,6 +14,8 @@
 import org.fuchsiatrail.Input;
 import org.fuchsiatrail.Output;
 import org.fuchsiatrail.PeerMessage;
+import org.fuchsiatrail.ServiceOutcome;
+import org.fuchsiatrail.StoreResult;
 import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.daemon.callers.CallerServer;
 import org.fuchsiatrail.daemon.observe.Traces;
@@ -26,7 +29,12 @@
 import org.fuchsiatrail.wire.observe.RouterMetrics;
 import org.fuchsiatrail.wire.peer.PeerTransport;
 
-/** Carries out the outputs of the core and passes their results back to it as inputs. */
+/**
+ * Carries out the outputs of the core and passes their results back to it as inputs.
+ *
+ * <p>An output that throws ends nothing else: an attempt, call or query gets the result that it has failed. A caller
+ * or operator whose answer cannot be written gets another one, or the end of the connection.
+ */
 final class OutputHandler {
 
     private final Consumer<Input> inputs;
@@ -65,7 +73,46 @@
         this.onStopped = onStopped;
     }
 
-    void handle(Output output) {
+    void execute(Output output) {
+        try {
+            handle(output);
+        } catch (RuntimeException | Error e) {
+            metrics.count("outputs.failed", 1);
+            LogLines.error(
+                    "router", "Output failed.", Map.of("kind", output.getClass().getSimpleName()), e);
+            compensate(output, "output failed: " + e);
+        }
+    }
+
+    /** Replaces what an output that has failed would have led to. */
+    private void compensate(Output output, String reason) {
+        switch (output) {
+            case Output.StartEngine start -> {
+                runningAttempts.abort(start.attempt());
+                inputs.accept(new Input.EngineSpoke(start.attempt(), new EngineEvent.Lost(false, reason)));
+            }
+            case Output.CallService call ->
+                inputs.accept(new Input.ServiceEnded(call.attempt(), new ServiceOutcome.Unknown(reason)));
+            case Output.QueryLoad query -> inputs.accept(new Input.LoadMissing(query.engine()));
+            case Output.ReadCacheEvents read -> pendingCacheEventReads.remove(read.engine());
+            case Output.OrderLoad order -> inputs.accept(new Input.OrderEnded(order.order(), false, reason));
+            case Output.CallStore call ->
+                inputs.accept(new Input.StoreAnswered(call.call(), new StoreResult.Unavailable(reason)));
+            case Output.AnswerCaller answer -> {
+                callers.fail(answer.request());
+                inputs.accept(new Input.CallerLeft(answer.request()));
+            }
+            case Output.AnswerOperator answer -> operators.fail(answer.call());
+            // An engine ends a cancelled stream by itself, peers get later messages, and the others need no result.
+            case Output.CancelEngine ignored -> {}
+            case Output.SendToPeer ignored -> {}
+            case Output.LogEvent ignored -> {}
+            case Output.Count ignored -> {}
+            case Output.Stopped ignored -> {}
+        }
+    }
+
+    private void handle(Output output) {
         switch (output) {
             case Output.StartEngine start -> startEngine(start);
             case Output.CancelEngine cancel -> cancelEngine(cancel);
--- a/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/RouterProcess.java
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/RouterProcess.java
@@ -138,7 +138,7 @@
         List<Output> outputs = core.tick(clock.nowMillis(), batch);
         ready = core.ready();
         for (Output output : outputs) {
-            outputHandler.handle(output);
+            outputHandler.execute(output);
         }
     }
 
--- a/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/callers/CallerServer.java
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/callers/CallerServer.java
@@ -253,4 +253,19 @@
             openRequest.span.end();
         }
     }
+
+    /**
+     * Ends a request whose answer could not be written. It is reported as one that may have run.
+     *
+     * @param request the request
+     */
+    public void fail(RequestId request) {
+        OpenRequest failed = openRequests.remove(request);
+        if (failed == null) {
+            return;
+        }
+        failed.span.end();
+        metrics.count("refusals." + ResultCode.OUTCOME_UNKNOWN.number(), 1);
+        failed.responseWriter.write(new CallerAnswer.Refusal(ResultCode.OUTCOME_UNKNOWN, "", 0));
+    }
 }
--- a/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/operators/OperatorServer.java
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/operators/OperatorServer.java
@@ -110,7 +110,7 @@
      * @param answer the answer
      */
     public void answer(long call, OperatorAnswer answer) {
-        HttpExchange exchange = openCalls.remove(call);
+        HttpExchange exchange = openCalls.get(call);
         if (exchange == null) {
             return;
         }
@@ -123,6 +123,19 @@
         } catch (JsonProcessingException e) {
             exchange.abort();
         }
+        openCalls.remove(call);
+    }
+
+    /**
+     * Closes the connection of an operator request whose answer could not be written.
+     *
+     * @param call the number of the request
+     */
+    public void fail(long call) {
+        HttpExchange failed = openCalls.remove(call);
+        if (failed != null) {
+            failed.abort();
+        }
     }
 
     private void refuse(HttpExchange exchange, ResultCode code, String detail) {
