Answer requests of the chat daemon whose input fails

Callers got no answer when an exception ended the handling of their request in the product's own router: a chat request or service call on its arrival, a service call on its outcome or on the verdict on its claim.

Cause: the core dropped the input, counted and logged it, and nobody owned the request any more; an outcome that failed had left the table of attempts, so that not even the deadline ended its call.

Errors are handled like other exceptions.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/router/DefaultRouterCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/router/DefaultRouterCore.java
@@ -37,6 +37,9 @@
     /** The retry time given to callers of a router that has no configuration yet. */
     private static final long NOT_CONFIGURED_RETRY_MILLIS = 500;
 
+    /** The retry time given to callers whose request could not be handled. */
+    private static final long NOT_HANDLED_RETRY_MILLIS = 200;
+
     private final RouterContext context;
     private final StoreCalls store;
     private final MembershipSystem membership;
@@ -123,23 +126,35 @@
     }
 
     private void handleSafely(Input input) {
+        context.beginWork();
         try {
             handle(input);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             context.count("inputs.failed");
             context.log(
                     "router", "Input dropped.", "kind", input.getClass().getSimpleName(), "reason", String.valueOf(e));
+            context.requestInWork().ifPresent(request -> answerFailed(request, input));
+        }
+    }
+
+    /** Answers the request at which an input failed, since nothing else will. */
+    private void answerFailed(RequestId request, Input input) {
+        boolean arrived = input instanceof Input.ChatArrived || input instanceof Input.ServiceArrived;
+        if (!chats.fail(request) && !services.fail(request) && arrived) {
+            refuse(request, ResultCode.NOT_HANDLED, NOT_HANDLED_RETRY_MILLIS);
         }
     }
 
     private void handle(Input input) {
         switch (input) {
             case Input.ChatArrived chat -> {
+                context.beginWorkOn(chat.request());
                 if (admit(chat.request())) {
                     chats.submit(chat.request(), chat.apiKey(), chat.call());
                 }
             }
             case Input.ServiceArrived service -> {
+                context.beginWorkOn(service.request());
                 if (admit(service.request())) {
                     services.submit(service.request(), service.apiKey(), service.call());
                 }
@@ -171,9 +186,13 @@
         boolean stopping = context.stopping();
         ResultCode code = stopping ? ResultCode.STOPPING : ResultCode.NOT_CONFIGURED;
         long retryAfterMillis = stopping ? 1 : NOT_CONFIGURED_RETRY_MILLIS;
+        refuse(request, code, retryAfterMillis);
+        return false;
+    }
+
+    private void refuse(RequestId request, ResultCode code, long retryAfterMillis) {
         context.count("refusals." + code.number());
         context.emit(new Output.AnswerCaller(request, new CallerAnswer.Refusal(code, "", retryAfterMillis)));
-        return false;
     }
 
     private void receive(EntryVmId from, PeerMessage message) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/router/RouterContext.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/router/RouterContext.java
@@ -4,10 +4,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 
 import org.fuchsiatrail.EntryVmId;
 import org.fuchsiatrail.Output;
+import org.fuchsiatrail.RequestId;
 import org.fuchsiatrail.RouterSettings;
 
 /** State shared by all systems during a tick: time, outputs, settings and the seeded random number generator. */
@@ -18,6 +20,7 @@
     private List<Output> outputs = new ArrayList<>();
     private long nowMillis;
     private boolean stopping;
+    private Optional<RequestId> requestInWork = Optional.empty();
 
     /**
      * Creates a context.
@@ -98,6 +101,29 @@
         stopping = true;
     }
 
+    /** Records that no request is worked on. */
+    public void beginWork() {
+        requestInWork = Optional.empty();
+    }
+
+    /**
+     * Records the request that is worked on, which is answered if an exception ends that.
+     *
+     * @param request the request
+     */
+    public void beginWorkOn(RequestId request) {
+        requestInWork = Optional.of(request);
+    }
+
+    /**
+     * Returns the request that is worked on.
+     *
+     * @return the request, or empty
+     */
+    public Optional<RequestId> requestInWork() {
+        return requestInWork;
+    }
+
     /**
      * Adds an output.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/services/ServiceSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/services/ServiceSystem.java
@@ -126,6 +126,7 @@
         if (row.state != ServiceRow.State.CLAIMING) {
             return;
         }
+        context.beginWorkOn(row.request);
         switch (verdict) {
             case ClaimVerdict.Granted granted -> dispatchClaimed(row);
             case ClaimVerdict.Running running ->
@@ -211,6 +212,7 @@
             context.count("services.late-outcomes");
             return;
         }
+        context.beginWorkOn(row.request);
         switch (outcome) {
             case ServiceOutcome.Answered answered -> handleAnswered(row, answered);
             case ServiceOutcome.NotSent notSent -> handleNotSent(row, notSent);
@@ -297,6 +299,27 @@
         }
     }
 
+    /**
+     * Answers a call that cannot be handled any further.
+     *
+     * @param request the call's id
+     * @return false if it is no call without a final answer
+     */
+    public boolean fail(RequestId request) {
+        ServiceRow row = rows.get(request);
+        if (row == null) {
+            return false;
+        }
+        attempts.remove(row.attempt);
+        boolean mayHaveRun = row.mayHaveRun || row.attempts > 0;
+        ResultCode code = mayHaveRun ? ResultCode.OUTCOME_UNKNOWN : ResultCode.NOT_HANDLED;
+        finish(row, new CallerAnswer.Refusal(code, "", mayHaveRun ? 0 : RETRY_AFTER_MILLIS));
+        if (row.claim != null) {
+            ledger.end(mayHaveRun ? ClaimOutcome.unknown(row.claim) : ClaimOutcome.released(row.claim));
+        }
+        return true;
+    }
+
     /**
      * Records a verdict that arrived after this router stopped waiting for it. The verdict is ignored, because this
      * router has since taken the claim over from the preferred writer, or has ended it.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/streams/ChatSystem.java
@@ -429,6 +429,21 @@
         removeRow(row);
     }
 
+    /**
+     * Refuses a request that could not be admitted.
+     *
+     * @param request the request's id
+     * @return false if it is no request without a final answer
+     */
+    public boolean fail(RequestId request) {
+        ChatRow row = rows.get(request);
+        if (row == null) {
+            return false;
+        }
+        finish(row, new CallerAnswer.Refusal(ResultCode.NOT_HANDLED, "", NO_UPSTREAM_RETRY_AFTER_MILLIS));
+        return true;
+    }
+
     /**
      * Returns the retry reservations made since the last call and clears them.
      *
