Keep begun streams on silent engines that have no place elsewhere

Callers saw a stream cut although its engine went on after a second: with 14 streams on two full engines, one of them silent for 1.3 s, 7 were cut; so was a stream that had begun at the last permitted attempt. With both of two engines silent for 1.3 s, each stream ran twice.

Cause: before an attempt was given up, any eligible upstream counted as an alternative, also full, suspected and silent ones, and the limit of attempts was not looked at. An attempt that may still succeed is to be compared with staying.

A begun stream is now given up only if it may be sent again, a retry is left, and another upstream responds and has a place; else it stays and is looked at every 50 ms.

An engine that breaks its connections or is silent alone for good is noticed as before.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AttemptSender.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AttemptSender.java
@@ -41,6 +41,8 @@
         pending.incarnation = upstream.incarnationId();
         pending.attemptVersion = upstream.entry.softwareVersion();
         pending.sends++;
+        pending.keptReason = "";
+        pending.pathLost = false;
         pending.firstEventAtMillis = context.now();
         pending.lastEventAtMillis = context.now();
         pending.attemptTimeoutAtMillis =
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
@@ -155,6 +155,22 @@
                 delivering);
     }
 
+    void kept(PendingCall pending, String reason) {
+        // Counts silent attempts that were kept, once for each reason.
+        context.count("attempts.kept-silent");
+        context.log(
+                COMPONENT,
+                "Silent attempt kept.",
+                "request",
+                pending.call.callerAttemptId(),
+                "upstream",
+                pending.upstream.id(),
+                "silentMillis",
+                context.now() - pending.lastEventAtMillis,
+                "reason",
+                reason);
+    }
+
     void refused(PendingCall pending, ResultCode code, long retryAfterMillis, String reason) {
         context.count("refusals." + code.number());
         context.log(
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -48,6 +48,7 @@
     private final CallTable calls;
     private final CallTimers timers;
     private final AttemptSender sender;
+    private final SilentStreams silentStreams;
 
     CallSystem(
             ForwardingContext context,
@@ -76,6 +77,8 @@
         this.intake = new CallIntake(context, storeReplica);
         this.log = new CallLog(context, storeReplica);
         this.sender = new AttemptSender(context, calls, timers, timing, selector.availability(), crashProtection, log);
+        this.silentStreams =
+                new SilentStreams(context, upstreams, selector, relayRouters, retryBudgets, crashProtection, log);
         this.startupQueue = new StartupCallQueue(context);
     }
 
@@ -154,7 +157,9 @@
      * whether it did.
      */
     private boolean relayIfCutOff(PendingCall pending, long remainingMillis) {
-        boolean cutOff = selector.isCutOff(pending) || pending.unsentAttempts >= CallTiming.UNSENT_BEFORE_RELAY;
+        boolean cutOff = pending.pathLost
+                || selector.isCutOff(pending)
+                || pending.unsentAttempts >= CallTiming.UNSENT_BEFORE_RELAY;
         if (!cutOff || pending.relayRefusals >= CallTiming.MAXIMUM_RELAY_REFUSALS) {
             return false;
         }
@@ -332,6 +337,7 @@
         if (inFlightAttempt != null) {
             context.emit(new ForwardingOutput.Measure("first-event", context.now() - inFlightAttempt.sentAtMillis));
             inFlightAttempt.promptTokens = 0;
+            inFlightAttempt.streamBegun = true;
         }
         if (pending.placement != null && pending.route.describesPrompt()) {
             long capacityTokens = storeReplica.memoryTokens(pending.service);
@@ -352,6 +358,7 @@
 
     private void handleProgress(PendingCall pending, String eventId) {
         pending.lastEventAtMillis = context.now();
+        pending.keptReason = "";
         if (!eventId.isEmpty()) {
             pending.lastEventId = eventId;
         }
@@ -499,7 +506,11 @@
                 timers.schedule(pending, pending.attemptTimeoutAtMillis);
                 return;
             }
-            if (retryBudgets.mayRetry(pending.service) && selector.hasAlternative(pending)) {
+            boolean streaming = pending.state == PendingCall.State.DELIVERING && !pending.relayed;
+            boolean givenUp = streaming
+                    ? silentStreams.giveUp(pending)
+                    : retryBudgets.mayRetry(pending.service) && selector.hasAlternative(pending);
+            if (givenUp) {
                 // Counts attempts aborted by the attempt timeout or the stream idle timeout.
                 context.count("attempts.given-up");
                 handleLoss(pending, NO_PROGRESS);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
@@ -83,6 +83,10 @@
     long firstEventAtMillis;
 
     long lastEventAtMillis;
+    /** Why the current attempt was kept although it is silent, or an empty string. */
+    String keptReason = "";
+    /** Whether the path to all upstreams is probably lost, as all of them were silent for long. */
+    boolean pathLost;
 
     PendingCall(
             RequestId request,
--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreams.java
@@ -0,0 +1,96 @@
+package org.fuchsiatrail.internal.forwarding;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Applies {@link SilentStreamDecision} to the attempts of this router. */
+final class SilentStreams {
+
+    /** Interval at which a silent attempt is looked at again, in milliseconds. */
+    static final long CHECK_INTERVAL_MILLIS = 50;
+
+    private final ForwardingContext context;
+    private final UpstreamTable upstreams;
+    private final UpstreamSelector selector;
+    private final RelayRouters relayRouters;
+    private final RetryBudgets retryBudgets;
+    private final CrashProtection crashProtection;
+    private final CallLog log;
+    private final Map<String, Silence> silenceByService = new HashMap<>();
+    private long silenceAtMillis = Long.MIN_VALUE;
+
+    /** How many upstreams of a service have begun streams, and how many of them are silent. */
+    private record Silence(int streaming, int silent) {}
+
+    SilentStreams(
+            ForwardingContext context,
+            UpstreamTable upstreams,
+            UpstreamSelector selector,
+            RelayRouters relayRouters,
+            RetryBudgets retryBudgets,
+            CrashProtection crashProtection,
+            CallLog log) {
+        this.context = context;
+        this.upstreams = upstreams;
+        this.selector = selector;
+        this.relayRouters = relayRouters;
+        this.retryBudgets = retryBudgets;
+        this.crashProtection = crashProtection;
+        this.log = log;
+    }
+
+    /** Returns whether the attempt is to be given up; one that stays is looked at again after an interval. */
+    boolean giveUp(PendingCall pending) {
+        return switch (SilentStreamDecision.decide(situation(pending))) {
+            case SilentStreamDecision.ContinueElsewhere elsewhere -> true;
+            case SilentStreamDecision.ContinueThroughRouter throughRouter -> {
+                pending.pathLost = true;
+                yield true;
+            }
+            case SilentStreamDecision.Keep keep -> {
+                pending.attemptTimeoutAtMillis = context.now() + CHECK_INTERVAL_MILLIS;
+                if (!keep.reason().equals(pending.keptReason)) {
+                    pending.keptReason = keep.reason();
+                    log.kept(pending, keep.reason());
+                }
+                yield false;
+            }
+        };
+    }
+
+    private SilentStreamDecision.Situation situation(PendingCall pending) {
+        Silence silence = upstreams.isActive(pending.upstream) ? silence(pending.service) : new Silence(0, 0);
+        return new SilentStreamDecision.Situation(
+                context.now() - pending.lastEventAtMillis,
+                silence.streaming(),
+                silence.silent(),
+                pending.sends < CallTiming.MAXIMUM_SENDS
+                        && crashProtection.quarantine(pending).isEmpty(),
+                retryBudgets.mayRetry(pending.service),
+                () -> selector.hasPlaceElsewhere(pending),
+                () -> !pending.call.relayed()
+                        && pending.relayRefusals < CallTiming.MAXIMUM_RELAY_REFUSALS
+                        && relayRouters.select(pending).isPresent());
+    }
+
+    /** Many streams are looked at in one tick when their upstreams are silent, so the counts are kept for the tick. */
+    private Silence silence(String service) {
+        if (silenceAtMillis != context.now()) {
+            silenceByService.clear();
+            silenceAtMillis = context.now();
+        }
+        return silenceByService.computeIfAbsent(service, this::countSilence);
+    }
+
+    private Silence countSilence(String service) {
+        int streaming = 0;
+        int silent = 0;
+        for (UpstreamState upstream : upstreams.activeUpstreams(service)) {
+            if (upstream.hasBegunStream()) {
+                streaming++;
+                silent += upstream.isSilent(context.now()) ? 1 : 0;
+            }
+        }
+        return new Silence(streaming, silent);
+    }
+}
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
@@ -318,6 +318,11 @@
         return inputTokens <= SHORT_PROMPT_TOKENS;
     }
 
+    /** Returns whether an upstream runs fewer requests than it can at once, as far as known. */
+    static boolean hasPlace(UpstreamState upstream, long nowMillis) {
+        return busySlots(upstream, nowMillis) < slots(upstream);
+    }
+
     private static int slots(UpstreamState upstream) {
         return Math.max(1, upstream.entry.slots());
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
@@ -62,6 +62,14 @@
         return candidates(pending).stream().anyMatch(upstream -> upstream != pending.upstream);
     }
 
+    /** Returns whether an upstream other than the current one is eligible, is not suspected and has a place. */
+    boolean hasPlaceElsewhere(PendingCall pending) {
+        return candidates(pending).stream()
+                .anyMatch(upstream -> upstream != pending.upstream
+                        && !upstream.isSuspected(context.now())
+                        && UpstreamPlacement.hasPlace(upstream, context.now()));
+    }
+
     private UpstreamPlacement.Conditions conditions(PendingCall pending) {
         long targetVersion = storeReplica
                 .targetWeights(pending.call.model())
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
@@ -81,6 +81,8 @@
         final long memoryTokens;
 
         long promptTokens;
+        /** Whether events of its stream have arrived. */
+        boolean streamBegun;
 
         InFlightAttempt(PendingCall pending, long nowMillis) {
             UpstreamPlacement.Placement placement = pending.placement;
@@ -277,13 +279,28 @@
         return nowMillis - Math.max(oldestSentAtMillis, lastContactAtMillis);
     }
 
+    /** Returns whether it has begun a stream of this router that is still open. */
+    boolean hasBegunStream() {
+        return inFlight.values().stream().anyMatch(attempt -> attempt.streamBegun);
+    }
+
+    /** Returns whether an upstream that has begun streams sent nothing for longer than its steps take. */
+    boolean isSilent(long nowMillis) {
+        return nowMillis - lastContactAtMillis > RESPONSE_TIMEOUT_MILLIS;
+    }
+
+    /** Returns whether it failed, rather than being silent, and was not used successfully since. */
+    boolean isInBackoff(long nowMillis) {
+        return awaitsProbe || nowMillis < suspectUntilMillis;
+    }
+
     /**
      * Returns whether the upstream should receive no new requests: it is in backoff, awaits a probe, or does not
      * respond to requests in flight.
      */
     boolean isSuspected(long nowMillis) {
         long timeoutMillis = inFlight.size() > 1 ? RESPONSE_TIMEOUT_MILLIS : SINGLE_REQUEST_TIMEOUT_MILLIS;
-        return awaitsProbe || nowMillis < suspectUntilMillis || millisWithoutResponse(nowMillis) > timeoutMillis;
+        return isInBackoff(nowMillis) || millisWithoutResponse(nowMillis) > timeoutMillis;
     }
 
     /** Returns whether an engine has left requests without a response for so long that it may have ended silently. */
