Report silent upstreams as silent, not as lost

Operators saw "Contact with all upstreams of a service lost." when two sound engines were silent for 1.3 s.

Cause: an upstream that has left several requests without a response for 0.35 s is suspected, and the contact counted as lost when all were. It now counts as lost when all failed, or when nothing arrived from any for 1.5 s; until then "All upstreams of a service are silent." is logged, with a counter. Broken connections are reported as soon as before.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamReachability.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamReachability.java
@@ -1,22 +1,32 @@
 package org.fuchsiatrail.internal.forwarding;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
-/** Logs when this router loses contact with all upstreams of a service, and when it regains it. */
+/**
+ * Logs when all upstreams of a service are silent, when this router loses contact with all of them, and when it regains
+ * it.
+ */
 final class UpstreamReachability {
 
     /** Interval between two checks, in milliseconds. */
     private static final long CHECK_INTERVAL_MILLIS = 500;
 
+    /** How long upstreams that did not fail may be silent before the contact counts as lost, in milliseconds. */
+    private static final long SILENCE_MILLIS = 1_500;
+
     private final ForwardingContext context;
     private final UpstreamTable upstreams;
     private final Map<String, Long> lostSinceMillis = new HashMap<>();
+    private final Set<String> silentServices = new HashSet<>();
     private long nextCheckAtMillis;
 
     private static final class Counts {
         private int registered;
         private int suspected;
+        private int failed;
         private long lastContactAtMillis = Long.MIN_VALUE / 2;
     }
 
@@ -36,15 +46,21 @@
                 Counts counts = countsByService.computeIfAbsent(upstream.entry.service(), key -> new Counts());
                 counts.registered++;
                 counts.suspected += upstream.isSuspected(context.now()) ? 1 : 0;
+                counts.failed += upstream.isInBackoff(context.now()) ? 1 : 0;
                 counts.lastContactAtMillis = Math.max(counts.lastContactAtMillis, upstream.lastContactAtMillis);
             }
         }
         lostSinceMillis.keySet().retainAll(countsByService.keySet());
+        silentServices.retainAll(countsByService.keySet());
         countsByService.forEach(this::compare);
     }
 
     private void compare(String service, Counts counts) {
-        boolean lost = counts.suspected == counts.registered;
+        boolean suspected = counts.suspected == counts.registered;
+        long millisSinceContact = Math.min(context.uptimeMillis(), context.now() - counts.lastContactAtMillis);
+        boolean silent = suspected && counts.failed < counts.registered && millisSinceContact < SILENCE_MILLIS;
+        boolean lost = suspected && !silent;
+        compareSilence(service, silent, counts, millisSinceContact);
         boolean knownAsLost = lostSinceMillis.containsKey(service);
         if (lost && !knownAsLost) {
             lostSinceMillis.put(service, context.now());
@@ -57,7 +73,7 @@
                     "registered",
                     counts.registered,
                     "millisSinceContact",
-                    Math.min(context.uptimeMillis(), context.now() - counts.lastContactAtMillis));
+                    millisSinceContact);
         } else if (!lost && knownAsLost) {
             context.log(
                     "upstreams",
@@ -68,4 +84,21 @@
                     context.now() - lostSinceMillis.remove(service));
         }
     }
+
+    private void compareSilence(String service, boolean silent, Counts counts, long millisSinceContact) {
+        if (!silent) {
+            silentServices.remove(service);
+        } else if (silentServices.add(service)) {
+            context.count("upstreams.all-silent");
+            context.log(
+                    "upstreams",
+                    "All upstreams of a service are silent.",
+                    "service",
+                    service,
+                    "registered",
+                    counts.registered,
+                    "millisSinceContact",
+                    millisSinceContact);
+        }
+    }
 }
