Stop going by version shares that others may have forgotten

What callers saw: streams that began at a router which was cut off from the store and its peers while engines of new software versions joined broke, were resumed at other routers and went on at another version.

Cause: replaced version shares were kept for 16 s from their change, the time in which streams may be resumed, but a router that does not learn of the change begins streams under them for longer. Once its member entry had ended, open streams were collected without it.

Change: a router knows when its replica of the store was last up to date and begins no resumable streams when that is more than 20 s ago. Replaced shares are kept for these 20 s longer, with a margin for writes that the store carries out late. Open streams are also awaited from routers whose entry ended lately. A watch from before a suspension is repeated, as its answer may have waited.

VersionSharesLookupTest tells the calls that change shares from others by the lease that they request, which is now 43 s; its bounds stay. The virtual fleet records no events of streams whose caller has left.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -125,7 +125,8 @@
             return;
         }
         bindings.assign(pending);
-        Optional<UpstreamPlacement.Placement> placement = selector.select(pending);
+        Optional<UpstreamPlacement.Placement> placement =
+                bindings.mustWait(pending) ? Optional.empty() : selector.select(pending);
         if (placement.isEmpty()) {
             waitOrRefuse(pending);
             return;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -145,6 +145,7 @@
                 if (jumped.millis() > 0) {
                     context.suspensions().clockStopped(jumped.millis());
                     storeReplica.targetHistory().clockStopped(jumped.millis());
+                    storeReplica.contact().clockStopped(jumped.millis());
                 }
                 context.log(
                         "router",
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/GossipTopology.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/GossipTopology.java
@@ -9,6 +9,7 @@
 import org.fuchsiatrail.EntryVm;
 import org.fuchsiatrail.EntryVmId;
 import org.fuchsiatrail.FailureDomain;
+import org.fuchsiatrail.forwarding.StoreItemContent;
 import org.fuchsiatrail.internal.membership.Rendezvous;
 
 /**
@@ -73,6 +74,18 @@
         return nowMillis - lastContactAtMillis.getOrDefault(peer, Long.MIN_VALUE / 2) < FOLLOWER_TIMEOUT_MILLIS;
     }
 
+    /**
+     * Returns whether this router is in contact with so many others that it cannot be the one that is out of touch:
+     * with most of them in a full mesh, otherwise with any.
+     */
+    boolean isInContact(List<StoreItemContent.Member> members, long nowMillis) {
+        long contacts = members.stream()
+                .map(member -> member.vm().id())
+                .filter(id -> !id.equals(self.id()) && hasRecentContact(id, nowMillis))
+                .count();
+        return usesRelays(members.size()) ? contacts > 0 : 2 * (contacts + 1) > members.size();
+    }
+
     /** Returns whether a fleet of this size exchanges updates through relays instead of a full mesh. */
     static boolean usesRelays(int members) {
         return members > MAXIMUM_FULL_MESH_SIZE;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
@@ -288,6 +288,9 @@
         update.targetAges().forEach(report -> replica.targetHistory().receive(from, report));
         applyUpdates(update, sameDomain ? buffer.local() : buffer.remote());
         itemRelay.compareRevision(from, update);
+        if (update.revision() <= replica.revision() && topology.isInContact(replica.members(), context.now())) {
+            replica.contact().confirmByMessage();
+        }
     }
 
     private void applyWork(EntryVmId from, PeerMessage.ForwardingNews update) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ReplacedShareCompletion.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ReplacedShareCompletion.java
@@ -24,8 +24,17 @@
     /** Interval at which routers that have not replied are asked again, in milliseconds. */
     private static final long QUERY_INTERVAL_MILLIS = 300;
 
-    /** By how much replaced shares outlast the longest time in which a caller may resume a stream, in milliseconds. */
-    private static final long RETENTION_MARGIN_MILLIS = 1_000;
+    /**
+     * For how long a router that is out of touch with the store begins streams under the shares that it knows, in
+     * milliseconds; as long as its member entry lasts.
+     */
+    private static final long MAXIMUM_CONTACT_AGE_MILLIS = 20_000;
+
+    /**
+     * By how much replaced shares outlast the streams that may have begun under them, in milliseconds; covers slow
+     * answers, heartbeats of peers, and writes that the store carries out late.
+     */
+    private static final long RETENTION_MARGIN_MILLIS = 8_000;
 
     /** The time within which callers notice that a stream was interrupted and connect again, in milliseconds. */
     private static final long NOTICE_MILLIS = 5_000;
@@ -72,9 +81,18 @@
         openStreams = function;
     }
 
-    /** How long replaced shares are kept, since streams that began under them may be resumed, in milliseconds. */
+    /**
+     * How long replaced shares are kept, in milliseconds: routers that are out of touch with the store begin streams
+     * under them for a while, and callers may resume these.
+     */
     long retentionMillis(String service) {
-        return resumableMillis(service) + RETENTION_MARGIN_MILLIS;
+        return MAXIMUM_CONTACT_AGE_MILLIS + resumableMillis(service) + RETENTION_MARGIN_MILLIS;
+    }
+
+    /** Returns whether routers may have forgotten the shares that this one knows, so no stream may begin here. */
+    boolean mayBeForgotten() {
+        return replica.contact().ageMillis() > MAXIMUM_CONTACT_AGE_MILLIS
+                && replica.members().size() > 1;
     }
 
     /**
@@ -95,6 +113,10 @@
     void begin(VersionShares replaced, long lease) {
         OpenStreamCollection collection =
                 new OpenStreamCollection(replaced, lease, context.now() + retentionMillis(replaced.service()));
+        // A router whose entry ended may still run, out of touch, and begin streams under these shares.
+        replica.departedMembers()
+                .within(retentionMillis(replaced.service()))
+                .forEach(vm -> collection.awaited.put(vm.id(), vm));
         replica.members().forEach(member -> collection.awaited.put(member.vm().id(), member.vm()));
         collection.awaited.remove(context.settings().self().id());
         collections.add(collection);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreCallTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreCallTable.java
@@ -17,6 +17,7 @@
     private final Map<Long, PendingStoreCall> pending = new LinkedHashMap<>();
     private long nextNumber = 1;
     private long lastFailureAtMillis = Long.MIN_VALUE / 2;
+    private long lastSuccessAtMillis = Long.MIN_VALUE / 2;
     private boolean healthy = true;
 
     private record PendingStoreCall(StoreCall call, long deadlineAtMillis, Consumer<StoreReply> listener) {}
@@ -50,6 +51,9 @@
     }
 
     private void updateHealth(PendingStoreCall answered, StoreReply reply) {
+        if (!(reply instanceof StoreReply.Failed)) {
+            lastSuccessAtMillis = context.now();
+        }
         if (reply instanceof StoreReply.Failed failed) {
             lastFailureAtMillis = context.now();
             context.count("store.failed-calls");
@@ -84,6 +88,11 @@
         return healthy;
     }
 
+    /** The time of the last call that the store answered, in milliseconds. */
+    long lastSuccessAtMillis() {
+        return lastSuccessAtMillis;
+    }
+
     /** The time of the last failed call, in milliseconds. */
     long lastFailureAtMillis() {
         return lastFailureAtMillis;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreReplica.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreReplica.java
@@ -32,6 +32,8 @@
     private final Set<String> unreadableKeys = new HashSet<>();
     private final TargetWeightsHistory targetHistory;
     private final VersionShareRegistry versionShares = new VersionShareRegistry();
+    private final DepartedMembers departedMembers;
+    private final StoreContact contact;
 
     /** The quarantined requests, with the time at which this router learned of each, in milliseconds. */
     private final Map<Long, Long> quarantinedAtMillis = new HashMap<>();
@@ -46,6 +48,18 @@
     StoreReplica(ForwardingContext context) {
         this.context = context;
         this.targetHistory = new TargetWeightsHistory(context);
+        this.departedMembers = new DepartedMembers(context);
+        this.contact = new StoreContact(context);
+    }
+
+    /** How old the replica may be. */
+    StoreContact contact() {
+        return contact;
+    }
+
+    /** The routers whose entries have ended. */
+    DepartedMembers departedMembers() {
+        return departedMembers;
     }
 
     /** How long ago target weights were set. */
@@ -120,6 +134,7 @@
         }
         StoreItemContent previous = known == null ? new StoreItemContent.Removed() : known.content();
         versionShares.itemChanged(previous, item);
+        departedMembers.itemChanged(previous, item);
         listener.accept(previous, item);
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreWatcher.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreWatcher.java
@@ -69,10 +69,18 @@
     }
 
     void run() {
-        boolean storeFailedMeanwhile = callPending && store.healthy() && store.lastFailureAtMillis() >= calledAtMillis;
-        if (storeFailedMeanwhile && !readingAllItems) {
+        boolean watching = callPending && !readingAllItems;
+        boolean storeFailed = store.lastFailureAtMillis() >= calledAtMillis;
+        boolean suspended = !context.suspensions().ranSince(calledAtMillis);
+        if (watching && (suspended || (storeFailed && store.healthy()))) {
             context.count("store.watches-abandoned");
             callPending = false;
+        } else if (watching
+                && !storeFailed
+                && store.lastSuccessAtMillis() > calledAtMillis
+                && store.lastSuccessAtMillis() == context.now()) {
+            // The store answers, so the watch would have told of changes.
+            replica.contact().confirmByMessage();
         }
         if (callPending || context.now() < nextCallAtMillis) {
             return;
@@ -116,6 +124,7 @@
         readingAllItems = false;
         replica.replaceAll(pages, firstPageRevision);
         pages.clear();
+        confirmContact();
         context.log("store", "All store items read.", "revision", firstPageRevision);
     }
 
@@ -142,6 +151,7 @@
                 backoffMillis = MINIMUM_BACKOFF_MILLIS;
                 changes.items().forEach(replica::applyGuarded);
                 replica.advanceRevision(changes.revision());
+                confirmContact();
                 delayNextCall(batchDelayMillis(replica.memberCount()));
             }
             case StoreReply.HistoryCompacted compacted -> {
@@ -166,6 +176,13 @@
                 : MINIMUM_BATCH_DELAY_MILLIS;
     }
 
+    /** Records the contact with the store, unless the answer of a call may have waited during a suspension. */
+    private void confirmContact() {
+        if (context.suspensions().ranSince(calledAtMillis)) {
+            replica.contact().confirm();
+        }
+    }
+
     private void backOff() {
         delayNextCall(backoffMillis / 2 + context.random().nextLong(backoffMillis));
         backoffMillis = Math.min(MAXIMUM_BACKOFF_MILLIS, backoffMillis * 2);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StreamBindings.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StreamBindings.java
@@ -39,6 +39,14 @@
         }
     }
 
+    /** Returns whether a new stream must wait, since others may have forgotten the version shares known here. */
+    boolean mustWait(PendingCall pending) {
+        return pending.streamVersion.isEmpty()
+                && !pending.reportedOpen
+                && VersionShareSystem.applyTo(pending.route)
+                && streamVersions.shareCompletion().mayBeForgotten();
+    }
+
     /** Records the version of a stream whose first event arrived. */
     void recordOrigin(PendingCall pending) {
         if (pending.relayed) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/Suspensions.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/Suspensions.java
@@ -53,6 +53,11 @@
         return isCatchingUp() ? beganAtMillis : context.now();
     }
 
+    /** Returns whether the process ran all the time since then, in milliseconds on its clock. */
+    boolean ranSince(long millis) {
+        return millis >= endedAtMillis;
+    }
+
     /** Returns whether messages may arrive that were received during a suspension. */
     boolean readsQueuedMessages() {
         return context.now() - endedAtMillis < QUEUED_MESSAGES_MILLIS;
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -40,7 +40,7 @@
     /** A probe that waits in vain on an open connection, and the next one that cannot connect, in milliseconds. */
     private static final long SILENT_PROBE_MILLIS = 1_100;
 
-    private static final int FAILURE_DOMAINS = 3;
+    static final int FAILURE_DOMAINS = 3;
 
     final List<ForwardingFixture> routers = new ArrayList<>();
     final SplittableRandom random;
@@ -56,7 +56,7 @@
     private final Map<EntryVmId, Long> cutOffUntilMillis = new HashMap<>();
     private final Map<EntryVmId, Long> startedAtMillis = new HashMap<>();
     private final Map<EntryVmId, PathCut> pathCuts = new HashMap<>();
-    private final FleetStore store;
+    final FleetStore store;
     private final PlannedActions plannedActions = new PlannedActions();
     private final List<Arrival> arrivals = new ArrayList<>();
     private final List<Answer> answers = new ArrayList<>();
@@ -115,20 +115,7 @@
     void startEngine(String softwareVersion) {
         FleetEngine engine = new FleetEngine("e" + ++lastEngineNumber, softwareVersion, targetWeights);
         engines.put(engine.id, engine);
-        register(engine);
-    }
-
-    private void register(FleetEngine engine) {
-        String domain = "domain-" + Integer.parseInt(engine.id.substring(1)) % FAILURE_DOMAINS;
-        routers.forEach(router -> router.register(ForwardingFixture.entry(
-                engine.id,
-                "tutors",
-                FleetEngine.SLOTS,
-                Map.of(ForwardingFixture.MODEL, engine.weightsVersion),
-                engine.draining,
-                1,
-                domain,
-                engine.softwareVersion)));
+        store.register(engine);
     }
 
     /** Starts an engine with a version of its software in place of the oldest one, which drains and ends. */
@@ -142,7 +129,7 @@
 
     private void drain(FleetEngine engine) {
         engine.draining = true;
-        register(engine);
+        store.register(engine);
         after(DRAIN_MILLIS, () -> {
             engine.ended = true;
             breakConnections(engine);
@@ -189,7 +176,7 @@
                 .toList()
                 .forEach(engine -> {
                     engine.weightsVersion = targetWeights;
-                    register(engine);
+                    store.register(engine);
                 });
     }
 
@@ -250,13 +237,25 @@
         return send(routers.get(random.nextInt(routers.size())), prompt);
     }
 
-    private FleetRequest send(ForwardingFixture router, ForwardedCall.PromptPart... prompt) {
+    FleetRequest send(ForwardingFixture router, ForwardedCall.PromptPart... prompt) {
         return send(new FleetRequest.Stream(), router, List.of(prompt));
     }
 
     /** Resumes a stream of which its caller has received events, at a random router. */
     FleetRequest resume(FleetRequest broken) {
-        return send(broken.stream, routers.get(random.nextInt(routers.size())), broken.prompt);
+        return resume(broken, routers.get(random.nextInt(routers.size())));
+    }
+
+    /** Resumes a stream of which its caller has received events, at a router. */
+    FleetRequest resume(FleetRequest broken, ForwardingFixture router) {
+        return send(broken.stream, router, broken.prompt);
+    }
+
+    /** Breaks the connection of a caller to its router. */
+    void disconnect(FleetRequest request) {
+        request.broken = true;
+        request.router.tick(new ForwardingInput.CallerDisconnected(request.id));
+        execute(request.router);
     }
 
     private FleetRequest send(
@@ -271,6 +270,7 @@
                 prompt,
                 resumeAfterEventId,
                 stream.firstAttemptId);
+        request.id = id;
         requests.put(router.self().id() + "/" + id, request);
         execute(router);
         return request;
@@ -512,11 +512,7 @@
         FleetRequest request = attempt.request();
         request.startedFirst |= request.sends == 1;
         request.started = true;
-        if (request.stream.firstAttemptId.isEmpty()) {
-            request.stream.firstAttemptId = request.attemptId;
-            request.stream.begunCutOff = isCutOff(attempt.router());
-        }
-        request.stream.softwareVersions.add(attempt.engine().softwareVersion);
+        request.recordEvent(isCutOff(attempt.router()), attempt.engine().softwareVersion);
         beginnings.add(new Beginning(now(), attempt.router().self().id(), attempt.engine().weightsVersion));
         request.stream.lastEventNumber++;
         deliver(attempt, new AttemptEvent.Started(attempt.engine().head(), request.stream.lastEventId()));
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetRequest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetRequest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 
+import org.fuchsiatrail.RequestId;
 import org.fuchsiatrail.ResultCode;
 import org.fuchsiatrail.forwarding.ForwardedCall;
 
@@ -31,6 +32,9 @@
     final long sentAtMillis;
     final ForwardingFixture router;
     final List<ForwardedCall.PromptPart> prompt;
+    /** Its id at its router. */
+    RequestId id;
+
     int sends;
     /** Whether the first attempt began to answer. */
     boolean startedFirst;
@@ -58,6 +62,18 @@
         this.prompt = prompt;
     }
 
+    /** Records an event for its caller, which receives none after it has lost its connection. */
+    void recordEvent(boolean cutOff, String softwareVersion) {
+        if (broken) {
+            return;
+        }
+        if (stream.firstAttemptId.isEmpty()) {
+            stream.firstAttemptId = attemptId;
+            stream.begunCutOff = cutOff;
+        }
+        stream.softwareVersions.add(softwareVersion);
+    }
+
     boolean contains(String part) {
         return prompt.stream().anyMatch(candidate -> candidate.id().equals(part));
     }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetStore.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetStore.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
 
 import org.fuchsiatrail.forwarding.StoreCall;
 import org.fuchsiatrail.forwarding.StoreItemContent;
@@ -11,6 +12,11 @@
 /** What the routers of an {@link EngineFleet} write to the platform's store. */
 final class FleetStore {
 
+    /** The life of a member entry after its last renewal, which may be one interval old when a router is cut off. */
+    private static final long MEMBER_LEASE_MILLIS = 18_500;
+
+    private static final long MEMBER_RENEWAL_MILLIS = 1_500;
+
     private final List<ForwardingFixture> routers;
     private final BiConsumer<Long, Runnable> scheduler;
     private final Map<String, RouterBuild> buildByMember = new HashMap<>();
@@ -42,6 +48,41 @@
         routers.forEach(other -> other.put("members/" + id, member));
     }
 
+    /** Removes the member entry of a router, whose lease has ended. */
+    private void removeMember(ForwardingFixture router) {
+        String id = router.self().id().value();
+        buildByMember.remove(id);
+        routers.forEach(other -> other.remove("members/" + id));
+    }
+
+    /** Removes the member entry of a router that cannot renew its lease, if it cannot for long enough. */
+    void expireMember(ForwardingFixture router, LongSupplier millisLeft) {
+        scheduler.accept(MEMBER_LEASE_MILLIS, () -> {
+            if (millisLeft.getAsLong() > 0) {
+                removeMember(router);
+            }
+        });
+    }
+
+    /** Makes a router write its member entry again, if that was removed. */
+    void resumeMember(ForwardingFixture router) {
+        scheduler.accept(MEMBER_RENEWAL_MILLIS, () -> registerMember(router));
+    }
+
+    /** Writes the entry of an engine. */
+    void register(FleetEngine engine) {
+        String domain = "domain-" + Integer.parseInt(engine.id.substring(1)) % EngineFleet.FAILURE_DOMAINS;
+        routers.forEach(router -> router.register(ForwardingFixture.entry(
+                engine.id,
+                "tutors",
+                FleetEngine.SLOTS,
+                Map.of(ForwardingFixture.MODEL, engine.weightsVersion),
+                engine.draining,
+                1,
+                domain,
+                engine.softwareVersion)));
+    }
+
     /** Passes what a router writes on to all routers. */
     void connect(ForwardingFixture router) {
         Map<Long, String> keysByLease = new HashMap<>();
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/VersionSharesLookupTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/VersionSharesLookupTest.java
@@ -34,6 +34,9 @@
     /** The time within which a router learns of a change in the store, in milliseconds. */
     private static final long WATCH_MILLIS = 100;
 
+    /** The lease of replaced shares: 20 s out of touch, 15 s in which streams may be resumed, and a margin of 8 s. */
+    private static final long REPLACED_SHARES_LEASE_MILLIS = 43_000;
+
     private final ForwardingFixture fixture = new ForwardingFixture();
 
     private static VersionShares secondOnly(long epoch) {
@@ -171,7 +174,7 @@
         fixture.storeRefuses = true;
         fixture.advanceTime(6_000);
         long calls = fixture.all(ForwardingOutput.CallStore.class).stream()
-                .filter(call -> call.request().equals(new StoreCall.GrantLease(16_000)))
+                .filter(call -> call.request().equals(new StoreCall.GrantLease(REPLACED_SHARES_LEASE_MILLIS)))
                 .count();
         assertThat(calls).isBetween(3L, 25L);
     }
