--- a/review/support/Deployment.java
+++ b/review/support/Deployment.java
@@ -24,6 +24,7 @@
     Deployment(String caseNumber) throws IOException {
         root = Path.of("").toAbsolutePath();
         directory = Files.createTempDirectory("review-" + caseNumber);
+        directory.toFile().deleteOnExit();
         record = new Record(root.resolve("review/" + caseNumber + "/record.txt"));
         trouble = !"0".equals(System.getenv("TROUBLE"));
         record.verdict("trouble: " + trouble);
--- a/review/support/Router.java
+++ b/review/support/Router.java
@@ -24,6 +24,8 @@
         this.name = name;
         this.ports = freePorts(4);
         settings = directory.resolve(name + ".yaml");
+        settings.toFile().deleteOnExit();
+        directory.resolve(name + ".log").toFile().deleteOnExit();
         Files.writeString(
                 settings,
                 Files.readString(root.resolve("deploy/router.yaml"))
