Add a review case: unsafe calls are sent on hanging paths

Seen: the routers of one zone are partitioned from all servers for 10 s and their connections hang. From 3 s on they serve one in ten of their unsafe calls and answer the others 504; the third router serves all.

--- a/review/support/Deployment.java
+++ b/review/support/Deployment.java
@@ -1,6 +1,5 @@
 import java.io.IOException;
 import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -13,8 +12,8 @@
     static final String HOST = "h.example";
     static final String KEY = "key-of-huaman";
 
-    final Path root;
-    final Path directory;
+    final java.nio.file.Path root;
+    final java.nio.file.Path directory;
     final Record record;
     final Store store;
     final boolean trouble;
@@ -22,7 +21,7 @@
     private int attempts;
 
     Deployment(String caseNumber) throws IOException {
-        root = Path.of("").toAbsolutePath();
+        root = java.nio.file.Path.of("").toAbsolutePath();
         directory = Files.createTempDirectory("review-" + caseNumber);
         directory.toFile().deleteOnExit();
         record = new Record(root.resolve("review/" + caseNumber + "/record.txt"));
@@ -55,19 +54,13 @@
             """.formatted(version, keys);
     }
 
-    /** The store's entry of a server. */
-    static String entry(String service, String address, int slots, long sequence, long weights, String state) {
-        String models = service.equals("tutors")
-                ? ",\"stage\":\"colocated\",\"models\":[{\"name\":\"" + MODEL + "\",\"version\":" + weights
-                        + ",\"adapters\":[]}]"
-                : "";
-        return "{\"service\":\"" + service + "\",\"address\":\"" + address
-                + "\",\"zone\":\"lima-a\",\"version\":\"v1\",\"slots\":" + slots + ",\"state\":\"" + state
-                + "\",\"cold_left_ms\":0,\"sequence\":" + sequence + models + "}";
+    Router router(String name) throws IOException {
+        return router(name, "lima-a", store.address());
     }
 
-    Router router(String name) throws IOException {
-        return new Router(root, directory, name, store.address());
+    /** A router that reaches the store at one of its views. */
+    Router router(String name, String zone, String storeAddress) throws IOException {
+        return new Router(root, directory, name, zone, storeAddress, store.address());
     }
 
     synchronized String nextAttemptId() {
--- a/review/support/Http.java
+++ b/review/support/Http.java
@@ -154,8 +154,10 @@
 
         /** Closes the connection so that the other end sees a reset. */
         void reset() throws IOException {
-            socket.setSoLinger(true, 0);
-            socket.close();
+            if (!socket.isClosed()) {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            }
         }
     }
 
--- a/review/support/Router.java
+++ b/review/support/Router.java
@@ -2,7 +2,6 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -11,14 +10,21 @@
 /** A router, started as its own process with the command of deploy/system.toml and settings from its template. */
 final class Router {
 
-    private final Path root;
-    private final Path directory;
+    private final java.nio.file.Path root;
+    private final java.nio.file.Path directory;
     private final String name;
-    private final Path settings;
+    private final java.nio.file.Path settings;
     private final List<Integer> ports;
     private Process process;
 
-    Router(Path root, Path directory, String name, String storeAddress) throws IOException {
+    Router(
+            java.nio.file.Path root,
+            java.nio.file.Path directory,
+            String name,
+            String zone,
+            String storeAddress,
+            String secret)
+            throws IOException {
         this.root = root;
         this.directory = directory;
         this.name = name;
@@ -30,11 +36,12 @@
                 settings,
                 Files.readString(root.resolve("deploy/router.yaml"))
                         .replace("{{node_name}}", name)
-                        .replace("{{zone}}", "lima-a")
+                        .replace("{{zone}}", zone)
                         .replace("{{listen.front}}", "127.0.0.1:" + ports.get(0))
                         .replace("{{listen.ready}}", "127.0.0.1:" + ports.get(1))
                         .replace("{{ip}}:{{port_range.0}}", "127.0.0.1:" + ports.get(2))
                         .replace("{{ip}}:9464", "127.0.0.1:" + ports.get(3))
+                        .replace("secret: \"{{platform.address}}\"", "secret: \"" + secret + "\"")
                         .replace("{{platform.address}}", storeAddress)
                         .replace("{{bounds.budget_ratio}}", "0.2")
                         .replace("{{bounds.retry_slack}}", "54")
@@ -118,25 +125,9 @@
         return ports.get(0);
     }
 
-    long processId() {
-        return process.pid();
-    }
-
-    boolean alive() {
-        return process.isAlive();
-    }
-
-    String log() throws IOException {
-        return Files.readString(directory.resolve(name + ".log"));
-    }
-
     /** Sends a signal by name to the process. */
     void signal(String signal) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
     }
 
-    void kill() throws InterruptedException {
-        process.destroyForcibly();
-        process.waitFor(5, TimeUnit.SECONDS);
-    }
 }
--- a/review/support/Store.java
+++ b/review/support/Store.java
@@ -42,6 +42,7 @@
     private long nextLease = 1000;
     private long era = 1;
     private volatile boolean away;
+    private final Map<Http.Connection, Map<String, String>> views = new java.util.concurrent.ConcurrentHashMap<>();
 
     Store(Record record) throws IOException {
         this.record = record;
@@ -53,6 +54,36 @@
         return server.address();
     }
 
+    /**
+     * Opens another address of the store at which texts in the values of items appear as others, so that each router
+     * can have a path of its own to each engine.
+     */
+    String view(Map<String, String> replacements) throws IOException {
+        return new Http.Server((request, connection) -> {
+                    views.put(connection, replacements);
+                    try {
+                        handle(request, connection);
+                    } finally {
+                        views.remove(connection);
+                    }
+                })
+                .address();
+    }
+
+    private Map<String, Object> seenBy(Http.Connection connection, Map<String, Object> json) {
+        Map<String, String> replacements = views.get(connection);
+        if (replacements == null || !json.containsKey("value")) {
+            return json;
+        }
+        String value = new String(Base64.getDecoder().decode((String) json.get("value")), StandardCharsets.UTF_8);
+        for (Map.Entry<String, String> replacement : replacements.entrySet()) {
+            value = value.replace(replacement.getKey(), replacement.getValue());
+        }
+        Map<String, Object> seen = new LinkedHashMap<>(json);
+        seen.put("value", Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8)));
+        return seen;
+    }
+
     private static long now() {
         return System.nanoTime() / 1_000_000;
     }
@@ -107,12 +138,6 @@
         }
     }
 
-    /** The store is back as it was, its leases paused meanwhile. */
-    synchronized void comeBack(long awayMillis) {
-        leases.replaceAll((id, lease) -> new Lease(lease.ttlMillis(), lease.endsAtMillis() + awayMillis));
-        away = false;
-    }
-
     /** The store is back from a copy; leases of the copy run on from where they were. */
     synchronized void comeBackFrom(Object taken, long copyAgeMillis) {
         Copy copy = (Copy) taken;
@@ -204,6 +229,7 @@
                 List<Map<String, Object>> events = history.stream()
                         .filter(event -> ((Number) event.get("revision")).longValue() > after
                                 && ((String) event.get("key")).startsWith(query.getOrDefault("prefix", "")))
+                        .map(event -> seenBy(connection, event))
                         .toList();
                 if (!events.isEmpty() || now() >= endsAtMillis) {
                     body.put("events", events);
@@ -228,7 +254,7 @@
                     items.values().stream()
                             .filter(item -> item.key().startsWith(query.getOrDefault("prefix", ""))
                                     && item.key().compareTo(query.getOrDefault("after", "")) > 0)
-                            .map(Item::json)
+                            .map(item -> seenBy(connection, item.json()))
                             .toList());
             body.put("truncated", false);
             body.put("current_rev", revision);
