--- a/review/support/Router.java
+++ b/review/support/Router.java
@@ -125,9 +125,9 @@
         return ports.get(0);
     }
 
-    /** Sends a signal by name to the process. */
-    void signal(String signal) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+    /** Sends SIGTERM to the process. */
+    void terminate() {
+        process.destroy();
     }
 
 }
