--- a/review/1/EndlessBody.java
+++ b/review/1/EndlessBody.java
@@ -43,12 +43,12 @@
                 super.run(request, connection, runOn);
                 return;
             }
-            deployment.record.verdict(id + ": the answer to " + request.header("attempt-id") + " goes on without end");
+            deployment.record.verdict(id + ": the answer to " + request.header(Protocol.ATTEMPT_ID) + " goes on without end");
             connection.send("HTTP/1.1 200 OK\r\n"
                     + String.join(
                             "\r\n",
                             Deployment.answerHeaders(
-                                    request, "Weight-Versions: " + runOn, "Content-Type: text/event-stream"))
+                                    request, Protocol.WEIGHTS + ": " + runOn, "Content-Type: text/event-stream"))
                     + "\r\n\r\n");
             long startNanos = System.nanoTime();
             long sentBytes = 0;
@@ -79,7 +79,7 @@
         for (int index = 0; index < SERVICES; index++) {
             new Engine(deployment, "records", "service-" + index);
         }
-        deployment.store.put("op/config", Deployment.configuration(7, "\"" + Deployment.KEY + "\""));
+        deployment.store.put(Protocol.CONFIGURATION_KEY, Deployment.configuration(7, "\"" + Deployment.KEY + "\""));
         deployment.store.put("op/version/" + Deployment.MODEL, "{\"model\":\"" + Deployment.MODEL + "\",\"version\":1}");
         List<Router> routers = new ArrayList<>();
         for (int index = 1; index <= ROUTERS; index++) {
--- a/review/3/OlderCopy.java
+++ b/review/3/OlderCopy.java
@@ -35,7 +35,7 @@
         for (int index = 0; index < SERVICES; index++) {
             new Engine(deployment, "records", "service-" + index);
         }
-        deployment.store.put("op/config", Deployment.configuration(7, BOTH_KEYS));
+        deployment.store.put(Protocol.CONFIGURATION_KEY, Deployment.configuration(7, BOTH_KEYS));
         deployment.store.put(
                 "op/version/" + Deployment.MODEL, "{\"model\":\"" + Deployment.MODEL + "\",\"version\":1}");
         Object copy = deployment.store.copy();
@@ -75,7 +75,7 @@
     }
 
     private static void writeConfiguration(Deployment deployment, long version, String keys) {
-        long revision = deployment.store.put("op/config", Deployment.configuration(version, keys));
+        long revision = deployment.store.put(Protocol.CONFIGURATION_KEY, Deployment.configuration(version, keys));
         deployment.record.verdict("operator: configuration " + version + " acknowledged at revision " + revision);
     }
 
--- a/review/5/HangingPaths.java
+++ b/review/5/HangingPaths.java
@@ -32,7 +32,7 @@
         for (int index = 0; index < SERVERS; index++) {
             servers.add(new Engine(deployment, "records", "service-" + index));
         }
-        deployment.store.put("op/config", Deployment.configuration(7, "\"" + Deployment.KEY + "\""));
+        deployment.store.put(Protocol.CONFIGURATION_KEY, Deployment.configuration(7, "\"" + Deployment.KEY + "\""));
         List<Router> routers = new ArrayList<>();
         List<Path> cutPaths = new ArrayList<>();
         for (int index = 0; index < ZONES.size(); index++) {
--- a/review/support/Caller.java
+++ b/review/support/Caller.java
@@ -50,7 +50,8 @@
         int status = 0;
         String text;
         String prompt = prefix.startsWith("/ask") || prefix.startsWith("/mark")
-                ? "Model: " + Deployment.MODEL + "\r\nToken-Counts: 626,73\r\nPrompt-Prefix: 5c1e07a2:119,91bd3f06:79,"
+                ? "Model: " + Deployment.MODEL + "\r\n" + Protocol.TOKEN_COUNTS + ": 626,73\r\n" + Protocol.PROMPT_PREFIX
+                        + ": 5c1e07a2:119,91bd3f06:79,"
                         + attemptId + ":428\r\n"
                 : "";
         String body = method.equals("POST") ? "body of " + attemptId : "";
--- a/review/support/Engine.java
+++ b/review/support/Engine.java
@@ -183,7 +183,7 @@
         orders.add(new Order(
                 deployment.record.millis(),
                 (String) order.get("holder"),
-                ((Number) order.get("fencing_token")).longValue(),
+                ((Number) order.get(Protocol.FENCING_TOKEN)).longValue(),
                 ((Number) order.get("version")).longValue(),
                 status));
         deployment.record.line(id + ": order " + Json.write(order) + " answered " + status);
@@ -191,8 +191,8 @@
     }
 
     void handleCall(Http.Message request, Http.Connection connection) throws IOException {
-        if (request.header("attempt-id").isEmpty()) {
-            connection.respond(400, List.of("Not-Executed: 1"), "");
+        if (request.header(Protocol.ATTEMPT_ID).isEmpty()) {
+            connection.respond(400, List.of(Protocol.NOT_EXECUTED + ": 1"), "");
             return;
         }
         long runOn;
@@ -204,28 +204,28 @@
                 connection.respond(
                         421,
                         List.of(
-                                "Attempt-Id: " + request.header("attempt-id"),
+                                Deployment.attemptId(request),
                                 "Instance-Id: " + id,
-                                "Not-Executed: 1",
-                                "Weight-Versions: " + weights),
+                                Protocol.NOT_EXECUTED + ": 1",
+                                Protocol.WEIGHTS + ": " + weights),
                         "");
                 return;
             }
             if (loadingUntilMillis > 0) {
                 connection.respond(
-                        503, List.of("Attempt-Id: " + request.header("attempt-id"), "Not-Executed: 1"), "");
+                        503, List.of(Deployment.attemptId(request), Protocol.NOT_EXECUTED + ": 1"), "");
                 return;
             }
             running++;
         }
         try {
             runs.add(new Run(
-                    request.header("attempt-id"),
+                    request.header(Protocol.ATTEMPT_ID),
                     request.target(),
                     request.header("tenant"),
                     runOn,
                     deployment.record.millis()));
-            deployment.record.line(id + ": runs " + request.header("attempt-id") + " " + request.target());
+            deployment.record.line(id + ": runs " + request.header(Protocol.ATTEMPT_ID) + " " + request.target());
             run(request, connection, runOn);
         } finally {
             synchronized (this) {
@@ -239,12 +239,12 @@
         if (!isModelEngine()) {
             pause(40 + ThreadLocalRandom.current().nextInt(40));
             connection.respond(
-                    200, Deployment.answerHeaders(request, "Engine-Load: 1,0,6"), body(request.header("attempt-id")));
+                    200, Deployment.answerHeaders(request, "Engine-Load: 1,0,6"), body(request.header(Protocol.ATTEMPT_ID)));
             return;
         }
         List<String> head = new ArrayList<>(Deployment.answerHeaders(
                 request,
-                "Weight-Versions: " + runOn,
+                Protocol.WEIGHTS + ": " + runOn,
                 "Engine-Load: 1,0,64",
                 "Content-Type: text/event-stream",
                 "Transfer-Encoding: chunked"));
@@ -252,7 +252,7 @@
         long first = number(request.header("last-event-id"), 0) + 1;
         for (long event = first; event <= EVENTS; event++) {
             pause(EVENT_INTERVAL_MILLIS);
-            String text = "id: " + event + "\ndata: " + request.header("attempt-id") + "\n\n";
+            String text = "id: " + event + "\ndata: " + request.header(Protocol.ATTEMPT_ID) + "\n\n";
             connection.send(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
         }
         connection.send("0\r\n\r\n");
--- a/review/support/Store.java
+++ b/review/support/Store.java
@@ -190,18 +190,18 @@
                 query.put(parts[0], parts.length < 2 ? "" : URLDecoder.decode(parts[1], StandardCharsets.UTF_8));
             }
         }
-        if (path.equals("/kv-watch")) {
+        if (path.equals(Protocol.WATCH_PATH)) {
             watch(query, connection);
-        } else if (path.equals("/kv-range")) {
+        } else if (path.equals(Protocol.RANGE_PATH)) {
             range(query, connection);
-        } else if (path.equals("/kv-txn")) {
+        } else if (path.equals(Protocol.TRANSACTION_PATH)) {
             transaction(Json.readObject(request.text()), connection);
-        } else if (path.equals("/kv-lease")) {
+        } else if (path.equals(Protocol.GRANT_PATH)) {
             grant(Json.readObject(request.text()), connection);
         } else if (path.startsWith("/kv-keep/")) {
             keep(Long.parseLong(path.substring("/kv-keep/".length())), connection);
-        } else if (path.startsWith("/kv-lease-end/")) {
-            end(Long.parseLong(path.substring("/kv-lease-end/".length())), connection);
+        } else if (path.startsWith(Protocol.END_PATH)) {
+            end(Long.parseLong(path.substring(Protocol.END_PATH.length())), connection);
         } else {
             answer(connection, 404, Map.of());
         }
