Follow the store into a new era when it returns from an older copy

Cause: the replica keeps an item unless a newer one has a higher revision, but revisions begin anew when the store returns from a copy. The log showed all items read at revision 12 with the configuration in force at 19, and no new configuration after it. Nothing read the header that names the era.

Change: replies carry the era to the core. A new era makes all items be read again under revisions that count from there; content that is older than the known one does not replace it. Replies to calls of another era count as failed, leases of a former era are not used, fencing tokens rise over eras, and peers name the era of their revisions.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ForwardingNewsBuilder.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ForwardingNewsBuilder.java
@@ -28,12 +28,24 @@
     private List<PeerMessage.ReadParts> reads = List.of();
     private List<PeerMessage.DomainWork> domains = List.of();
     private List<PeerMessage.CacheChanges> caches = List.of();
+    private long storeEraNumber;
 
     ForwardingNewsBuilder(EntryVm vm, long revision) {
         this.vm = vm;
         this.revision = revision;
     }
 
+    /**
+     * Sets the era of the store to which the revisions of this update belong.
+     *
+     * @param era the era
+     * @return this builder
+     */
+    public ForwardingNewsBuilder storeEra(long era) {
+        storeEraNumber = era + 1;
+        return this;
+    }
+
     /**
      * Requests the items that changed after the sender's revision.
      *
@@ -284,6 +296,7 @@
                 pauses,
                 leaving,
                 openStreamQueries,
-                openStreamReplies);
+                openStreamReplies,
+                storeEraNumber);
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import org.fuchsiatrail.forwarding.StoreReply;
+
 /**
  * A message between routers.
  *
@@ -194,6 +196,8 @@
      * @param leaving the incarnations of upstreams that said that they are leaving
      * @param openStreamQueries replaced version shares whose open streams the sender asks for
      * @param openStreamReplies replies to such queries
+     * @param storeEraNumber one more than the era of the store to which the revisions belong; 0 if that is not known,
+     *     and in updates of older builds
      */
     record ForwardingNews(
             EntryVm vm,
@@ -218,7 +222,8 @@
             List<SeenPause> pauses,
             List<UpstreamId> leaving,
             List<OpenStreamQuery> openStreamQueries,
-            List<OpenStreamReply> openStreamReplies)
+            List<OpenStreamReply> openStreamReplies,
+            long storeEraNumber)
             implements PeerMessage {
 
         /** Replaces missing lists with empty ones. */
@@ -244,6 +249,15 @@
             openStreamReplies = openStreamReplies == null ? List.of() : openStreamReplies;
         }
 
+        /**
+         * Returns the era of the store to which the revisions belong.
+         *
+         * @return the era, or {@link StoreReply#UNKNOWN_ERA}
+         */
+        public long storeEra() {
+            return storeEraNumber == 0 ? StoreReply.UNKNOWN_ERA : storeEraNumber - 1;
+        }
+
         /**
          * Returns a builder of an update in which all lists are empty.
          *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingInput.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingInput.java
@@ -37,8 +37,20 @@
      *
      * @param call the number of the call that this answers
      * @param reply the reply
+     * @param era the era of the store that the reply names, or {@link StoreReply#UNKNOWN_ERA}
      */
-    record StoreAnswered(long call, StoreReply reply) implements ForwardingInput {}
+    record StoreAnswered(long call, StoreReply reply, long era) implements ForwardingInput {
+
+        /**
+         * Creates a reply that names no era, or the failure of a call.
+         *
+         * @param call the number of the call that this answers
+         * @param reply the reply
+         */
+        public StoreAnswered(long call, StoreReply reply) {
+            this(call, reply, StoreReply.UNKNOWN_ERA);
+        }
+    }
 
     /**
      * An engine replied to an order or to a state query.
@@ -68,8 +80,19 @@
      * A peer relayed an item of the platform's store.
      *
      * @param item the item
+     * @param era the era of the store to which the item's revision belongs, or {@link StoreReply#UNKNOWN_ERA}
      */
-    record StoreItemRelayed(StoreItem item) implements ForwardingInput {}
+    record StoreItemRelayed(StoreItem item, long era) implements ForwardingInput {
+
+        /**
+         * Creates a relayed item without an era.
+         *
+         * @param item the item
+         */
+        public StoreItemRelayed(StoreItem item) {
+            this(item, StoreReply.UNKNOWN_ERA);
+        }
+    }
 
     /**
      * The wall clock jumped against the steady clock: it was changed, or the process was suspended while the steady
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/StoreReply.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/StoreReply.java
@@ -5,6 +5,9 @@
 /** The reply of the platform's store to a call, or the failure of the call. */
 public sealed interface StoreReply {
 
+    /** The era of a reply that names none. */
+    long UNKNOWN_ERA = -1;
+
     /**
      * A page of all items.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -55,6 +55,7 @@
         context = new ForwardingContext(settings);
         storeReplica = new StoreReplica(context);
         storeCalls = new StoreCallTable(context);
+        storeCalls.era().onChange(storeReplica::beginEra);
         storeWatcher = new StoreWatcher(context, storeCalls, storeReplica);
         memberRegistration = new MemberRegistration(context, storeCalls);
         EngineProbes probes = new EngineProbes(context);
@@ -66,7 +67,8 @@
         RetryBudgets retryBudgets = new RetryBudgets(context, storeReplica);
         orderLease = new OrderLease(context, storeCalls, storeReplica);
         requestLimits = new RequestLimits(context, storeReplica);
-        gossip = new PeerGossip(context, storeReplica, upstreams, crashProtection, requestLimits, streamVersions);
+        gossip = new PeerGossip(
+                context, storeReplica, storeCalls.era(), upstreams, crashProtection, requestLimits, streamVersions);
         versionShares =
                 new VersionShareSystem(context, storeCalls, storeReplica, upstreams, streamVersions.shareCompletion());
         calls = new CallSystem(
@@ -129,7 +131,8 @@
             case ForwardingInput.CallerDisconnected disconnected -> calls.callerDisconnected(disconnected.request());
             case ForwardingInput.AttemptEventReceived received ->
                 calls.receiveAttemptEvent(received.attempt(), received.event());
-            case ForwardingInput.StoreAnswered answered -> storeCalls.answer(answered.call(), answered.reply());
+            case ForwardingInput.StoreAnswered answered ->
+                storeCalls.answer(answered.call(), answered.reply(), answered.era());
             case ForwardingInput.OrderAnswered answered -> {
                 if (answered.reply() instanceof OrderReply.NotConnected) {
                     upstreams.find(answered.engine()).ifPresent(engine -> calls.upstreamEnded(engine.incarnationId()));
@@ -138,7 +141,12 @@
             }
             case ForwardingInput.CacheEventsReceived cacheEvents ->
                 cacheEventReader.receive(cacheEvents.holder(), cacheEvents.reply());
-            case ForwardingInput.StoreItemRelayed relayed -> storeReplica.apply(relayed.item());
+            case ForwardingInput.StoreItemRelayed relayed -> {
+                storeCalls.era().observeFromPeer(relayed.era());
+                if (storeCalls.era().isCurrent(relayed.era())) {
+                    storeReplica.apply(relayed.item());
+                }
+            }
             case ForwardingInput.PeerMessageReceived received -> gossip.receive(received.from(), received.message());
             case ForwardingInput.ClockJumped jumped -> {
                 orderLease.clockJumped();
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ItemRelay.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ItemRelay.java
@@ -4,10 +4,12 @@
 import java.util.List;
 
 import org.fuchsiatrail.EntryVmId;
+import org.fuchsiatrail.ForwardingNewsBuilder;
 import org.fuchsiatrail.PeerMessage;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
 import org.fuchsiatrail.forwarding.StoreItem;
 import org.fuchsiatrail.forwarding.StoreItemContent;
+import org.fuchsiatrail.forwarding.StoreReply;
 
 /**
  * Exchanges items of the platform's store with peers: sends them to routers that cannot reach the store, and requests
@@ -26,11 +28,20 @@
 
     private final ForwardingContext context;
     private final StoreReplica replica;
+    private final StoreEra era;
     private long behindSinceMillis = Long.MAX_VALUE;
 
-    ItemRelay(ForwardingContext context, StoreReplica replica) {
+    ItemRelay(ForwardingContext context, StoreReplica replica, StoreEra era) {
         this.context = context;
         this.replica = replica;
+        this.era = era;
+    }
+
+    /** Returns an update with this router's revision. */
+    ForwardingNewsBuilder newUpdate() {
+        ForwardingNewsBuilder update =
+                PeerMessage.ForwardingNews.builder(context.settings().self(), replica.revision());
+        return era.current() == StoreReply.UNKNOWN_ERA ? update : update.storeEra(era.current());
     }
 
     /** Compares a peer's revision with that of the local replica, and requests items once the peer stays ahead. */
@@ -50,17 +61,15 @@
         }
         behindSinceMillis = context.now();
         context.count("peers.asked-for-items");
-        PeerMessage.ForwardingNews request = PeerMessage.ForwardingNews.builder(
-                        context.settings().self(), replica.revision())
-                .wantsItems()
-                .build();
+        PeerMessage.ForwardingNews request = newUpdate().wantsItems().build();
         context.emit(new ForwardingOutput.SendToPeer(from, update.vm().address(), request));
     }
 
-    /** Sends a peer the items that changed after its revision. */
+    /** Sends a peer the items that changed after its revision, or all if that belongs to another era. */
     void sendItems(EntryVmId from, PeerMessage.ForwardingNews request) {
         List<PeerMessage.RelayedItem> items = new ArrayList<>();
-        List<StoreItem> changed = new ArrayList<>(replica.changedAfter(request.revision()));
+        long afterRevision = era.isCurrent(request.storeEra()) ? request.revision() : 0;
+        List<StoreItem> changed = new ArrayList<>(replica.changedAfter(afterRevision));
         changed.sort((first, second) -> Long.compare(first.revision(), second.revision()));
         long bytes = 0;
         long coveredRevision = replica.revision();
@@ -73,10 +82,8 @@
             boolean removed = item.content() instanceof StoreItemContent.Removed;
             items.add(new PeerMessage.RelayedItem(item.key(), item.revision(), removed, item.value()));
         }
-        PeerMessage.ForwardingNews response = PeerMessage.ForwardingNews.builder(
-                        context.settings().self(), replica.revision())
-                .items(items, coveredRevision)
-                .build();
+        PeerMessage.ForwardingNews response =
+                newUpdate().items(items, coveredRevision).build();
         context.emit(new ForwardingOutput.SendToPeer(from, request.vm().address(), response));
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/MemberRegistration.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/MemberRegistration.java
@@ -18,6 +18,12 @@
     /** Delay after a failed call, in milliseconds. */
     private static final long RETRY_DELAY_MILLIS = 300;
 
+    /**
+     * The longest delay before the entry is written again in a new era of the store, in milliseconds; peers keep a lost
+     * entry a little longer.
+     */
+    private static final long MAXIMUM_NEW_ERA_DELAY_MILLIS = 1_200;
+
     /** Timeout of a call, in milliseconds; a slow store takes 0.3 s. */
     private static final long CALL_TIMEOUT_MILLIS = 800;
 
@@ -31,6 +37,14 @@
     MemberRegistration(ForwardingContext context, StoreCallTable store) {
         this.context = context;
         this.store = store;
+        store.era().onChange(this::beginEra);
+    }
+
+    /** Registers again, since the entry or its lease may be lost; the routers of a fleet one after the other. */
+    private void beginEra() {
+        leaseId = 0;
+        registered = false;
+        scheduleNextCall(context.random().nextLong(MAXIMUM_NEW_ERA_DELAY_MILLIS));
     }
 
     void run() {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/OrderLease.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/OrderLease.java
@@ -37,6 +37,7 @@
     private boolean callPending;
     private boolean holdsLease;
     private long leaseId;
+    private long leaseEra;
     private long fencingToken;
     private long renewedAtMillis = Long.MIN_VALUE / 2;
     private long ordersAllowedFromMillis = Long.MAX_VALUE;
@@ -47,6 +48,14 @@
         this.context = context;
         this.store = store;
         this.replica = replica;
+        store.era().onChange(this::beginEra);
+    }
+
+    /** Gives the lease up, since the store may have lost it and granted it, or its number, to another router. */
+    private void beginEra() {
+        if (holdsLease) {
+            markLost("the store returned from an older copy");
+        }
     }
 
     /** Returns the fencing token if this router may issue orders now. */
@@ -113,6 +122,7 @@
             callPending = false;
             if (reply instanceof StoreReply.LeaseGranted granted) {
                 leaseId = granted.lease();
+                leaseEra = store.era().current();
                 writeHolder(sentAtMillis);
             } else {
                 scheduleNextCall(RETRY_DELAY_MILLIS);
@@ -127,7 +137,7 @@
             callPending = false;
             if (reply instanceof StoreReply.Written written) {
                 holdsLease = true;
-                fencingToken = written.revision();
+                fencingToken = store.era().fencingToken(written.revision());
                 renewedAtMillis = sentAtMillis;
                 ordersAllowedFromMillis = context.now() + context.settings().orderLeaseMillis();
                 context.wakeAt(ordersAllowedFromMillis);
@@ -147,10 +157,12 @@
 
     /**
      * Ends a lease after the holder entry was not written or its outcome is unknown, so that an entry that was written
-     * after all is removed with the lease.
+     * after all is removed with the lease. In another era, the lease of that number may be that of another router.
      */
     private void endUnusedLease() {
-        store.call(new StoreCall.EndLease(leaseId), CALL_TIMEOUT_MILLIS, reply -> {});
+        if (leaseEra == store.era().current()) {
+            store.call(new StoreCall.EndLease(leaseId), CALL_TIMEOUT_MILLIS, reply -> {});
+        }
         scheduleNextCall(RETRY_DELAY_MILLIS);
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
@@ -64,6 +64,7 @@
 
     private final ForwardingContext context;
     private final StoreReplica replica;
+    private final StoreEra storeEra;
     private final UpstreamTable upstreams;
     private final CrashTracker crashes;
     private final PromptPartTracker promptParts;
@@ -88,19 +89,21 @@
     PeerGossip(
             ForwardingContext context,
             StoreReplica replica,
+            StoreEra storeEra,
             UpstreamTable upstreams,
             CrashProtection crashProtection,
             RequestLimits requestLimits,
             StreamVersions streamVersions) {
         this.context = context;
         this.replica = replica;
+        this.storeEra = storeEra;
         this.upstreams = upstreams;
         this.crashes = crashProtection.tracker();
         this.promptParts = crashProtection.promptParts();
         this.requestLimits = requestLimits;
         this.streamVersions = streamVersions;
         this.topology = new GossipTopology(context.settings().self());
-        this.itemRelay = new ItemRelay(context, replica);
+        this.itemRelay = new ItemRelay(context, replica, storeEra);
     }
 
     /** Buffers prompt parts that an engine has prefilled for the next update. */
@@ -224,7 +227,8 @@
     }
 
     private ForwardingNewsBuilder newUpdate() {
-        return PeerMessage.ForwardingNews.builder(context.settings().self(), replica.revision())
+        return itemRelay
+                .newUpdate()
                 .weights(unpublishedWeightVersions())
                 .targetAges(replica.targetHistory().reports());
     }
@@ -262,6 +266,8 @@
             }
             return;
         }
+        long updateEra = update.storeEra();
+        storeEra.observeFromPeer(updateEra);
         if (update.wantsItems()) {
             itemRelay.sendItems(from, update);
             return;
@@ -287,8 +293,13 @@
         boolean sameDomain = update.vm().failureDomain().equals(ownDomain());
         update.targetAges().forEach(report -> replica.targetHistory().receive(from, report));
         applyUpdates(update, sameDomain ? buffer.local() : buffer.remote());
+        if (!storeEra.isCurrent(updateEra)) {
+            return;
+        }
         itemRelay.compareRevision(from, update);
-        if (update.revision() <= replica.revision() && topology.isInContact(replica.members(), context.now())) {
+        if (replica.revision() > 0
+                && update.revision() <= replica.revision()
+                && topology.isInContact(replica.members(), context.now())) {
             replica.contact().confirmByMessage();
         }
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerUpdateCheck.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerUpdateCheck.java
@@ -19,6 +19,7 @@
         return isComplete(update.vm())
                 && isRevision(update.revision())
                 && isRevision(update.coversUpTo())
+                && isRevision(update.storeEraNumber())
                 && all(update.items(), item -> item.key() != null && item.value() != null)
                 && areComplete(update.work())
                 && all(update.domains(), domain -> domain.domain() != null && areComplete(domain.work()))
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SharedQuarantines.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SharedQuarantines.java
@@ -53,6 +53,15 @@
         this.store = store;
         this.replica = replica;
         this.sources = sources;
+        store.era().onChange(this::beginEra);
+    }
+
+    /** Publishes all quarantines of this router again, since the store may have lost them. */
+    private void beginEra() {
+        for (Publication publication : publications.values()) {
+            publication.leaseId = 0;
+            publication.published = false;
+        }
     }
 
     /** Returns how much longer a quarantine lasts, in milliseconds, as far as this router or the store knows. */
@@ -68,7 +77,7 @@
         replica.drainNewQuarantines()
                 .forEach(published -> sources.forEach(source -> source.quarantinePublished(published)));
         sources.forEach(this::schedulePublications);
-        if (callPending || context.now() < nextCallAtMillis) {
+        if (callPending || context.now() < nextCallAtMillis || replica.revision() == 0) {
             return;
         }
         Iterator<Map.Entry<Long, Publication>> entries = publications.entrySet().iterator();
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreReplica.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreReplica.java
@@ -21,12 +21,21 @@
  *
  * <p>An item is replaced only by one of a higher revision, so the state in force never reverts to an older one. Removed
  * items are kept as tombstones and sent to peers like other changes.
+ *
+ * <p>When the store returns from an older copy, revisions begin anew, and any item of the new era replaces a known one
+ * unless its content is older. What operators and routers decided stays in force until it is written again.
  */
 final class StoreReplica {
 
     /** KV memory of an engine whose service does not configure it, in tokens. */
     private static final long DEFAULT_MEMORY_TOKENS = 90_000;
 
+    /**
+     * How long members whose entries the store has lost are kept, in milliseconds. They are back within about two
+     * seconds after the store has returned.
+     */
+    private static final long LOST_MEMBER_GRACE_MILLIS = 2_200;
+
     private final ForwardingContext context;
     private final Map<String, StoreItem> items = new HashMap<>();
     private final Set<String> unreadableKeys = new HashSet<>();
@@ -42,6 +51,11 @@
 
     private BiConsumer<StoreItemContent, StoreItem> listener = (previousContent, item) -> {};
     private RoutingTable routing;
+    /** The keys of items of a former era that were not written again. Their revision is 0. */
+    private final Set<String> formerEraKeys = new HashSet<>();
+
+    private long lostMembersKeptUntilMillis = Long.MAX_VALUE;
+    private boolean everRead;
     private long revision;
     private int memberCount;
 
@@ -90,13 +104,14 @@
             versionShares.itemChanged(known.content(), inForce);
             return;
         }
+        formerEraKeys.remove(item.key());
         items.put(item.key(), item);
         memberCount += (item.content() instanceof StoreItemContent.Member ? 1 : 0)
                 - (known != null && known.content() instanceof StoreItemContent.Member ? 1 : 0);
         switch (item.content()) {
             case StoreItemContent.Routing configuration -> applyRouting(configuration.table(), item);
             case StoreItemContent.TargetWeights target -> {
-                long assumedAgeMillis = targetHistory.add(target.model(), target.version(), revision == 0);
+                long assumedAgeMillis = targetHistory.add(target.model(), target.version(), !everRead);
                 context.log(
                         "weights",
                         "Target weights set.",
@@ -138,6 +153,79 @@
         listener.accept(previous, item);
     }
 
+    /** Begins an era of the store, in which revisions are given out again. All items have to be read again. */
+    void beginEra() {
+        for (StoreItem known : List.copyOf(items.values())) {
+            if (known.content() instanceof StoreItemContent.Removed
+                    || known.content() instanceof StoreItemContent.Unreadable) {
+                items.remove(known.key());
+                formerEraKeys.remove(known.key());
+                continue;
+            }
+            StoreItem ofFormerEra = new StoreItem(known.key(), 0, known.value(), known.content());
+            items.put(known.key(), ofFormerEra);
+            formerEraKeys.add(known.key());
+            versionShares.itemChanged(known.content(), ofFormerEra);
+        }
+        revision = 0;
+        lostMembersKeptUntilMillis = context.now() + LOST_MEMBER_GRACE_MILLIS;
+        context.wakeAt(lostMembersKeptUntilMillis);
+    }
+
+    /** Removes members that the store has lost and that did not register again in time. */
+    void run() {
+        if (revision == 0 || context.now() < lostMembersKeptUntilMillis) {
+            return;
+        }
+        lostMembersKeptUntilMillis = Long.MAX_VALUE;
+        for (String key : List.copyOf(formerEraKeys)) {
+            if (items.get(key).content() instanceof StoreItemContent.Member) {
+                removeMissing(key, revision);
+            }
+        }
+    }
+
+    private void removeMissing(String key, long readAtRevision) {
+        applyGuarded(new StoreItem(key, readAtRevision, new byte[0], new StoreItemContent.Removed()));
+    }
+
+    /** Returns whether an item that the store has lost stays in force until it is written again. */
+    private boolean outlivesLoss(StoreItem known) {
+        if (!formerEraKeys.contains(known.key())) {
+            return false;
+        }
+        return switch (known.content()) {
+            case StoreItemContent.Routing routing -> true;
+            case StoreItemContent.TargetWeights target -> true;
+            case StoreItemContent.CurrentVersionShares current -> true;
+            case StoreItemContent.Member member -> context.now() < lostMembersKeptUntilMillis;
+            case StoreItemContent.ReplacedVersionShares replaced -> false;
+            case StoreItemContent.Quarantine quarantine -> false;
+            case StoreItemContent.OrderLeaseHolder holder -> false;
+            case StoreItemContent.Upstream upstream -> false;
+            case StoreItemContent.Unreadable unreadable -> false;
+            case StoreItemContent.Removed removed -> false;
+        };
+    }
+
+    /** Returns whether known content of a former era is newer than what the store has under the same key. */
+    private static boolean isNewer(StoreItemContent known, StoreItemContent stored) {
+        return switch (known) {
+            case StoreItemContent.Routing routing ->
+                stored instanceof StoreItemContent.Routing older
+                        && routing.table().version() > older.table().version();
+            case StoreItemContent.TargetWeights target ->
+                stored instanceof StoreItemContent.TargetWeights older && target.version() > older.version();
+            case StoreItemContent.CurrentVersionShares current ->
+                stored instanceof StoreItemContent.CurrentVersionShares older
+                        && current.shares().epoch() > older.shares().epoch();
+            case StoreItemContent.Upstream upstream ->
+                stored instanceof StoreItemContent.Upstream older
+                        && upstream.entry().startedAtMillis() > older.entry().startedAtMillis();
+            default -> false;
+        };
+    }
+
     /** Logs an unreadable item once until its key is readable again or removed, however often it is written. */
     private void recordReadability(StoreItem item) {
         if (!(item.content() instanceof StoreItemContent.Unreadable unreadable)) {
@@ -158,14 +246,26 @@
         }
     }
 
-    /**
-     * Returns whether the known content of an item stays in force. What operators or routers decided does while its
-     * item is unreadable; an upstream or a router whose item is unreadable is not used.
-     */
-    private static boolean keepsContentInForce(StoreItem known, StoreItem newer) {
-        if (!(newer.content() instanceof StoreItemContent.Unreadable)) {
+    /** Returns whether the known content of an item stays in force, under the revision of the newer item. */
+    private boolean keepsContentInForce(StoreItem known, StoreItem newer) {
+        if (newer.content() instanceof StoreItemContent.Unreadable) {
+            return outlivesUnreadableItem(known);
+        }
+        if (!formerEraKeys.contains(known.key())) {
             return false;
         }
+        boolean unchanged = known.content().equals(newer.content());
+        if (unchanged) {
+            formerEraKeys.remove(known.key());
+        }
+        return unchanged || isNewer(known.content(), newer.content());
+    }
+
+    /**
+     * Returns whether known content stays in force while its item is unreadable. What operators or routers decided
+     * does; an upstream or a router whose item is unreadable is not used.
+     */
+    private static boolean outlivesUnreadableItem(StoreItem known) {
         return switch (known.content()) {
             case StoreItemContent.Routing routing -> true;
             case StoreItemContent.TargetWeights target -> true;
@@ -229,8 +329,8 @@
         }
         for (StoreItem known : List.copyOf(items.values())) {
             boolean missing = !presentKeys.contains(known.key()) && known.revision() <= readAtRevision;
-            if (missing && !(known.content() instanceof StoreItemContent.Removed)) {
-                applyGuarded(new StoreItem(known.key(), readAtRevision, new byte[0], new StoreItemContent.Removed()));
+            if (missing && !(known.content() instanceof StoreItemContent.Removed) && !outlivesLoss(known)) {
+                removeMissing(known.key(), readAtRevision);
             }
         }
         advanceRevision(readAtRevision);
@@ -239,6 +339,7 @@
     /** Records that all changes up to a revision are known. */
     void advanceRevision(long newRevision) {
         revision = Math.max(revision, newRevision);
+        everRead |= revision > 0;
     }
 
     /** The revision up to which all changes are known. */
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreWatcher.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreWatcher.java
@@ -9,7 +9,7 @@
 
 /**
  * Keeps the store replica up to date: reads all items once, then watches for changes, and reads all items again when
- * the store has compacted the history since the known revision.
+ * the store has compacted the history since the known revision or has returned from an older copy.
  *
  * <p>A watch that was pending while the store was unreachable may never be answered, so it is abandoned and repeated
  * once any other call shows that the store is reachable again.
@@ -66,9 +66,21 @@
         this.context = context;
         this.store = store;
         this.replica = replica;
+        store.era().onChange(this::beginEra);
+    }
+
+    /** Abandons the pending call, whose reply would not count, and reads all items; a large fleet not all at once. */
+    private void beginEra() {
+        callNumber++;
+        callPending = false;
+        readingAllItems = true;
+        afterKey = "";
+        backoffMillis = MINIMUM_BACKOFF_MILLIS;
+        delayNextCall(context.random().nextLong(batchDelayMillis(replica.memberCount())));
     }
 
     void run() {
+        replica.run();
         boolean watching = callPending && !readingAllItems;
         boolean storeFailed = store.lastFailureAtMillis() >= calledAtMillis;
         boolean suspended = !context.suspensions().ranSince(calledAtMillis);
@@ -87,15 +99,19 @@
         }
         callPending = true;
         calledAtMillis = context.now();
-        long watchNumber = ++callNumber;
+        long number = ++callNumber;
         if (readingAllItems) {
-            store.call(new StoreCall.ReadAll(afterKey), RESPONSE_TIMEOUT_MILLIS, this::receivePage);
+            store.call(new StoreCall.ReadAll(afterKey), RESPONSE_TIMEOUT_MILLIS, reply -> {
+                if (number == callNumber) {
+                    receivePage(reply);
+                }
+            });
         } else {
             store.call(
                     new StoreCall.Watch(replica.revision(), WATCH_WAIT_MILLIS),
                     WATCH_WAIT_MILLIS + RESPONSE_TIMEOUT_MILLIS,
                     reply -> {
-                        if (watchNumber == callNumber) {
+                        if (number == callNumber) {
                             receiveWatchReply(reply);
                         } else if (reply instanceof StoreReply.Changes lateChanges) {
                             lateChanges.items().forEach(replica::applyGuarded);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/VersionShareSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/VersionShareSystem.java
@@ -120,7 +120,10 @@
             change.neededSinceMillis = Long.MAX_VALUE;
         }
         Map<String, VersionShareDecision.Upstreams> versions = versions(service);
-        Optional<List<VersionShares.Share>> next = VersionShareDecision.next(shares, versions);
+        boolean lostByStore = current.isPresent() && current.get().revision() == 0;
+        Optional<List<VersionShares.Share>> next = lostByStore && replica.revision() > 0
+                ? Optional.of(shares)
+                : VersionShareDecision.next(shares, versions);
         if (next.isEmpty() || !allRoutersApplyShares()) {
             change.neededSinceMillis = Long.MAX_VALUE;
             return;
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StoreWatcherTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StoreWatcherTest.java
@@ -51,7 +51,7 @@
 
     private void answer(StoreReply reply) {
         context.beginTick(now);
-        calls.answer(lastCall.call(), reply);
+        calls.answer(lastCall.call(), reply, StoreReply.UNKNOWN_ERA);
         watcher.run();
         recordCall();
     }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingLoop.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingLoop.java
@@ -106,7 +106,8 @@
         metrics.count("peers.received-messages", 1);
         update.items().stream()
                 .filter(Objects::nonNull)
-                .forEach(item -> inputs.add(new ForwardingInput.StoreItemRelayed(store.parseItem(item))));
+                .forEach(item ->
+                        inputs.add(new ForwardingInput.StoreItemRelayed(store.parseItem(item), update.storeEra())));
         accept(new ForwardingInput.PeerMessageReceived(from, update));
     }
 
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/OutputExecutor.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/OutputExecutor.java
@@ -123,7 +123,8 @@
                 store.call(
                         call.request(),
                         call.timeoutMillis(),
-                        reply -> inputs.accept(new ForwardingInput.StoreAnswered(call.call(), reply)));
+                        answer -> inputs.accept(
+                                new ForwardingInput.StoreAnswered(call.call(), answer.reply(), answer.era())));
             case ForwardingOutput.OrderWeights order ->
                 engines.sendOrder(
                         order, reply -> inputs.accept(new ForwardingInput.OrderAnswered(order.engine(), reply)));
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/forwarding/LoopOnLoopback.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/forwarding/LoopOnLoopback.java
@@ -239,16 +239,20 @@
     private record Store(List<String> addresses, String rawUpstream) implements StoreGateway {
 
         @Override
-        public void call(StoreCall call, long timeoutMillis, Consumer<StoreReply> listener) {
+        public void call(StoreCall call, long timeoutMillis, Consumer<Answer> listener) {
             switch (call) {
-                case StoreCall.ReadAll read -> listener.accept(new StoreReply.Page(items(), false, 10));
+                case StoreCall.ReadAll read -> reply(listener, new StoreReply.Page(items(), false, 10));
                 case StoreCall.Watch watch -> {}
                 case StoreCall.GrantLease grant ->
-                    listener.accept(new StoreReply.LeaseGranted(9, grant.lifetimeMillis()));
-                default -> listener.accept(new StoreReply.Failed(false, "not supported by the test"));
+                    reply(listener, new StoreReply.LeaseGranted(9, grant.lifetimeMillis()));
+                default -> reply(listener, new StoreReply.Failed(false, "not supported by the test"));
             }
         }
 
+        private static void reply(Consumer<Answer> listener, StoreReply reply) {
+            listener.accept(new Answer(reply));
+        }
+
         private List<StoreItem> items() {
             RoutingTable table = new RoutingTable(
                     1,
