Bound the work and the rate of answers without end

Cause: each event was a tick of the whole core and a write, and one read holds thousands of events. Endless answers that are one event, or none, did no harm in the same test, so it is neither memory nor the order of reads.

Change: the parts of one read are merged into one write and one tick, empty lines outside an event are no events, long responses are read at a rate that they share, streams have the size limit of plain answers, and interim answers and answers to other requests end their connection after 100.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/CallerResponse.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/CallerResponse.java
@@ -34,16 +34,20 @@
         }
     }
 
-    /** Sends an event; returns false if the caller reads too slowly. */
-    boolean sendEvent(EventStreamSplitter.Event event) {
-        exchange.sendChunk(event.bytes());
-        if (!event.id().isEmpty()) {
-            lastEventId = event.id();
+    /** Sends events; returns false if the caller reads too slowly. */
+    boolean sendEvents(EventStreamSplitter.Events events) {
+        exchange.sendChunk(events.bytes());
+        if (!events.id().isEmpty()) {
+            lastEventId = events.id();
         }
         return exchange.unsentBytes() <= MAXIMUM_UNSENT_BYTES;
     }
 
-    void endStream() {
+    /** Ends the stream after bytes that are part of no event. */
+    void endStream(byte[] lastBytes) {
+        if (lastBytes.length > 0) {
+            exchange.sendChunk(lastBytes);
+        }
         exchange.endStream();
     }
 
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/InterimResponseFilter.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/InterimResponseFilter.java
@@ -11,10 +11,17 @@
 import io.netty.util.ReferenceCountUtil;
 import org.asynchttpclient.netty.channel.ChannelManager;
 
-/** Drops interim responses (1xx) of an upstream, which the HTTP client would take for the answer to its request. */
+/**
+ * Drops interim responses (1xx) of an upstream, which the HTTP client would take for the answer to its request. Closes
+ * a connection on which they do not end.
+ */
 final class InterimResponseFilter extends ChannelInboundHandlerAdapter {
 
+    /** The most interim responses before one final response. */
+    private static final int MAXIMUM_INTERIM_RESPONSES = 100;
+
     private boolean dropping;
+    private int interimResponses;
 
     private InterimResponseFilter() {}
 
@@ -26,7 +33,13 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (message instanceof HttpResponse response) {
-            dropping = isInterim(response.status());
+            dropping = isDropped(response.status());
+            interimResponses = isInterim(response.status()) ? interimResponses + 1 : 0;
+        }
+        if (interimResponses > MAXIMUM_INTERIM_RESPONSES) {
+            ReferenceCountUtil.release(message);
+            context.close();
+            return;
         }
         if (!dropping || !(message instanceof HttpObject)) {
             context.fireChannelRead(message);
@@ -37,9 +50,13 @@
         context.read();
     }
 
-    /** The HTTP client itself handles 100; 101 ends the use of HTTP on the connection. */
     private static boolean isInterim(HttpResponseStatus status) {
-        return HttpStatusClass.INFORMATIONAL.contains(status.code())
+        return HttpStatusClass.INFORMATIONAL.contains(status.code());
+    }
+
+    /** The HTTP client itself handles 100; 101 ends the use of HTTP on the connection. */
+    private static boolean isDropped(HttpResponseStatus status) {
+        return isInterim(status)
                 && !status.equals(HttpResponseStatus.CONTINUE)
                 && !status.equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
     }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAnswerFilter.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAnswerFilter.java
@@ -30,10 +30,14 @@
     /** The maximum size of the body of a discarded response, in bytes; its connection is closed beyond that. */
     private static final int MAXIMUM_DISCARDED_BYTES = 1024 * 1024;
 
+    /** The most responses in a row that are discarded; their connection is closed beyond that. */
+    private static final int MAXIMUM_DISCARDED_RESPONSES = 100;
+
     private final CallDialect dialect;
     private final RouterMetrics metrics;
     private boolean discarding;
     private long discardedBytes;
+    private int discardedResponses;
     private ScheduledFuture<?> withheldHead;
 
     private UpstreamAnswerFilter(CallDialect dialect, RouterMetrics metrics) {
@@ -71,9 +75,10 @@
         }
         if (message instanceof HttpResponse response) {
             discarding = answersAnotherRequest(connection, response);
-            if (discarding) {
+            if (discarding && context.channel().isOpen()) {
                 withhold(context, connection, response);
-            } else {
+            } else if (!discarding) {
+                discardedResponses = 0;
                 dropWithheldHead();
             }
         }
@@ -87,6 +92,7 @@
     private void discard(Channel channel, Object message) {
         if (message instanceof HttpResponse) {
             discardedBytes = 0;
+            discardedResponses++;
         }
         if (message instanceof HttpContent content) {
             discardedBytes += content.content().readableBytes();
@@ -94,7 +100,9 @@
         ReferenceCountUtil.release(message);
         boolean unreadable =
                 message instanceof HttpObject part && part.decoderResult().isFailure();
-        if (unreadable || discardedBytes > MAXIMUM_DISCARDED_BYTES) {
+        if (unreadable
+                || discardedBytes > MAXIMUM_DISCARDED_BYTES
+                || discardedResponses > MAXIMUM_DISCARDED_RESPONSES) {
             channel.close();
         }
     }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAttempt.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAttempt.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
-import java.util.List;
 import java.util.Optional;
 import java.util.Queue;
 import java.util.function.Consumer;
@@ -27,8 +26,8 @@
  */
 final class UpstreamAttempt implements AsyncHandler<Void> {
 
-    /** The maximum size of the body of a plain response, in bytes. */
-    private static final int MAXIMUM_PLAIN_RESPONSE_BYTES = 16 * 1024 * 1024;
+    /** The maximum size of the body of a response, in bytes; a longer one does not end. */
+    private static final int MAXIMUM_RESPONSE_BYTES = 16 * 1024 * 1024;
 
     private static final String EVENT_STREAM = "text/event-stream";
 
@@ -38,7 +37,8 @@
     private final Consumer<AttemptEvent> listener;
     private final EventStreamSplitter splitter = new EventStreamSplitter();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-    private final Queue<EventStreamSplitter.Event> undelivered = new ArrayDeque<>();
+    private final Queue<EventStreamSplitter.Events> undelivered = new ArrayDeque<>();
+    private long receivedBytes;
     private int status;
     private HttpHeaders headers = new DefaultHttpHeaders();
     private boolean connected;
@@ -110,40 +110,35 @@
             return abortAsMismatched("");
         }
         byte[] bytes = part.getBodyPartBytes();
+        receivedBytes += bytes.length;
+        if (receivedBytes > MAXIMUM_RESPONSE_BYTES) {
+            return abortAsLost("the response exceeds the size limit");
+        }
         if (!isEventStream()) {
             body.writeBytes(bytes);
-            return body.size() > MAXIMUM_PLAIN_RESPONSE_BYTES
-                    ? abortAsLost("the response exceeds the size limit")
-                    : State.CONTINUE;
+            return State.CONTINUE;
         }
-        List<EventStreamSplitter.Event> events;
         try {
-            events = splitter.append(bytes);
+            splitter.append(bytes).ifPresent(this::handleEvents);
         } catch (IllegalArgumentException e) {
             return abortAsLost(e.getMessage());
         }
-        for (EventStreamSplitter.Event event : events) {
-            handleEvent(event);
-            if (finished) {
-                return State.ABORT;
-            }
-        }
-        return State.CONTINUE;
+        return finished ? State.ABORT : State.CONTINUE;
     }
 
-    private void handleEvent(EventStreamSplitter.Event event) {
+    private void handleEvents(EventStreamSplitter.Events events) {
         if (callerResponse != null) {
-            if (!callerResponse.sendEvent(event)) {
+            if (!callerResponse.sendEvents(events)) {
                 abortAsLost("the caller reads too slowly");
                 return;
             }
             listener.accept(new AttemptEvent.Progressed(callerResponse.lastEventId()));
             return;
         }
-        undelivered.add(event);
+        undelivered.add(events);
         if (!streamStarted) {
             streamStarted = true;
-            listener.accept(new AttemptEvent.Started(head(), event.id()));
+            listener.accept(new AttemptEvent.Started(head(), events.id()));
         }
     }
 
@@ -180,7 +175,7 @@
             finish(lostEvent("the stream ended inside an event"));
         } else {
             if (callerResponse != null) {
-                callerResponse.endStream();
+                callerResponse.endStream(splitter.emptyLinesAtEnd());
             }
             finish(new AttemptEvent.Finished());
         }
@@ -203,10 +198,10 @@
         }
         callerResponse.beginStream(status, headers);
         while (!undelivered.isEmpty()) {
-            callerResponse.sendEvent(undelivered.poll());
+            callerResponse.sendEvents(undelivered.poll());
         }
         if (responseComplete) {
-            callerResponse.endStream();
+            callerResponse.endStream(splitter.emptyLinesAtEnd());
         }
     }
 
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamClients.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamClients.java
@@ -47,12 +47,15 @@
         EventLoopTimer timer = new EventLoopTimer(loop);
         ChannelPool idleConnections = new DefaultChannelPool(
                 IDLE_CONNECTION_TIMEOUT, UNLIMITED_CONNECTION_LIFETIME, timer, IDLE_CONNECTION_CHECK_INTERVAL);
+        ReadRateLimiter.LimitedConnections limitedConnections = new ReadRateLimiter.LimitedConnections();
         return Dsl.asyncHttpClient(Dsl.config()
                 .setEventLoopGroup(group)
                 .setNettyTimer(timer)
                 .setHttpAdditionalChannelInitializer(connection -> {
                     InterimResponseFilter.install(connection);
                     UpstreamAnswerFilter.install(connection, dialect, metrics);
+                    BodyPartMerger.install(connection);
+                    ReadRateLimiter.install(connection, limitedConnections);
                 })
                 .setChannelPool(new UpstreamConnectionPool(idleConnections))
                 .setSslEngineFactory(new RejectingSslEngineFactory())
