Relay calls that must not be repeated while paths hang

Cause: such a call has no timeout but its deadline of 800 ms, and its end counted as a failure of the upstream only after 900 ms without a response, so no failure was recorded and nothing was relayed. With some repeatable calls beside, failures were recorded, but every 2 s all requests tried the hanging paths at once.

Change: attempts that end unanswered count after twice the latency target, silent upstreams count as lost, one unanswered request is enough for calls that must not be repeated, and lost paths are tried by single requests.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -475,6 +475,9 @@
         context.count("requests.caller-left");
         bindings.recordInterrupted(pending);
         if (calls.hasAttemptInFlight(pending)) {
+            if (context.now() - pending.lastEventAtMillis >= timing.unresponsiveMillis(pending)) {
+                upstreams.recordUnanswered(pending, timing.unresponsiveMillis(pending));
+            }
             crashProtection.recordGivenUp(pending);
         }
         boolean keepAttempt =
@@ -537,9 +540,7 @@
 
     private void handleDeadline(PendingCall pending) {
         if (calls.hasAttemptInFlight(pending)) {
-            if (pending.upstream.millisWithoutResponse(context.now()) > CallTiming.UNRESPONSIVE_MILLIS) {
-                upstreams.recordFailure(pending.upstream, "no response before the request's deadline");
-            }
+            upstreams.recordUnanswered(pending, timing.unresponsiveMillis(pending));
             releaseAttempt(pending);
             crashProtection.recordGivenUp(pending);
             context.emit(new ForwardingOutput.Cancel(pending.attempt));
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTiming.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTiming.java
@@ -55,7 +55,10 @@
      * Time without a response after which a request that reaches its deadline counts as a failure of its upstream, in
      * milliseconds.
      */
-    static final long UNRESPONSIVE_MILLIS = 900;
+    private static final long UNRESPONSIVE_MILLIS = 900;
+
+    /** The same as a multiple of the latency target of a call, if that is shorter. */
+    private static final long UNRESPONSIVE_FACTOR = 2;
 
     /**
      * How long an upstream is treated as overloaded after it rejected a request, in milliseconds; half the time of a
@@ -168,6 +171,17 @@
         return Math.clamp(millisUntilPermitted, MINIMUM_OVERLOAD_RETRY_MILLIS, MAXIMUM_OVERLOAD_RETRY_MILLIS);
     }
 
+    /**
+     * Returns the time without an answer after which the end of an attempt counts as a failure of its upstream, in
+     * milliseconds. It is shorter than the timeout of a call, so that a call that must not be repeated tells of a path
+     * that hangs.
+     */
+    long unresponsiveMillis(PendingCall pending) {
+        return pending.relayed || pending.route.kind() == RequestKind.STREAM
+                ? UNRESPONSIVE_MILLIS
+                : Math.min(UNRESPONSIVE_MILLIS, pending.route.latencyTargetMillis() * UNRESPONSIVE_FACTOR);
+    }
+
     /** Returns the time after which the current attempt, if it may be retried, is abandoned without progress. */
     long attemptTimeoutMillis(PendingCall pending) {
         Route route = pending.route;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
@@ -13,18 +13,13 @@
 /** Selects the upstream for a request among those that are currently eligible. */
 final class UpstreamSelector {
 
-    /** The number of upstreams whose failures show that the paths to all are cut, or all of fewer. */
-    private static final int FAILED_WHEN_CUT_OFF = 3;
-
-    /** How long after the last failure this router tries its own paths again, in milliseconds. */
-    private static final long CUT_OFF_RETRY_MILLIS = 2_000;
-
     private final ForwardingContext context;
     private final StoreReplica storeReplica;
     private final UpstreamTable upstreams;
     private final CallTiming timing;
     private final UpstreamAvailability availability;
     private final UpstreamPlacement placement;
+    private final PathLoss pathLoss;
 
     UpstreamSelector(
             ForwardingContext context,
@@ -38,6 +33,7 @@
         this.timing = timing;
         this.availability = new UpstreamAvailability(context, requestLimits, upstreams.pauses(), timing);
         this.placement = new UpstreamPlacement(context.settings().self().failureDomain(), context.random());
+        this.pathLoss = new PathLoss(context, upstreams);
     }
 
     UpstreamAvailability availability() {
@@ -101,25 +97,9 @@
         return stores;
     }
 
-    /**
-     * Returns whether this router has probably lost contact with all upstreams of the request's service: several failed
-     * after the last answer of any of them. Its own paths are tried again once no attempt has failed for a while.
-     */
+    /** Returns whether the request should not be sent on the paths of this router, which are probably lost. */
     boolean isCutOff(PendingCall pending) {
-        List<UpstreamState> active = upstreams.activeUpstreams(pending.service);
-        long lastAnswerAtMillis = Long.MIN_VALUE;
-        long lastFailureAtMillis = Long.MIN_VALUE;
-        for (UpstreamState upstream : active) {
-            lastAnswerAtMillis = Math.max(lastAnswerAtMillis, upstream.lastAnswerAtMillis);
-            lastFailureAtMillis = Math.max(lastFailureAtMillis, upstream.lastFailureAtMillis);
-        }
-        int failed = 0;
-        for (UpstreamState upstream : active) {
-            failed += upstream.lastFailureAtMillis > lastAnswerAtMillis ? 1 : 0;
-        }
-        return failed > 0
-                && failed >= Math.min(FAILED_WHEN_CUT_OFF, active.size())
-                && context.now() - lastFailureAtMillis < CUT_OFF_RETRY_MILLIS;
+        return pathLoss.isLostFor(pending);
     }
 
     /** Returns whether any registered upstream has the software version that began the request's stream. */
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
@@ -52,6 +52,10 @@
     long lastAnswerAtMillis = Long.MIN_VALUE / 2;
 
     long lastFailureAtMillis = Long.MIN_VALUE / 2;
+
+    /** When the last request was sent that ended unanswered. */
+    long lastUnansweredSentAtMillis = Long.MIN_VALUE / 2;
+
     long lastContactAtMillis = Long.MIN_VALUE;
     int consecutiveFailures;
     /** The fraction of failures among its latest outcomes, 0 to 1. */
@@ -66,6 +70,8 @@
     UpstreamLoad load;
     long loadAtMillis = Long.MIN_VALUE;
     private final Map<WorkSource, PeerWork> peerWork = new HashMap<>();
+    /** When the first request was sent that ended unanswered since the last answer, in milliseconds. */
+    private long unansweredSentAtMillis = Long.MAX_VALUE;
 
     /** An attempt of this router that runs on this upstream. */
     static final class InFlightAttempt {
@@ -275,8 +281,31 @@
         if (inFlight.isEmpty()) {
             return 0;
         }
-        long oldestSentAtMillis = inFlight.values().iterator().next().sentAtMillis;
-        return nowMillis - Math.max(oldestSentAtMillis, lastContactAtMillis);
+        return nowMillis - Math.max(oldestSentAtMillis(), lastContactAtMillis);
+    }
+
+    /** When the oldest request in flight was sent, in milliseconds; there must be one. */
+    long oldestSentAtMillis() {
+        return inFlight.values().iterator().next().sentAtMillis;
+    }
+
+    /**
+     * Records that an attempt in flight ends unanswered.
+     *
+     * @return the time for which this upstream has left requests unanswered, in milliseconds, also ones that ended
+     */
+    long recordUnanswered(AttemptId attempt, long nowMillis) {
+        if (unansweredSentAtMillis <= lastAnswerAtMillis) {
+            unansweredSentAtMillis = Long.MAX_VALUE;
+        }
+        InFlightAttempt unanswered = inFlight.get(attempt);
+        if (unanswered != null) {
+            unansweredSentAtMillis = Math.min(unansweredSentAtMillis, unanswered.sentAtMillis);
+            lastUnansweredSentAtMillis = Math.max(lastUnansweredSentAtMillis, unanswered.sentAtMillis);
+        }
+        return unansweredSentAtMillis == Long.MAX_VALUE
+                ? 0
+                : nowMillis - Math.max(unansweredSentAtMillis, lastAnswerAtMillis);
     }
 
     /** Returns whether it has begun a stream of this router that is still open. */
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
@@ -289,6 +289,17 @@
         }
     }
 
+    /**
+     * Records that the attempt of a request in flight ends unanswered. It is a failure of the upstream if that has
+     * answered nothing for a time, in milliseconds.
+     */
+    void recordUnanswered(PendingCall pending, long unresponsiveMillis) {
+        UpstreamState upstream = pending.upstream;
+        if (upstream.recordUnanswered(pending.attempt, context.now()) >= unresponsiveMillis) {
+            recordFailure(upstream, "no response before the request ended");
+        }
+    }
+
     /**
      * Records a failure or timeout and starts the backoff of the upstream; an engine must also answer a probe after it.
      */
