Notice by its revision that a store without an era has lost changes

A store that answers without naming its era was believed to be the same after it returned from an older copy. All items are read again then, since the watch gets 410, and the read shows a revision below the known one; the store loses nothing otherwise, so that is evidence enough for a new era.

StoreReturnedFromOlderCopyTest has the case, which guards the configuration that comes next; it was written with the change and not run without it. The test class passes.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreEra.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreEra.java
@@ -50,15 +50,18 @@
             context.log("store", "Era of the store known.", "era", era);
             return;
         }
+        begin("formerEra", former, "era", era);
+    }
+
+    /** Records that the store has lost changes, although it names no other era. */
+    void observeLoss(long knownRevision, long revision) {
+        begin("knownRevision", knownRevision, "revision", revision);
+    }
+
+    private void begin(Object... fields) {
         changed = true;
         context.count("store.eras");
-        context.log(
-                "store",
-                "The store returned from an older copy; reading all items again.",
-                "formerEra",
-                former,
-                "era",
-                era);
+        context.log("store", "The store returned from an older copy; reading all items again.", fields);
         listeners.forEach(Runnable::run);
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreWatcher.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreWatcher.java
@@ -101,8 +101,9 @@
         calledAtMillis = context.now();
         long number = ++callNumber;
         if (readingAllItems) {
+            long knownRevision = replica.revision();
             store.call(new StoreCall.ReadAll(afterKey), RESPONSE_TIMEOUT_MILLIS, reply -> {
-                if (number == callNumber) {
+                if (number == callNumber && !showsLoss(reply, knownRevision)) {
                     receivePage(reply);
                 }
             });
@@ -120,6 +121,15 @@
         }
     }
 
+    /** Returns whether the store has a lower revision than one that was known before the read, and handles that. */
+    private boolean showsLoss(StoreReply reply, long knownRevision) {
+        boolean loss = reply instanceof StoreReply.Page page && page.revision() < knownRevision;
+        if (loss) {
+            store.era().observeLoss(knownRevision, ((StoreReply.Page) reply).revision());
+        }
+        return loss;
+    }
+
     private void receivePage(StoreReply reply) {
         callPending = false;
         if (!(reply instanceof StoreReply.Page page)) {
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StoreReturnedFromOlderCopyTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StoreReturnedFromOlderCopyTest.java
@@ -140,6 +140,29 @@
         assertThat(versionInForce()).isEqualTo(8);
     }
 
+    @Test
+    void should_notice_by_the_revision_that_a_store_which_names_no_era_has_lost_changes() {
+        ForwardingFixture unaware = new ForwardingFixture().configured().start();
+        unaware.storeAnswers = false;
+        unaware.tick(new ForwardingInput.StoreAnswered(
+                lastCallNumber(unaware, StoreCall.Watch.class), new StoreReply.HistoryCompacted()));
+        unaware.advanceTime(50);
+        unaware.tick(new ForwardingInput.StoreAnswered(
+                lastCallNumber(unaware, StoreCall.ReadAll.class), page(1, routing(1, 9))));
+        unaware.advanceTime(50);
+        unaware.tick(new ForwardingInput.StoreAnswered(
+                lastCallNumber(unaware, StoreCall.ReadAll.class), page(1, routing(1, 9))));
+        assertThat(unaware.core.routing().orElseThrow().version()).isEqualTo(9);
+    }
+
+    private static long lastCallNumber(ForwardingFixture router, Class<? extends StoreCall> kind) {
+        return router.all(ForwardingOutput.CallStore.class).stream()
+                .filter(call -> kind.isInstance(call.request()))
+                .mapToLong(ForwardingOutput.CallStore::call)
+                .max()
+                .orElseThrow();
+    }
+
     @Test
     void should_register_again_with_a_new_lease_since_the_number_of_the_former_may_be_given_out_again() {
         answer(StoreCall.GrantLease.class, new StoreReply.LeaseGranted(9, 20_000), ERA);
