--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/HangingPathTakesUnrepeatableCallsTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/HangingPathTakesUnrepeatableCallsTest.java
@@ -68,6 +68,15 @@
         assertThat(isRelayed(router.call("/issue/next"))).isFalse();
     }
 
+    @Test
+    void should_try_lost_paths_with_one_repeatable_call_at_a_time() {
+        lostDuringCut(2_000, "/issue/");
+        router.advanceTime(2_100);
+        RequestId trial = router.call("/read/trial");
+        assertThat(isRelayed(trial)).isFalse();
+        assertThat(isRelayed(router.call("/read/beside"))).isTrue();
+    }
+
     @Test
     void should_relay_the_few_calls_of_a_router_with_little_traffic() {
         router.call("/issue/first");
