Scale the silence of lost paths with the latency target

A service whose calls take longer than 900 ms would count as silent while it works on one. The time is now at least twice the latency target; the test classes of lost paths pass.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PathLoss.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PathLoss.java
@@ -22,12 +22,15 @@
      */
     private static final int FAILED_WHEN_LOST_UNREPEATABLE = 1;
 
-    /** Time without an answer after which a service with requests in flight is silent, in milliseconds. */
+    /** The least time without an answer after which a service with requests in flight is silent, in milliseconds. */
     private static final long SERVICE_SILENCE_MILLIS = 900;
 
     /** The same for an engine, in milliseconds; long prompts take more than a second under load. */
     private static final long ENGINE_SILENCE_MILLIS = 1_500;
 
+    /** That time as a multiple of the latency target, if that is longer. */
+    private static final long SILENCE_FACTOR = 2;
+
     /** How long after the last failure a repeatable request tries the own paths again, in milliseconds. */
     private static final long RETRY_MILLIS = 2_000;
 
@@ -63,7 +66,7 @@
         int failed = 0;
         long lastFailureAtMillis = Long.MIN_VALUE / 2;
         for (UpstreamState upstream : active) {
-            long silentAtMillis = silentAtMillis(upstream, lastAnswerAtMillis);
+            long silentAtMillis = silentAtMillis(pending, upstream, lastAnswerAtMillis);
             boolean silent = context.now() > silentAtMillis;
             boolean failedSince = upstream.lastFailureAtMillis > lastAnswerAtMillis;
             boolean unansweredSince = failedSince && upstream.lastUnansweredSentAtMillis >= lastAnswerAtMillis;
@@ -80,8 +83,10 @@
     }
 
     /** When an upstream with requests in flight became silent, or the end of time if it has none. */
-    private static long silentAtMillis(UpstreamState upstream, long lastAnswerAtMillis) {
-        long silenceMillis = upstream.weightVersions.isEmpty() ? SERVICE_SILENCE_MILLIS : ENGINE_SILENCE_MILLIS;
+    private static long silentAtMillis(PendingCall pending, UpstreamState upstream, long lastAnswerAtMillis) {
+        long silenceMillis = Math.max(
+                upstream.weightVersions.isEmpty() ? SERVICE_SILENCE_MILLIS : ENGINE_SILENCE_MILLIS,
+                pending.route.latencyTargetMillis() * SILENCE_FACTOR);
         return upstream.inFlight.isEmpty()
                 ? Long.MAX_VALUE
                 : Math.max(upstream.oldestSentAtMillis(), lastAnswerAtMillis) + silenceMillis;
