Write version shares again that the store has in an older state

After the store returned from a copy with older shares, routers kept the newer ones in force but wrote them again only if the copy had none, so a router that started then would begin streams under the older ones. Found by reading. The test of lost shares covers it: StoreReturnedFromOlderCopyTest passes with the four added lines.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreReplica.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StoreReplica.java
@@ -189,6 +189,14 @@
         applyGuarded(new StoreItem(key, readAtRevision, new byte[0], new StoreItemContent.Removed()));
     }
 
+    /** Returns whether the version shares in force for a service are newer than what the store has. */
+    boolean hasLostShares(String service) {
+        return formerEraKeys.stream()
+                .map(items::get)
+                .anyMatch(item -> item.content() instanceof StoreItemContent.CurrentVersionShares current
+                        && current.shares().service().equals(service));
+    }
+
     /** Returns whether an item that the store has lost stays in force until it is written again. */
     private boolean outlivesLoss(StoreItem known) {
         if (!formerEraKeys.contains(known.key())) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/VersionShareSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/VersionShareSystem.java
@@ -120,8 +120,7 @@
             change.neededSinceMillis = Long.MAX_VALUE;
         }
         Map<String, VersionShareDecision.Upstreams> versions = versions(service);
-        boolean lostByStore = current.isPresent() && current.get().revision() == 0;
-        Optional<List<VersionShares.Share>> next = lostByStore && replica.revision() > 0
+        Optional<List<VersionShares.Share>> next = replica.revision() > 0 && replica.hasLostShares(service)
                 ? Optional.of(shares)
                 : VersionShareDecision.next(shares, versions);
         if (next.isEmpty() || !allRoutersApplyShares()) {
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StoreReturnedFromOlderCopyTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StoreReturnedFromOlderCopyTest.java
@@ -253,6 +253,10 @@
         VersionShares older = new VersionShares("tutors", 2, List.of(new VersionShares.Share("v2", 1)));
         replica.apply(item("shares", 13, new StoreItemContent.CurrentVersionShares(older)));
         assertThat(replica.versionShares().current("tutors")).contains(new VersionShareRegistry.Current(shares, 13));
+        assertThat(replica.hasLostShares("tutors")).isTrue();
+        VersionShares newer = new VersionShares("tutors", 4, shares.shares());
+        replica.apply(item("shares", 14, new StoreItemContent.CurrentVersionShares(newer)));
+        assertThat(replica.hasLostShares("tutors")).isFalse();
     }
 
     @Test
