Log what tells second answers, late answers, repeated ids and relays apart

The incident of mixed answers has four hypotheses that the log could not tell apart. 'Answer delivered.' now names the upstream (or the router that relayed), how long it had been silent and what was left until the deadline. A response on an idle connection, or in place of another answer, is logged with its status and the id that it answers. A request whose id came before at the same router is marked and counted.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallIntake.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallIntake.java
@@ -14,6 +14,8 @@
 
     private final ForwardingContext context;
     private final StoreReplica storeReplica;
+    private final CallLog log;
+    private final RecentRequestIds recentRequestIds = new RecentRequestIds();
 
     /** The outcome of the check of a new request. */
     sealed interface Decision {}
@@ -24,9 +26,10 @@
     /** The request is refused; it was sent to no upstream. */
     record Refused(ResultCode code, long retryAfterMillis) implements Decision {}
 
-    CallIntake(ForwardingContext context, StoreReplica storeReplica) {
+    CallIntake(ForwardingContext context, StoreReplica storeReplica, CallLog log) {
         this.context = context;
         this.storeReplica = storeReplica;
+        this.log = log;
     }
 
     Decision admit(RequestId request, ForwardedCall call) {
@@ -49,6 +52,9 @@
         if (call.callerAttemptId().isEmpty()) {
             return new Refused(ResultCode.INVALID_REQUEST, 0);
         }
+        if (!recentRequestIds.add(call.callerAttemptId())) {
+            log.repeatedId(call);
+        }
         return new Accepted(
                 new PendingCall(request, call, route.get(), customer, drawService(route.get()), context.now()));
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
@@ -224,6 +224,24 @@
                 "millis",
                 elapsedMillis,
                 "sends",
-                pending.sends);
+                pending.sends,
+                "upstream",
+                pending.upstream == null ? "" : pending.upstream.id(),
+                "silentMillis",
+                pending.upstream == null ? 0 : context.now() - pending.lastEventAtMillis,
+                "remainingMillis",
+                pending.deadlineAtMillis - context.now());
+    }
+
+    void repeatedId(ForwardedCall call) {
+        // Counts requests whose id an earlier request had, which is still open or ended lately.
+        context.count("requests.repeated-id");
+        context.log(
+                COMPONENT,
+                "Request has the id of an earlier one.",
+                "request",
+                call.callerAttemptId(),
+                "path",
+                call.path());
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -81,8 +81,8 @@
         this.timers = new CallTimers(context);
         streamVersions.lookup().onResolution(pending -> timers.schedule(pending, context.now()));
         this.selector = new UpstreamSelector(context, storeReplica, upstreams, timing, requestLimits);
-        this.intake = new CallIntake(context, storeReplica);
         this.log = new CallLog(context, storeReplica);
+        this.intake = new CallIntake(context, storeReplica, log);
         this.sender = new AttemptSender(context, calls, timers, timing, selector.availability(), crashProtection, log);
         this.silentStreams =
                 new SilentStreams(context, upstreams, selector, relayRouters, retryBudgets, crashProtection, log);
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAnswerFilter.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAnswerFilter.java
@@ -108,12 +108,18 @@
     }
 
     private void reportOnIdleConnection(Channel channel, UpstreamConnection connection, HttpObject message) {
-        if (message instanceof HttpResponse && channel.isOpen()) {
+        if (message instanceof HttpResponse response && channel.isOpen()) {
             metrics.count("connections.unexpected-responses", 1);
             LogLines.info(
                     "upstreams",
                     "Response received on an idle connection; discarded.",
-                    Map.of("address", String.valueOf(channel.remoteAddress())));
+                    Map.of(
+                            "address",
+                            String.valueOf(channel.remoteAddress()),
+                            "answered",
+                            dialect.answeredAttemptId(response.headers()).orElse(""),
+                            "status",
+                            response.status().code()));
         }
         connection.setInsideResponse(!(message instanceof LastHttpContent));
     }
@@ -136,7 +142,9 @@
                         "request",
                         connection.currentRequest().orElse(""),
                         "answered",
-                        dialect.answeredAttemptId(head.headers()).orElse("")));
+                        dialect.answeredAttemptId(head.headers()).orElse(""),
+                        "status",
+                        head.status().code()));
         if (withheldHead == null && connection.currentRequest().isPresent()) {
             withheldHead = context.executor()
                     .schedule(() -> passOn(context, head), ANSWER_FOLLOWS_MILLIS, TimeUnit.MILLISECONDS);
