Keep streams of engines that are heard last after a common silence

Cause: streams stay for 1.5 s while most engines are silent. When engines go on together, a router hears them one connection after the other. Once half were heard, silence was no longer common, and the streams of the others, silent for more than a second, were given up at once: 10 streams of three engines within 11 ms in the log.

Now a stream stays for 1.5 s if silence was common at any moment since its last event, and a stream that is given up for a place that was found takes that place.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -166,7 +166,7 @@
      */
     private boolean relayIfCutOff(PendingCall pending, long remainingMillis) {
         boolean cutOff = pending.pathLost
-                || selector.isCutOff(pending)
+                || (!pending.placeFound && selector.isCutOff(pending))
                 || pending.unsentAttempts >= CallTiming.UNSENT_BEFORE_RELAY;
         if (!cutOff || pending.relayRefusals >= CallTiming.MAXIMUM_RELAY_REFUSALS) {
             return false;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreamDecision.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreamDecision.java
@@ -45,6 +45,7 @@
      * @param upstreamsStreaming upstreams that have begun streams of this router
      * @param upstreamsSilent those among them that leave all of these without events; 0 if the upstream of the attempt
      *     is known to have ended
+     * @param silenceWasCommon whether most upstreams were silent at a moment since the last event of the stream
      * @param sendable whether the request may be sent once more
      * @param budgetLeft whether the retry budget allows it
      * @param placeElsewhere returns whether another upstream that responds has a place
@@ -54,16 +55,22 @@
             long silentMillis,
             int upstreamsStreaming,
             int upstreamsSilent,
+            boolean silenceWasCommon,
             boolean sendable,
             boolean budgetLeft,
             BooleanSupplier placeElsewhere,
             BooleanSupplier routerElsewhere) {
 
         private boolean isSilenceCommon() {
-            return upstreamsSilent >= COMMON_SILENCE_UPSTREAMS && 2 * upstreamsSilent > upstreamsStreaming;
+            return SilentStreamDecision.isSilenceCommon(upstreamsStreaming, upstreamsSilent);
         }
     }
 
+    /** Returns whether most of the upstreams that have begun streams are silent. */
+    static boolean isSilenceCommon(int upstreamsStreaming, int upstreamsSilent) {
+        return upstreamsSilent >= COMMON_SILENCE_UPSTREAMS && 2 * upstreamsSilent > upstreamsStreaming;
+    }
+
     static Decision decide(Situation situation) {
         if (!situation.sendable()) {
             return new Keep("the request may not be sent again");
@@ -71,8 +78,14 @@
         if (!situation.budgetLeft()) {
             return new Keep("retry budget is spent");
         }
-        if (situation.isSilenceCommon() && situation.silentMillis() < COMMON_SILENCE_MILLIS) {
-            return new Keep("most upstreams are silent");
+        if (situation.silentMillis() < COMMON_SILENCE_MILLIS) {
+            if (situation.isSilenceCommon()) {
+                return new Keep("most upstreams are silent");
+            }
+            // Upstreams that go on together are heard one after the other.
+            if (situation.silenceWasCommon()) {
+                return new Keep("most upstreams were silent");
+            }
         }
         if (situation.placeElsewhere().getAsBoolean()) {
             return new ContinueElsewhere();
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreams.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreams.java
@@ -17,6 +17,9 @@
     private final CrashProtection crashProtection;
     private final CallLog log;
     private final Map<String, Silence> silenceByService = new HashMap<>();
+    /** When most upstreams of a service were last found silent, in milliseconds. */
+    private final Map<String, Long> commonSilenceAtMillis = new HashMap<>();
+
     private long silenceAtMillis = Long.MIN_VALUE;
 
     /** How many upstreams of a service have begun streams, and how many of them are silent. */
@@ -42,7 +45,10 @@
     /** Returns whether the attempt is to be given up; one that stays is looked at again after an interval. */
     boolean giveUp(PendingCall pending) {
         return switch (SilentStreamDecision.decide(situation(pending))) {
-            case SilentStreamDecision.ContinueElsewhere elsewhere -> true;
+            case SilentStreamDecision.ContinueElsewhere elsewhere -> {
+                pending.placeFound = true;
+                yield true;
+            }
             case SilentStreamDecision.ContinueThroughRouter throughRouter -> {
                 pending.pathLost = true;
                 yield true;
@@ -59,11 +65,15 @@
     }
 
     private SilentStreamDecision.Situation situation(PendingCall pending) {
-        Silence silence = upstreams.isActive(pending.upstream) ? silence(pending.service) : new Silence(0, 0);
+        boolean active = upstreams.isActive(pending.upstream);
+        Silence silence = active ? silence(pending.service) : new Silence(0, 0);
         return new SilentStreamDecision.Situation(
                 context.now() - pending.lastEventAtMillis,
                 silence.streaming(),
                 silence.silent(),
+                active
+                        && commonSilenceAtMillis.getOrDefault(pending.service, Long.MIN_VALUE)
+                                > pending.lastEventAtMillis,
                 pending.sends < CallTiming.MAXIMUM_SENDS
                         && crashProtection.quarantine(pending).isEmpty(),
                 retryBudgets.mayRetry(pending.service),
@@ -91,6 +101,9 @@
                 silent += upstream.isSilent(context.now()) ? 1 : 0;
             }
         }
+        if (SilentStreamDecision.isSilenceCommon(streaming, silent)) {
+            commonSilenceAtMillis.put(service, context.now());
+        }
         return new Silence(streaming, silent);
     }
 }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/SilentStreamDecisionTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/SilentStreamDecisionTest.java
@@ -11,6 +11,7 @@
     private long silentMillis = CallTiming.STREAM_IDLE_TIMEOUT_MILLIS;
     private int streaming = 2;
     private int silent = 1;
+    private boolean silenceWasCommon;
     private boolean sendable = true;
     private boolean budgetLeft = true;
     private boolean placeElsewhere = true;
@@ -18,7 +19,14 @@
 
     private SilentStreamDecision.Decision decide() {
         return SilentStreamDecision.decide(new SilentStreamDecision.Situation(
-                silentMillis, streaming, silent, sendable, budgetLeft, () -> placeElsewhere, () -> routerElsewhere));
+                silentMillis,
+                streaming,
+                silent,
+                silenceWasCommon,
+                sendable,
+                budgetLeft,
+                () -> placeElsewhere,
+                () -> routerElsewhere));
     }
 
     private void assertKept(String reason) {
@@ -44,6 +52,15 @@
         assertThat(decide()).isInstanceOf(SilentStreamDecision.ContinueElsewhere.class);
     }
 
+    @Test
+    void should_keep_an_attempt_for_the_same_time_when_most_upstreams_were_silent_since_its_last_event() {
+        silenceWasCommon = true;
+        silentMillis = SilentStreamDecision.COMMON_SILENCE_MILLIS - 1;
+        assertKept("most upstreams were silent");
+        silentMillis++;
+        assertThat(decide()).isInstanceOf(SilentStreamDecision.ContinueElsewhere.class);
+    }
+
     @Test
     void should_keep_an_attempt_when_the_request_may_not_be_sent_again() {
         sendable = false;
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamingEngines.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamingEngines.java
@@ -94,6 +94,10 @@
         silent.clear();
     }
 
+    void endSilence(String... names) {
+        silent.removeAll(List.of(names));
+    }
+
     /** The number of runs in progress on an engine. */
     long running(String engine) {
         return running.values().stream()
