Keep streams that routers refuse while engines are only silent

Streams that had begun were cut at 1.6 s of silence, before their callers leave, when all engines fell silent and the routers to which they were relayed refused them, although the engines went on a moment later.

Causes: a relay took a retry from the budget, and the refusal did not return it, so that no retry was left for an engine ("retry budget is spent").

Now a refused relay costs no retry, as it already cost no send, and a begun stream that another router has not run goes another way. The statuses of routers moved to RelayRouters.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 
 import org.fuchsiatrail.AttemptId;
 import org.fuchsiatrail.PeerMessage;
@@ -29,14 +28,6 @@
     private static final AttemptEvent.Lost MISMATCHED =
             new AttemptEvent.Lost(true, true, "", "answer does not belong to this request");
 
-    private static final int FIRST_ERROR_STATUS = 400;
-
-    /** The HTTP statuses that promise callers that the request has not run. */
-    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
-
-    /** The HTTP statuses of a router that has no route or customer for a request. */
-    private static final Set<Integer> OTHER_CONFIGURATION_STATUSES = Set.of(401, 404);
-
     private final ForwardingContext context;
     private final StoreReplica storeReplica;
     private final UpstreamTable upstreams;
@@ -319,24 +310,21 @@
      * for a request that this router accepted; else delivers its refusal.
      */
     private void handleRefusalOfRouter(PendingCall pending, AttemptEvent.Head head) {
-        boolean otherConfiguration = OTHER_CONFIGURATION_STATUSES.contains(head.status());
+        boolean otherConfiguration = RelayRouters.OTHER_CONFIGURATION_STATUSES.contains(head.status());
         if (head.withoutPath() || otherConfiguration) {
-            releaseAttempt(pending);
             upstreams.recordFailure(
                     pending.upstream,
                     otherConfiguration
                             ? "the router has another configuration in force"
                             : "the router reaches no upstream");
-            pending.excludedUpstreams.add(pending.upstream.id());
-            context.emit(new ForwardingOutput.Cancel(pending.attempt));
-            pending.relayRefusals++;
-            pending.sends--;
-            place(pending);
-        } else if (head.status() < FIRST_ERROR_STATUS || pending.streamBegun) {
+            placeAfterRefusedRelay(pending);
+        } else if (pending.streamBegun && RelayRouters.NOT_RUN_STATUSES.contains(head.status())) {
+            placeAfterRefusedRelay(pending);
+        } else if (head.status() < RelayRouters.FIRST_ERROR_STATUS || pending.streamBegun) {
             handleLoss(
                     pending,
                     new AttemptEvent.Lost(true, true, "", "relayed answer is no stream or lacks a valid signature"));
-        } else if (pending.mayHaveRun() && NOT_RUN_STATUSES.contains(head.status())) {
+        } else if (pending.mayHaveRun() && RelayRouters.NOT_RUN_STATUSES.contains(head.status())) {
             upstreams.recordSuccess(pending.upstream);
             context.emit(new ForwardingOutput.Cancel(pending.attempt));
             refuseOrAbort(
@@ -348,6 +336,19 @@
         }
     }
 
+    /** Tries another way after a router refused a request without running it, which costs no send and no retry. */
+    private void placeAfterRefusedRelay(PendingCall pending) {
+        releaseAttempt(pending);
+        pending.excludedUpstreams.add(pending.upstream.id());
+        context.emit(new ForwardingOutput.Cancel(pending.attempt));
+        pending.relayRefusals++;
+        pending.sends--;
+        if (pending.mayHaveRun()) {
+            retryBudgets.returnRetry(pending.service);
+        }
+        place(pending);
+    }
+
     private void handleStreamStart(PendingCall pending, AttemptEvent.Started started) {
         answerHeads.record(pending, started.head());
         if (!started.head().verified()) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/RelayRouters.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/RelayRouters.java
@@ -21,6 +21,14 @@
  */
 final class RelayRouters {
 
+    static final int FIRST_ERROR_STATUS = 400;
+
+    /** The HTTP statuses that promise callers that the request has not run. */
+    static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
+
+    /** The HTTP statuses of a router that has no route or customer for a request. */
+    static final Set<Integer> OTHER_CONFIGURATION_STATUSES = Set.of(401, 404);
+
     private final ForwardingContext context;
     private final StoreReplica replica;
     private final Map<EntryVmId, UpstreamState> routers = new HashMap<>();
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/RetryBudgets.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/RetryBudgets.java
@@ -29,6 +29,11 @@
         return budget(service).tryRetry(context.now(), reserve());
     }
 
+    /** Gives back the latest retry, which reached no upstream. */
+    void returnRetry(String service) {
+        budget(service).returnRetry();
+    }
+
     boolean mayRetry(String service) {
         return budget(service).mayRetry(context.now(), reserve());
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WindowedRetryBudget.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WindowedRetryBudget.java
@@ -39,6 +39,11 @@
         return allowed;
     }
 
+    /** Gives back the latest retry. */
+    void returnRetry() {
+        retries.pollLast();
+    }
+
     /** Returns whether a retry is left. */
     boolean mayRetry(long nowMillis, double reserve) {
         removeExpired(nowMillis);
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamingEngines.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamingEngines.java
@@ -1,10 +1,12 @@
 package org.fuchsiatrail.internal.forwarding;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.fuchsiatrail.AttemptId;
@@ -12,6 +14,7 @@
 import org.fuchsiatrail.EntryVmId;
 import org.fuchsiatrail.FailureDomain;
 import org.fuchsiatrail.RequestId;
+import org.fuchsiatrail.ResultCode;
 import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.AttemptEvent;
 import org.fuchsiatrail.forwarding.ForwardingInput;
@@ -37,11 +40,14 @@
     int relayed;
 
     int left;
+    /** With what other routers refuse all requests after a step; without it they never answer. */
+    Optional<ResultCode> refusalOfRouters = Optional.empty();
 
     private final int slots;
     private final Set<String> silent = new HashSet<>();
     private final Map<AttemptId, Run> running = new LinkedHashMap<>();
     private final Map<RequestId, Long> lastEventAtMillis = new HashMap<>();
+    private final List<ForwardingOutput.Send> relayedSends = new ArrayList<>();
     private int outputsRead;
 
     private static final class Run {
@@ -145,6 +151,7 @@
         long endMillis = router.now + millis;
         while (router.now < endMillis) {
             router.advanceTime(Math.min(STEP_MILLIS, endMillis - router.now));
+            refuseRelayed();
             execute();
             List.copyOf(running.values()).stream()
                     .filter(run -> !silent.contains(run.engine()))
@@ -203,6 +210,7 @@
     private void receive(ForwardingOutput.Send send) {
         if (send.dispatch().toRouter()) {
             relayed++;
+            refusalOfRouters.ifPresent(code -> relayedSends.add(send));
             return;
         }
         Run run = new Run(send);
@@ -214,6 +222,19 @@
         running.put(send.attempt(), run);
     }
 
+    private void refuseRelayed() {
+        List<ForwardingOutput.Send> refused = List.copyOf(relayedSends);
+        relayedSends.clear();
+        refused.forEach(send -> refuseRelayed(send, refusalOfRouters.orElseThrow()));
+    }
+
+    private void refuseRelayed(ForwardingOutput.Send send, ResultCode code) {
+        AttemptEvent.Head head = AttemptEvent.Head.builder(code.httpStatus())
+                .withoutPath(code == ResultCode.WITHOUT_PATH)
+                .build();
+        router.deliverEvent(send, new AttemptEvent.Answered(head));
+    }
+
     private void answerProbe(UpstreamId engine) {
         if (!silent.contains(engine.value())) {
             router.tick(new ForwardingInput.OrderAnswered(
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/WindowedRetryBudgetTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/WindowedRetryBudgetTest.java
@@ -32,4 +32,14 @@
         assertThat(budget.tryRetry(9_000, 10)).isFalse();
         assertThat(budget.tryRetry(10_001, 10)).isTrue();
     }
+
+    @Test
+    void should_allow_one_more_retry_for_each_that_is_given_back() {
+        while (budget.tryRetry(0, 10)) {
+            assertThat(budget.mayRetry(0, 0)).isFalse();
+        }
+        budget.returnRetry();
+        assertThat(budget.tryRetry(0, 10)).isTrue();
+        assertThat(budget.tryRetry(0, 10)).isFalse();
+    }
 }
