Judge common silence by its whole span, also for leaving engines

Each upstream now keeps its latest time without a response. An upstream is silent like a stream if it was for most of the stream's silence, also when it has gone on; draining counts as any other. Lost paths are passed over only for a place whose upstream has answered since the stream's last event.

A refused relay gives its retry back only if the other router sent the request to no upstream, which it now says (Fuchsiatrail-Not-Sent): arrivals that an engine rejected count as repeats.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AnswerHeadBuilder.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AnswerHeadBuilder.java
@@ -16,6 +16,7 @@
     private Optional<RequestedPause> requestedPause = Optional.empty();
     private boolean leaving;
     private boolean withoutPath;
+    private boolean notSent;
 
     AnswerHeadBuilder(int status) {
         this.status = status;
@@ -109,6 +110,17 @@
         return this;
     }
 
+    /**
+     * Sets whether the request was relayed to a router that sent it to no upstream.
+     *
+     * @param isNotSent whether it was
+     * @return this builder
+     */
+    public AnswerHeadBuilder notSent(boolean isNotSent) {
+        notSent = isNotSent;
+        return this;
+    }
+
     /**
      * Builds the head.
      *
@@ -124,6 +136,7 @@
                 requestLimit,
                 requestedPause,
                 leaving,
-                withoutPath);
+                withoutPath,
+                notSent);
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AttemptEvent.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AttemptEvent.java
@@ -21,6 +21,7 @@
      *     one
      * @param leaving whether the upstream says that it is leaving
      * @param withoutPath whether the request was relayed to a router that reaches no upstream either
+     * @param notSent whether the request was relayed to a router that sent it to no upstream
      */
     record Head(
             int status,
@@ -31,7 +32,8 @@
             OptionalDouble requestLimit,
             Optional<RequestedPause> requestedPause,
             boolean leaving,
-            boolean withoutPath) {
+            boolean withoutPath,
+            boolean notSent) {
 
         /**
          * Returns a builder of a head that reports nothing but its status.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AttemptSender.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AttemptSender.java
@@ -43,7 +43,6 @@
         pending.sends++;
         pending.keptReason = "";
         pending.pathLost = false;
-        pending.placeFound = false;
         pending.firstEventAtMillis = context.now();
         pending.lastEventAtMillis = context.now();
         pending.attemptTimeoutAtMillis =
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -159,6 +159,7 @@
         boolean cutOff = pending.pathLost
                 || (!pending.placeFound && selector.isCutOff(pending))
                 || pending.unsentAttempts >= CallTiming.UNSENT_BEFORE_RELAY;
+        pending.placeFound = false;
         if (!cutOff || pending.relayRefusals >= CallTiming.MAXIMUM_RELAY_REFUSALS) {
             return false;
         }
@@ -317,9 +318,9 @@
                     otherConfiguration
                             ? "the router has another configuration in force"
                             : "the router reaches no upstream");
-            placeAfterRefusedRelay(pending);
+            placeAfterRefusedRelay(pending, true);
         } else if (pending.streamBegun && RelayRouters.NOT_RUN_STATUSES.contains(head.status())) {
-            placeAfterRefusedRelay(pending);
+            placeAfterRefusedRelay(pending, head.notSent());
         } else if (head.status() < RelayRouters.FIRST_ERROR_STATUS || pending.streamBegun) {
             handleLoss(
                     pending,
@@ -336,14 +337,14 @@
         }
     }
 
-    /** Tries another way after a router refused a request without running it, which costs no send and no retry. */
-    private void placeAfterRefusedRelay(PendingCall pending) {
+    /** Tries another way after a router refused a request that it has not run; a retry if it may have sent it. */
+    private void placeAfterRefusedRelay(PendingCall pending, boolean returnsRetry) {
         releaseAttempt(pending);
         pending.excludedUpstreams.add(pending.upstream.id());
         context.emit(new ForwardingOutput.Cancel(pending.attempt));
         pending.relayRefusals++;
         pending.sends--;
-        if (pending.mayHaveRun()) {
+        if (returnsRetry && pending.mayHaveRun()) {
             retryBudgets.returnRetry(pending.service);
         }
         place(pending);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
@@ -92,7 +92,7 @@
     String keptReason = "";
     /** Whether the path to all upstreams is probably lost, as all of them were silent for long. */
     boolean pathLost;
-    /** Whether the attempt was given up for a place at another upstream, which the next attempt takes. */
+    /** Whether the attempt was given up for a place at another upstream that responds. */
     boolean placeFound;
 
     PendingCall(
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreamDecision.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreamDecision.java
@@ -45,7 +45,8 @@
      * @param upstreamsStreaming upstreams that have begun streams of this router
      * @param upstreamsSilent those among them that leave all of these without events; 0 if the upstream of the attempt
      *     is known to have ended
-     * @param silenceWasCommon whether most upstreams were silent at a moment since the last event of the stream
+     * @param upstreamsSilentAlike those that were silent for most of the time since the last event of the stream, also if
+     *     they have gone on; 0 as before
      * @param sendable whether the request may be sent once more
      * @param budgetLeft whether the retry budget allows it
      * @param placeElsewhere returns whether another upstream that responds has a place
@@ -55,20 +56,23 @@
             long silentMillis,
             int upstreamsStreaming,
             int upstreamsSilent,
-            boolean silenceWasCommon,
+            int upstreamsSilentAlike,
             boolean sendable,
             boolean budgetLeft,
             BooleanSupplier placeElsewhere,
             BooleanSupplier routerElsewhere) {
 
         private boolean isSilenceCommon() {
-            return SilentStreamDecision.isSilenceCommon(upstreamsStreaming, upstreamsSilent);
+            return isCommon(upstreamsSilent);
+        }
+
+        private boolean wasSilenceCommon() {
+            return isCommon(upstreamsSilentAlike);
         }
-    }
 
-    /** Returns whether most of the upstreams that have begun streams are silent. */
-    static boolean isSilenceCommon(int upstreamsStreaming, int upstreamsSilent) {
-        return upstreamsSilent >= COMMON_SILENCE_UPSTREAMS && 2 * upstreamsSilent > upstreamsStreaming;
+        private boolean isCommon(int upstreams) {
+            return upstreams >= COMMON_SILENCE_UPSTREAMS && 2 * upstreams > upstreamsStreaming;
+        }
     }
 
     static Decision decide(Situation situation) {
@@ -83,7 +87,7 @@
                 return new Keep("most upstreams are silent");
             }
             // Upstreams that go on together are heard one after the other.
-            if (situation.silenceWasCommon()) {
+            if (situation.wasSilenceCommon()) {
                 return new Keep("most upstreams were silent");
             }
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreams.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreams.java
@@ -17,9 +17,6 @@
     private final CrashProtection crashProtection;
     private final CallLog log;
     private final Map<String, Silence> silenceByService = new HashMap<>();
-    /** When most upstreams of a service were last found silent, in milliseconds. */
-    private final Map<String, Long> commonSilenceAtMillis = new HashMap<>();
-
     private long silenceAtMillis = Long.MIN_VALUE;
 
     /** How many upstreams of a service have begun streams, and how many of them are silent. */
@@ -46,7 +43,7 @@
     boolean giveUp(PendingCall pending) {
         return switch (SilentStreamDecision.decide(situation(pending))) {
             case SilentStreamDecision.ContinueElsewhere elsewhere -> {
-                pending.placeFound = true;
+                pending.placeFound = selector.hasRespondingPlaceElsewhere(pending);
                 yield true;
             }
             case SilentStreamDecision.ContinueThroughRouter throughRouter -> {
@@ -65,15 +62,13 @@
     }
 
     private SilentStreamDecision.Situation situation(PendingCall pending) {
-        boolean active = upstreams.isActive(pending.upstream);
-        Silence silence = active ? silence(pending.service) : new Silence(0, 0);
+        boolean registered = context.now() < pending.upstream.removalAtMillis;
+        Silence silence = registered ? silence(pending.service) : new Silence(0, 0);
         return new SilentStreamDecision.Situation(
                 context.now() - pending.lastEventAtMillis,
                 silence.streaming(),
                 silence.silent(),
-                active
-                        && commonSilenceAtMillis.getOrDefault(pending.service, Long.MIN_VALUE)
-                                > pending.lastEventAtMillis,
+                registered ? silentAlike(pending) : 0,
                 pending.sends < CallTiming.MAXIMUM_SENDS
                         && crashProtection.quarantine(pending).isEmpty(),
                 retryBudgets.mayRetry(pending.service),
@@ -101,9 +96,17 @@
                 silent += upstream.isSilent(context.now()) ? 1 : 0;
             }
         }
-        if (SilentStreamDecision.isSilenceCommon(streaming, silent)) {
-            commonSilenceAtMillis.put(service, context.now());
-        }
         return new Silence(streaming, silent);
     }
+
+    /** Counts the upstreams that were silent for most of the time for which the stream is. */
+    private int silentAlike(PendingCall pending) {
+        long silentMillis = context.now() - pending.lastEventAtMillis;
+        int alike = 0;
+        for (UpstreamState upstream : upstreams.activeUpstreams(pending.service)) {
+            boolean silent = 2 * upstream.silentMillisSince(pending.lastEventAtMillis, context.now()) > silentMillis;
+            alike += silent && upstream.hasBegunStream() ? 1 : 0;
+        }
+        return alike;
+    }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
@@ -66,6 +66,15 @@
                         && UpstreamPlacement.hasPlace(upstream, context.now()));
     }
 
+    /** The same of an upstream that has answered since the last event of the request's stream. */
+    boolean hasRespondingPlaceElsewhere(PendingCall pending) {
+        return candidates(pending).stream()
+                .anyMatch(upstream -> upstream != pending.upstream
+                        && upstream.lastAnswerAtMillis > pending.lastEventAtMillis
+                        && !upstream.isSuspected(context.now())
+                        && UpstreamPlacement.hasPlace(upstream, context.now()));
+    }
+
     private UpstreamPlacement.Conditions conditions(PendingCall pending) {
         long targetVersion = storeReplica
                 .targetWeights(pending.call.model())
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
@@ -57,6 +57,10 @@
     long lastUnansweredSentAtMillis = Long.MIN_VALUE / 2;
 
     long lastContactAtMillis = Long.MIN_VALUE;
+    /** The latest time without a response while requests were in flight, in milliseconds. */
+    private long lastSilenceFromMillis = Long.MIN_VALUE / 2;
+
+    private long lastSilenceUntilMillis = Long.MIN_VALUE / 2;
     int consecutiveFailures;
     /** The fraction of failures among its latest outcomes, 0 to 1. */
     double failureRate;
@@ -343,6 +347,20 @@
     }
 
     void recordContact(long nowMillis) {
+        long silentMillis = millisWithoutResponse(nowMillis);
+        if (silentMillis > RESPONSE_TIMEOUT_MILLIS) {
+            lastSilenceFromMillis = nowMillis - silentMillis;
+            lastSilenceUntilMillis = nowMillis;
+        }
         lastContactAtMillis = nowMillis;
     }
+
+    /** Returns for how much of a time it was silent, in milliseconds, as far as its latest silence tells. */
+    long silentMillisSince(long sinceMillis, long nowMillis) {
+        long silentMillis = millisWithoutResponse(nowMillis);
+        boolean silentNow = silentMillis > RESPONSE_TIMEOUT_MILLIS;
+        long fromMillis = silentNow ? nowMillis - silentMillis : lastSilenceFromMillis;
+        long untilMillis = silentNow ? nowMillis : lastSilenceUntilMillis;
+        return Math.max(0, untilMillis - Math.max(sinceMillis, fromMillis));
+    }
 }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RequestLostBesideFailedInputTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RequestLostBesideFailedInputTest.java
@@ -113,7 +113,7 @@
 
     static Stream<AttemptEvent> eventsThatThrow() {
         AttemptEvent.Head headWithoutLoad =
-                new AttemptEvent.Head(200, true, false, null, null, null, null, false, false);
+                new AttemptEvent.Head(200, true, false, null, null, null, null, false, false, false);
         return Stream.of(
                 new AttemptEvent.Answered(null),
                 new AttemptEvent.Answered(headWithoutLoad),
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/SilentStreamDecisionTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/SilentStreamDecisionTest.java
@@ -11,7 +11,7 @@
     private long silentMillis = CallTiming.STREAM_IDLE_TIMEOUT_MILLIS;
     private int streaming = 2;
     private int silent = 1;
-    private boolean silenceWasCommon;
+    private int silentAlike;
     private boolean sendable = true;
     private boolean budgetLeft = true;
     private boolean placeElsewhere = true;
@@ -22,7 +22,7 @@
                 silentMillis,
                 streaming,
                 silent,
-                silenceWasCommon,
+                silentAlike,
                 sendable,
                 budgetLeft,
                 () -> placeElsewhere,
@@ -53,8 +53,8 @@
     }
 
     @Test
-    void should_keep_an_attempt_for_the_same_time_when_most_upstreams_were_silent_since_its_last_event() {
-        silenceWasCommon = true;
+    void should_keep_an_attempt_for_the_same_time_when_most_upstreams_were_silent_as_long() {
+        silentAlike = 2;
         silentMillis = SilentStreamDecision.COMMON_SILENCE_MILLIS - 1;
         assertKept("most upstreams were silent");
         silentMillis++;
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamingEngines.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamingEngines.java
@@ -231,6 +231,7 @@
     private void refuseRelayed(ForwardingOutput.Send send, ResultCode code) {
         AttemptEvent.Head head = AttemptEvent.Head.builder(code.httpStatus())
                 .withoutPath(code == ResultCode.WITHOUT_PATH)
+                .notSent(true)
                 .build();
         router.deliverEvent(send, new AttemptEvent.Answered(head));
     }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/OpenRequests.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/OpenRequests.java
@@ -119,6 +119,9 @@
     void refuse(OpenRequest request, ResultCode code, long retryAfterMillis) {
         HttpHeaders headers = new DefaultHttpHeaders();
         dialect.writeRefusalHeaders(headers, request.call);
+        if (request.call.relayed() && request.lastAttempt == null) {
+            headers.set(RelayHeaders.NOT_SENT, "1");
+        }
         refuse(request.exchange, headers, code, retryAfterMillis);
     }
 
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/RelayHeaders.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/RelayHeaders.java
@@ -9,5 +9,8 @@
     /** Marks the refusal of a relayed request by a router that reaches no upstream either. */
     public static final String WITHOUT_PATH = "Fuchsiatrail-Without-Path";
 
+    /** Marks the refusal of a relayed request by a router that has sent it to no upstream. */
+    public static final String NOT_SENT = "Fuchsiatrail-Not-Sent";
+
     private RelayHeaders() {}
 }
