--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreamDecision.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreamDecision.java
@@ -45,8 +45,8 @@
      * @param upstreamsStreaming upstreams that have begun streams of this router
      * @param upstreamsSilent those among them that leave all of these without events; 0 if the upstream of the attempt
      *     is known to have ended
-     * @param upstreamsSilentAlike those that were silent for most of the time since the last event of the stream, also if
-     *     they have gone on; 0 as before
+     * @param upstreamsSilentAlike those that were silent for most of the time since the last event of the stream, also
+     *     if they have gone on; 0 in the same case
      * @param sendable whether the request may be sent once more
      * @param budgetLeft whether the retry budget allows it
      * @param placeElsewhere returns whether another upstream that responds has a place
