Hold the silent attempt of a stream until another one has begun to continue it

Cause: a silent attempt was cancelled before another engine had begun to continue the stream. Whether the next attempt can succeed is not known then: it can be refused, its connection can break, its retry can be taken by another stream, or its engine is silent too.

Now the silent attempt stays in flight until another one has begun. The one that brings the next event goes on, the other is cancelled; if no other can begin, the silent one stays as if it had never been given up. A broken stream waits for a retry as long as for a place. An attempt that has been sent as often as permitted is no longer given up.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AnswerHeads.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AnswerHeads.java
@@ -7,12 +7,14 @@
 
     private final ForwardingContext context;
     private final RequestLimits requestLimits;
+    private final UpstreamTable upstreams;
     private final RequestedPauses pauses;
     private final LeavingUpstreams leavingUpstreams;
 
     AnswerHeads(ForwardingContext context, RequestLimits requestLimits, UpstreamTable upstreams) {
         this.context = context;
         this.requestLimits = requestLimits;
+        this.upstreams = upstreams;
         this.pauses = upstreams.pauses();
         this.leavingUpstreams = upstreams.leaving();
     }
@@ -41,4 +43,19 @@
             }
         }
     }
+
+    /**
+     * Records that an upstream is not the expected incarnation or has other weights. Engines are probed then, since
+     * others may have changed too.
+     */
+    void recordMisdirected(PendingCall pending, AttemptEvent.Head head) {
+        boolean weightsReported =
+                pending.route.describesPrompt() && head.weightsVersion().isPresent();
+        if (!weightsReported) {
+            pending.excludedUpstreams.add(pending.upstream.id());
+        }
+        if (pending.route.describesPrompt()) {
+            upstreams.probeOutdated(pending.upstream, pending.call.model(), !weightsReported);
+        }
+    }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
@@ -155,6 +155,39 @@
                 delivering);
     }
 
+    void held(PendingCall pending) {
+        // Counts silent attempts that stay in flight until another attempt has begun.
+        context.count("attempts.held");
+        context.log(
+                COMPONENT,
+                "Silent attempt held until another one has begun.",
+                "request",
+                pending.call.callerAttemptId(),
+                "upstream",
+                pending.upstream.id(),
+                "silentMillis",
+                context.now() - pending.lastEventAtMillis,
+                "send",
+                pending.sends);
+    }
+
+    void heldLost(PendingCall pending, HeldAttempt held, String reason) {
+        context.count("attempts.lost");
+        context.log(
+                COMPONENT,
+                "Held attempt lost.",
+                "request",
+                pending.call.callerAttemptId(),
+                "fingerprint",
+                Long.toHexString(pending.fingerprint),
+                "upstream",
+                held.upstream().id(),
+                "silentMillis",
+                context.now() - held.lastEventAtMillis(),
+                "reason",
+                reason);
+    }
+
     void kept(PendingCall pending, String reason) {
         // Counts silent attempts that were kept, once for each reason.
         context.count("attempts.kept-silent");
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -21,13 +21,6 @@
  */
 final class CallSystem {
 
-    /** The loss of an attempt that is given up; whether its request was sent is not known. */
-    private static final AttemptEvent.Lost NO_PROGRESS = new AttemptEvent.Lost(true, true, "", "no progress");
-
-    /** The loss of an attempt whose connection brought the answer of another request. */
-    private static final AttemptEvent.Lost MISMATCHED =
-            new AttemptEvent.Lost(true, true, "", "answer does not belong to this request");
-
     private final ForwardingContext context;
     private final StoreReplica storeReplica;
     private final UpstreamTable upstreams;
@@ -47,6 +40,8 @@
     private final CallTimers timers;
     private final AttemptSender sender;
     private final SilentStreams silentStreams;
+    private final HeldAttempts heldAttempts;
+    private final StreamStarts streamStarts;
 
     CallSystem(
             ForwardingContext context,
@@ -77,6 +72,8 @@
         this.sender = new AttemptSender(context, calls, timers, timing, selector.availability(), crashProtection, log);
         this.silentStreams =
                 new SilentStreams(context, upstreams, selector, relayRouters, retryBudgets, crashProtection, log);
+        this.streamStarts = new StreamStarts(context, storeReplica, upstreams, gossip, bindings);
+        this.heldAttempts = new HeldAttempts(context, upstreams, crashProtection, calls, timers, log);
         this.startupQueue = new StartupCallQueue(context);
     }
 
@@ -143,6 +140,10 @@
         }
         if (!firstAttempt && !retryBudgets.tryRetry(pending.service)) {
             context.count("retries.over-budget");
+            if (pending.streamBegun && context.now() < pending.placementDeadlineMillis) {
+                awaitPlacement(pending);
+                return;
+            }
             refuseOrAbort(
                     pending, ResultCode.NO_UPSTREAM, CallTiming.EXHAUSTED_BUDGET_RETRY_MILLIS, "retry budget is spent");
             return;
@@ -223,15 +224,18 @@
             return;
         }
         if (context.now() < pending.placementDeadlineMillis) {
-            pending.state = PendingCall.State.WAITING;
-            timers.schedule(
-                    pending,
-                    Math.min(pending.placementDeadlineMillis, context.now() + CallTiming.PLACEMENT_RETRY_MILLIS));
+            awaitPlacement(pending);
             return;
         }
         refuseOrAbort(pending, ResultCode.NO_UPSTREAM, CallTiming.NO_UPSTREAM_RETRY_MILLIS, "no upstream is usable");
     }
 
+    private void awaitPlacement(PendingCall pending) {
+        pending.state = PendingCall.State.WAITING;
+        timers.schedule(
+                pending, Math.min(pending.placementDeadlineMillis, context.now() + CallTiming.PLACEMENT_RETRY_MILLIS));
+    }
+
     /** Handles an event of an attempt. */
     void receiveAttemptEvent(AttemptId attempt, AttemptEvent event) {
         Optional<PendingCall> sent = calls.find(attempt);
@@ -241,6 +245,9 @@
             return;
         }
         PendingCall pending = sent.get();
+        if (!attempt.equals(pending.attempt) && heldAttempts.endsWith(pending, event)) {
+            return;
+        }
         pending.upstream.recordContact(context.now());
         crashProtection.recordEvent(pending, event);
         if (!(event instanceof AttemptEvent.Lost || event instanceof AttemptEvent.Mismatched)) {
@@ -257,7 +264,7 @@
             }
             case AttemptEvent.Mismatched mismatched -> {
                 log.mismatched(pending, mismatched);
-                handleLoss(pending, MISMATCHED);
+                handleLoss(pending, DeclaredLosses.MISMATCHED);
             }
             case AttemptEvent.Lost lost -> handleLoss(pending, lost);
         }
@@ -356,22 +363,8 @@
             handleLoss(pending, new AttemptEvent.Lost(true, true, "", "stream lacks a valid upstream signature"));
             return;
         }
-        UpstreamState.InFlightAttempt inFlightAttempt = pending.upstream.inFlight.get(pending.attempt);
-        if (inFlightAttempt != null) {
-            context.emit(new ForwardingOutput.Measure("first-event", context.now() - inFlightAttempt.sentAtMillis));
-            inFlightAttempt.promptTokens = 0;
-            inFlightAttempt.streamBegun = true;
-        }
-        if (pending.placement != null && pending.route.describesPrompt()) {
-            long capacityTokens = storeReplica.memoryTokens(pending.service);
-            PromptChain chain = pending.placement.chain();
-            chain.shared().forEach(link -> gossip.sharedParts().add(link.key()));
-            gossip.recordPrefilledParts(
-                    pending.upstream.id(),
-                    pending.upstream.cache.recordPrefill(chain.shared(), capacityTokens, context.now()));
-        }
-        upstreams.recordSuccess(pending.upstream);
-        bindings.recordOrigin(pending);
+        heldAttempts.giveUp(pending);
+        streamStarts.record(pending);
         pending.streamBegun = true;
         pending.state = PendingCall.State.DELIVERING;
         pending.firstEventAtMillis = context.now();
@@ -396,7 +389,7 @@
         log.notExecuted(pending, head);
         context.emit(new ForwardingOutput.Cancel(pending.attempt));
         if (head.status() == CallTiming.MISDIRECTED_STATUS) {
-            handleMisdirected(pending, head);
+            answerHeads.recordMisdirected(pending, head);
         } else {
             pending.excludedUpstreams.add(pending.upstream.id());
             pending.upstream.overloadedUntilMillis = context.now() + CallTiming.OVERLOADED_MILLIS;
@@ -412,21 +405,6 @@
         }
     }
 
-    /**
-     * Probes engines after one of them had other weights or was a different incarnation than expected, since other
-     * engines may have changed too.
-     */
-    private void handleMisdirected(PendingCall pending, AttemptEvent.Head head) {
-        boolean weightsReported =
-                pending.route.describesPrompt() && head.weightsVersion().isPresent();
-        if (!weightsReported) {
-            pending.excludedUpstreams.add(pending.upstream.id());
-        }
-        if (pending.route.describesPrompt()) {
-            upstreams.probeOutdated(pending.upstream, pending.call.model(), !weightsReported);
-        }
-    }
-
     private void handleLoss(PendingCall pending, AttemptEvent.Lost lost) {
         boolean delivering = pending.state == PendingCall.State.DELIVERING;
         releaseAttempt(pending);
@@ -439,7 +417,7 @@
         context.emit(new ForwardingOutput.Cancel(pending.attempt));
         if (lost.sent()) {
             pending.possibleExecutions++;
-            crashProtection.recordUnanswered(pending, lost == NO_PROGRESS);
+            crashProtection.recordUnanswered(pending, lost == DeclaredLosses.NO_PROGRESS);
         } else {
             pending.unsentAttempts++;
             crashProtection.recordEnded(pending.incarnation);
@@ -454,7 +432,7 @@
             pending.placementDeadlineMillis =
                     Math.max(pending.placementDeadlineMillis, context.now() + CallTiming.PLACEMENT_RETRY_MILLIS);
             place(pending);
-        } else if (retry && retryBudgets.mayRetry(pending.service)) {
+        } else if (retry) {
             pending.placementDeadlineMillis = context.now() + CallTiming.RESUME_TIMEOUT_MILLIS;
             place(pending);
         } else {
@@ -476,6 +454,7 @@
         // Counts requests whose caller disconnected before the answer was complete.
         context.count("requests.caller-left");
         bindings.recordInterrupted(pending);
+        heldAttempts.giveUp(pending);
         if (calls.hasAttemptInFlight(pending)) {
             if (context.now() - pending.lastEventAtMillis >= timing.unresponsiveMillis(pending)) {
                 upstreams.recordUnanswered(pending, timing.unresponsiveMillis(pending));
@@ -497,9 +476,10 @@
      */
     void upstreamEnded(UpstreamId incarnation) {
         for (PendingCall pending : calls.sent()) {
-            if (pending.incarnation.equals(incarnation)) {
+            if (calls.hasAttemptInFlight(pending) && pending.incarnation.equals(incarnation)) {
                 crashProtection.recordGivenUp(pending);
             }
+            heldAttempts.upstreamEnded(pending, incarnation);
         }
         crashProtection.recordEnded(incarnation);
     }
@@ -528,19 +508,30 @@
                 timers.schedule(pending, pending.attemptTimeoutAtMillis);
                 return;
             }
-            boolean streaming = pending.state == PendingCall.State.DELIVERING && !pending.relayed;
-            boolean givenUp = streaming
-                    ? silentStreams.giveUp(pending)
-                    : retryBudgets.mayRetry(pending.service) && selector.hasAlternative(pending);
-            if (givenUp) {
-                // Counts attempts aborted by the attempt timeout or the stream idle timeout.
+            if (silentStreams.giveUp(pending)) {
+                // Counts attempts that another one replaces because of the attempt timeout or stream idle timeout.
                 context.count("attempts.given-up");
-                handleLoss(pending, NO_PROGRESS);
+                replaceSilentAttempt(pending);
             }
         }
     }
 
+    /** Sends a request again whose attempt shows no progress; that of a begun stream is held meanwhile. */
+    private void replaceSilentAttempt(PendingCall pending) {
+        if (!pending.streamBegun || pending.held.isPresent()) {
+            handleLoss(pending, DeclaredLosses.NO_PROGRESS);
+            return;
+        }
+        heldAttempts.hold(pending);
+        pending.placementDeadlineMillis = context.now() + CallTiming.RESUME_TIMEOUT_MILLIS;
+        place(pending);
+    }
+
     private void handleDeadline(PendingCall pending) {
+        if (context.now() < pending.deadlineAtMillis && heldAttempts.restore(pending, "too little time is left")) {
+            return;
+        }
+        heldAttempts.giveUp(pending);
         if (calls.hasAttemptInFlight(pending)) {
             upstreams.recordUnanswered(pending, timing.unresponsiveMillis(pending));
             releaseAttempt(pending);
@@ -554,9 +545,12 @@
 
     /**
      * Ends a request with a refusal or, once part of its stream was passed on, by aborting the stream. A request that
-     * may have been executed is never reported as not executed.
+     * may have been executed is never reported as not executed. A stream with a held attempt goes on with that.
      */
     private void refuseOrAbort(PendingCall pending, ResultCode code, long retryAfterMillis, String reason) {
+        if (heldAttempts.restore(pending, reason)) {
+            return;
+        }
         boolean codeApplies = code.mayHaveRun() || !pending.mayHaveRun();
         ResultCode reportedCode = codeApplies ? code : ResultCode.OUTCOME_UNKNOWN;
         log.refused(pending, reportedCode, retryAfterMillis, reason);
@@ -584,6 +578,7 @@
     private void close(PendingCall pending) {
         pending.state = PendingCall.State.FINISHED;
         calls.remove(pending);
+        heldAttempts.giveUp(pending);
         if (pending.attempt != null) {
             releaseAttempt(pending);
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTable.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
 
@@ -41,7 +42,7 @@
 
     /** All requests with an attempt in flight. */
     Collection<PendingCall> sent() {
-        return callsByAttempt.values();
+        return new LinkedHashSet<>(callsByAttempt.values());
     }
 
     boolean hasAttemptInFlight(PendingCall pending) {
@@ -63,6 +64,14 @@
         return released != null && released.nonResumable && pending.upstream.ownNonResumableRequests() == 0;
     }
 
+    /** Ends the held attempt of a request. */
+    void releaseHeld(PendingCall pending) {
+        pending.held.ifPresent(held -> {
+            callsByAttempt.remove(held.attempt());
+            held.upstream().inFlight.remove(held.attempt());
+        });
+    }
+
     void remove(PendingCall pending) {
         callsByRequest.remove(pending.request);
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashDetector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashDetector.java
@@ -66,6 +66,7 @@
 
     private void add(UnansweredAttempt attempt) {
         UpstreamId incarnation = attempt.crash().upstream();
+        withdraw(attempt.attempt());
         unansweredByIncarnation
                 .computeIfAbsent(incarnation, key -> new ArrayList<>())
                 .add(attempt);
@@ -74,6 +75,10 @@
 
     /** Withdraws an attempt that was given up before its request was sent. */
     void recordNotSent(AttemptId attempt) {
+        withdraw(attempt);
+    }
+
+    private void withdraw(AttemptId attempt) {
         unansweredByIncarnation
                 .values()
                 .forEach(attempts ->
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashProtection.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashProtection.java
@@ -118,10 +118,28 @@
         detector.recordGivenUp(pending.attempt, possibleCrash(pending));
     }
 
+    /** Records that a held attempt was lost without a further answer. */
+    void recordLost(PendingCall pending, HeldAttempt held) {
+        if (!held.relayed()) {
+            detector.recordLost(held.attempt(), possibleCrash(pending, held));
+        }
+    }
+
+    /** Records that a held attempt was given up without a further answer. */
+    void recordGivenUp(PendingCall pending, HeldAttempt held) {
+        if (!held.relayed()) {
+            detector.recordGivenUp(held.attempt(), possibleCrash(pending, held));
+        }
+    }
+
     private static PeerMessage.SeenCrash possibleCrash(PendingCall pending) {
-        boolean streamedLong = pending.lastEventAtMillis - pending.firstEventAtMillis >= HARMLESS_STREAM_MILLIS;
+        return possibleCrash(pending, HeldAttempt.of(pending));
+    }
+
+    private static PeerMessage.SeenCrash possibleCrash(PendingCall pending, HeldAttempt attempt) {
+        boolean streamedLong = attempt.lastEventAtMillis() - attempt.firstEventAtMillis() >= HARMLESS_STREAM_MILLIS;
         return new PeerMessage.SeenCrash(
-                pending.fingerprint, pending.incarnation, streamedLong ? NO_PARTS : pending.sharedPartKeys);
+                pending.fingerprint, attempt.incarnation(), streamedLong ? NO_PARTS : pending.sharedPartKeys);
     }
 
     /** Records an event of an attempt that was given up. */
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
@@ -84,6 +84,8 @@
     Optional<String> assignedVersion = Optional.empty();
     /** Whether other routers were told the version of the stream, so that it must not begin at another one. */
     boolean reportedOpen;
+    /** The silent attempt that stays in flight until the current one has begun, if there is one. */
+    Optional<HeldAttempt> held = Optional.empty();
     /** When the current attempt's first and last events were received, in milliseconds; equal before the first. */
     long firstEventAtMillis;
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreams.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreams.java
@@ -3,7 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** Applies {@link SilentStreamDecision} to the attempts of this router. */
+/** Decides which attempts of this router are given up because they show no progress. */
 final class SilentStreams {
 
     /** Interval at which a silent attempt is looked at again, in milliseconds. */
@@ -39,8 +39,18 @@
         this.log = log;
     }
 
-    /** Returns whether the attempt is to be given up; one that stays is looked at again after an interval. */
+    /** Returns whether an attempt that shows no progress is to be given up. */
     boolean giveUp(PendingCall pending) {
+        boolean streaming = pending.state == PendingCall.State.DELIVERING && !pending.relayed;
+        return streaming
+                ? giveUpStream(pending)
+                : pending.sends < CallTiming.MAXIMUM_SENDS
+                        && retryBudgets.mayRetry(pending.service)
+                        && selector.hasAlternative(pending);
+    }
+
+    /** The same for a stream that an upstream has begun; one that stays is looked at again after an interval. */
+    private boolean giveUpStream(PendingCall pending) {
         return switch (SilentStreamDecision.decide(situation(pending))) {
             case SilentStreamDecision.ContinueElsewhere elsewhere -> {
                 pending.placeFound = selector.hasRespondingPlaceElsewhere(pending);
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamingEngines.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamingEngines.java
@@ -45,6 +45,8 @@
 
     private final int slots;
     private final Set<String> silent = new HashSet<>();
+    private final Set<String> refusing = new HashSet<>();
+    private final Set<String> breaking = new HashSet<>();
     private final Map<AttemptId, Run> running = new LinkedHashMap<>();
     private final Map<RequestId, Long> lastEventAtMillis = new HashMap<>();
     private final List<ForwardingOutput.Send> relayedSends = new ArrayList<>();
@@ -92,6 +94,14 @@
         advanceTime(500);
     }
 
+    /** Begins further streams at once. */
+    void beginMore(int streams) {
+        for (int number = 1; number <= streams; number++) {
+            router.call("/ask/more-" + number);
+            execute();
+        }
+    }
+
     void silence(String... names) {
         silent.addAll(List.of(names));
     }
@@ -104,6 +114,16 @@
         silent.removeAll(List.of(names));
     }
 
+    /** Makes engines refuse all new requests from now on, because others fill them. */
+    void refuseNew(String... names) {
+        refusing.addAll(List.of(names));
+    }
+
+    /** Makes engines break the connection of each new request from now on. */
+    void breakNew(String... names) {
+        breaking.addAll(List.of(names));
+    }
+
     /** The number of runs in progress on an engine. */
     long running(String engine) {
         return running.values().stream()
@@ -214,10 +234,14 @@
             return;
         }
         Run run = new Run(send);
-        if (running(run.engine()) >= slots) {
+        if (running(run.engine()) >= slots || refusing.contains(run.engine())) {
             router.answerNotExecuted(send);
             return;
         }
+        if (breaking.contains(run.engine())) {
+            router.lost(send, true, "");
+            return;
+        }
         runs++;
         running.put(send.attempt(), run);
     }
