Check that the attempt of a stream that is heard first goes on and its replacement ends

The mechanism "held attempts go on" survived without this: the late events of the silent engine were not told from those of its replacement.

--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamCutBeforeItsReplacementBeganTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamCutBeforeItsReplacementBeganTest.java
@@ -62,16 +62,23 @@
         playSilence(engines, 1_300);
     }
 
-    /** The path to the place that was found hangs too. */
+    /** The place that was found does not respond either. */
     @Test
     void should_continue_with_the_engine_that_is_heard_first() {
         StreamingEngines engines = engines();
+        long held = engines.running("one");
         engines.silence("one");
-        engines.advanceTime(1_000);
+        engines.advanceTime(950);
         engines.silence(OTHERS);
-        engines.advanceTime(300);
+        engines.advanceTime(350);
         engines.endSilence("one");
-        engines.advanceTime(50);
+        engines.advanceTime(100);
+        assertThat(engines.running("one"))
+                .as("runs on the engine that is heard")
+                .isEqualTo(held);
+        assertThat(engines.router.all(ForwardingOutput.Cancel.class))
+                .as("cancelled replacements")
+                .hasSize((int) held);
         engines.endSilence();
         assertAllCompleted(engines);
         assertThat(Collections.max(engines.longestPauseMillis.values())).isLessThanOrEqualTo(1_400);
