Check that a broken stream goes on after a router refuses it

The mechanisms "refused relays cost no retry" and "begun streams go on after refusals of routers" were no longer needed by the existing cases, since silent streams are held meanwhile.

--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamCutAfterRefusedRelayTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamCutAfterRefusedRelayTest.java
@@ -1,10 +1,12 @@
 package org.fuchsiatrail.internal.forwarding;
 
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import org.fuchsiatrail.ResultCode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -50,4 +52,25 @@
         assertThat(engines.left).as("callers that left").isZero();
         assertThat(engines.completed).as("complete streams").isEqualTo(streams);
     }
+
+    /** Without a connection to two engines, a broken stream is relayed; there are retries for both and one more. */
+    @ParameterizedTest
+    @EnumSource(names = {"NO_UPSTREAM", "OVERLOADED", "STOPPING"})
+    void should_cut_no_broken_stream_when_a_router_refuses_it(ResultCode refusal) {
+        StreamingEngines engines = new StreamingEngines(64, ENGINES);
+        engines.registerRouter("vm-2");
+        engines.refusalOfRouters = Optional.of(refusal);
+        engines.begin(1);
+        engines.spendRetries(14);
+        String broken = Stream.of(ENGINES)
+                .filter(engine -> engines.running(engine) > 0)
+                .findFirst()
+                .orElseThrow();
+        engines.connectionsToFail = 2;
+        engines.reset(broken);
+        engines.advanceTime(STREAM_MILLIS);
+        assertThat(engines.relayed).as("streams sent to routers").isEqualTo(1);
+        assertThat(engines.aborted()).as("streams cut by the router").isZero();
+        assertThat(engines.completed).as("complete streams").isEqualTo(1);
+    }
 }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamingEngines.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamingEngines.java
@@ -43,6 +43,9 @@
     /** With what other routers refuse all requests after a step; without it they never answer. */
     Optional<ResultCode> refusalOfRouters = Optional.empty();
 
+    /** How many of the next connections to engines fail before a request is sent. */
+    int connectionsToFail;
+
     private final int slots;
     private final Set<String> silent = new HashSet<>();
     private final Set<String> refusing = new HashSet<>();
@@ -233,6 +236,11 @@
             refusalOfRouters.ifPresent(code -> relayedSends.add(send));
             return;
         }
+        if (connectionsToFail > 0) {
+            connectionsToFail--;
+            router.lost(send, false, "");
+            return;
+        }
         Run run = new Run(send);
         if (running(run.engine()) >= slots || refusing.contains(run.engine())) {
             router.answerNotExecuted(send);
