Blame no upstream for a replacement that is cancelled because the held attempt goes on

The router itself ends it, and a stream that goes on shows that its prompt crashes nothing. Likewise the upstreams that were silent with a stream are counted only if the present silence does not keep it, so that a look at a stream during a common silence costs one comparison instead of one for each upstream. The tests of silent and crashing requests pass.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/HeldAttempts.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/HeldAttempts.java
@@ -59,7 +59,6 @@
         if (calls.hasAttemptInFlight(pending)) {
             calls.releaseAttempt(pending);
             context.emit(new ForwardingOutput.Cancel(pending.attempt));
-            crashProtection.recordGivenUp(pending);
             pending.possibleExecutions++;
         }
         pending.held.get().restoreTo(pending);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreamDecision.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreamDecision.java
@@ -1,6 +1,7 @@
 package org.fuchsiatrail.internal.forwarding;
 
 import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 
 /**
  * Decides what becomes of an attempt whose stream has begun and then had no event for a while.
@@ -45,8 +46,8 @@
      * @param upstreamsStreaming upstreams that have begun streams of this router
      * @param upstreamsSilent those among them that leave all of these without events; 0 if the upstream of the attempt
      *     is known to have ended
-     * @param upstreamsSilentAlike those that were silent for most of the time since the last event of the stream, also
-     *     if they have gone on; 0 in the same case
+     * @param upstreamsSilentAlike counts those that were silent for most of the time since the last event of the
+     *     stream, also if they have gone on; 0 in the same case
      * @param sendable whether the request may be sent once more
      * @param budgetLeft whether the retry budget allows it
      * @param placeElsewhere returns whether another upstream that responds has a place
@@ -56,7 +57,7 @@
             long silentMillis,
             int upstreamsStreaming,
             int upstreamsSilent,
-            int upstreamsSilentAlike,
+            IntSupplier upstreamsSilentAlike,
             boolean sendable,
             boolean budgetLeft,
             BooleanSupplier placeElsewhere,
@@ -67,7 +68,7 @@
         }
 
         private boolean wasSilenceCommon() {
-            return isCommon(upstreamsSilentAlike);
+            return isCommon(upstreamsSilentAlike.getAsInt());
         }
 
         private boolean isCommon(int upstreams) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreams.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreams.java
@@ -78,7 +78,7 @@
                 context.now() - pending.lastEventAtMillis,
                 silence.streaming(),
                 silence.silent(),
-                registered ? silentAlike(pending) : 0,
+                () -> registered ? silentAlike(pending) : 0,
                 pending.sends < CallTiming.MAXIMUM_SENDS
                         && crashProtection.quarantine(pending).isEmpty(),
                 retryBudgets.mayRetry(pending.service),
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/SilentStreamDecisionTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/SilentStreamDecisionTest.java
@@ -22,7 +22,7 @@
                 silentMillis,
                 streaming,
                 silent,
-                silentAlike,
+                () -> silentAlike,
                 sendable,
                 budgetLeft,
                 () -> placeElsewhere,
