Keep streams whole when a held attempt and its replacement both have events

A review of held attempts showed, each with a test on virtual time that failed: - An event could reach the caller twice: a held attempt that ended after a further event was dropped, and its replacement went on from the event before. Now the loss is that of the current attempt, and a further one resumes after it. - A replacement that was cancelled before it was sent counted as an execution, and a later break cut the stream. - A held attempt that had not begun took a refusal for a sign that it goes on, and its replacement was cancelled. Only attempts that have begun are held. - A stream whose last permitted attempt was cancelled was reported as one that can go on elsewhere, so that its engine could have been given new weights. - A stream that could not be replaced was held again each 50 ms, and each time counted as a failure of its engine (10 for three streams in 0.4 s). Silence now counts once, and a replacement is tried each 250 ms. - A stream whose held attempt broke late waited only for the rest of the time for a place. - The upstream of an attempt that went on could be blamed for a crash.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -242,6 +242,7 @@
         if (sent.isEmpty()) {
             context.count("attempts.late-events");
             crashProtection.recordLateEvent(attempt, event);
+            heldAttempts.recordLateEvent(attempt, event);
             return;
         }
         PendingCall pending = sent.get();
@@ -376,6 +377,7 @@
         pending.lastEventAtMillis = context.now();
         pending.recordEventId(eventId);
         pending.keptReason = "";
+        pending.silentAttempt = null;
         if (pending.state == PendingCall.State.DELIVERING
                 && pending.mayRetry()
                 && pending.possibleExecutions + 1 < pending.route.maximumAttempts()) {
@@ -518,7 +520,7 @@
 
     /** Sends a request again whose attempt shows no progress; that of a begun stream is held meanwhile. */
     private void replaceSilentAttempt(PendingCall pending) {
-        if (!pending.streamBegun || pending.held.isPresent()) {
+        if (pending.state != PendingCall.State.DELIVERING) {
             handleLoss(pending, DeclaredLosses.NO_PROGRESS);
             return;
         }
@@ -578,7 +580,7 @@
     private void close(PendingCall pending) {
         pending.state = PendingCall.State.FINISHED;
         calls.remove(pending);
-        heldAttempts.giveUp(pending);
+        heldAttempts.close(pending);
         if (pending.attempt != null) {
             releaseAttempt(pending);
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashDetector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashDetector.java
@@ -56,7 +56,7 @@
     }
 
     /**
-     * Records that an attempt without an answer was given up. {@link #recordNotSent} withdraws it if its request had
+     * Records that an attempt without an answer was given up. {@link #withdraw} withdraws it if its request had
      * not been sent.
      */
     void recordGivenUp(AttemptId attempt, PeerMessage.SeenCrash possibleCrash) {
@@ -73,12 +73,8 @@
         attributeIfEnded(incarnation);
     }
 
-    /** Withdraws an attempt that was given up before its request was sent. */
-    void recordNotSent(AttemptId attempt) {
-        withdraw(attempt);
-    }
-
-    private void withdraw(AttemptId attempt) {
+    /** Withdraws an attempt that was given up, since its request was not sent or its upstream has answered. */
+    void withdraw(AttemptId attempt) {
         unansweredByIncarnation
                 .values()
                 .forEach(attempts ->
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashProtection.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashProtection.java
@@ -132,6 +132,11 @@
         }
     }
 
+    /** Records that the current attempt of a request, which was given up, has answered since. */
+    void recordGoingOn(PendingCall pending) {
+        detector.withdraw(pending.attempt);
+    }
+
     private static PeerMessage.SeenCrash possibleCrash(PendingCall pending) {
         return possibleCrash(pending, HeldAttempt.of(pending));
     }
@@ -145,7 +150,7 @@
     /** Records an event of an attempt that was given up. */
     void recordLateEvent(AttemptId attempt, AttemptEvent event) {
         if (event instanceof AttemptEvent.Lost lost && !lost.sent()) {
-            detector.recordNotSent(attempt);
+            detector.withdraw(attempt);
         }
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/HeldAttempts.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/HeldAttempts.java
@@ -1,7 +1,10 @@
 package org.fuchsiatrail.internal.forwarding;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 
+import org.fuchsiatrail.AttemptId;
 import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.AttemptEvent;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
@@ -14,12 +17,17 @@
  */
 final class HeldAttempts {
 
+    /** Interval at which a held attempt is to be replaced again after that was not possible, in milliseconds. */
+    private static final long REPLACEMENT_INTERVAL_MILLIS = 250;
+
     private final ForwardingContext context;
     private final UpstreamTable upstreams;
     private final CrashProtection crashProtection;
     private final CallTable calls;
     private final CallTimers timers;
     private final CallLog log;
+    /** The replacements that were cancelled and of which nothing was heard since, with their requests. */
+    private final Map<AttemptId, PendingCall> cancelledReplacements = new HashMap<>();
 
     HeldAttempts(
             ForwardingContext context,
@@ -39,8 +47,11 @@
     /** Holds the current attempt of a begun stream, which then has none, and counts it as possibly executed. */
     void hold(PendingCall pending) {
         log.held(pending);
-        recordFailure(pending.upstream, DeclaredLosses.NO_PROGRESS.reason());
-        crashProtection.recordGivenUp(pending);
+        if (!pending.attempt.equals(pending.silentAttempt)) {
+            pending.silentAttempt = pending.attempt;
+            recordFailure(pending.upstream, DeclaredLosses.NO_PROGRESS.reason());
+            crashProtection.recordGivenUp(pending);
+        }
         pending.held = Optional.of(HeldAttempt.of(pending));
         pending.excludedUpstreams.add(pending.upstream.id());
         pending.possibleExecutions++;
@@ -60,10 +71,12 @@
             calls.releaseAttempt(pending);
             context.emit(new ForwardingOutput.Cancel(pending.attempt));
             pending.possibleExecutions++;
+            cancelledReplacements.put(pending.attempt, pending);
         }
         pending.held.get().restoreTo(pending);
         pending.held = Optional.empty();
         pending.possibleExecutions--;
+        pending.upstream.recordResumability(pending);
         pending.pathLost = false;
         pending.placeFound = false;
         log.kept(pending, reason);
@@ -74,7 +87,7 @@
 
     private void watch(PendingCall pending) {
         if (pending.mayRetry() && pending.possibleExecutions + 1 < pending.route.maximumAttempts()) {
-            pending.attemptTimeoutAtMillis = context.now() + SilentStreams.CHECK_INTERVAL_MILLIS;
+            pending.attemptTimeoutAtMillis = context.now() + REPLACEMENT_INTERVAL_MILLIS;
             timers.schedule(pending, pending.attemptTimeoutAtMillis);
         }
     }
@@ -85,12 +98,16 @@
     }
 
     /**
-     * Handles an event of a held attempt: it goes on, unless the event is its loss. Returns whether it is lost; another
-     * attempt may still continue the stream.
+     * Handles an event of a held attempt: it goes on, unless the event is its loss. Returns whether it is lost while
+     * another attempt may still continue the stream after the last event that was passed on.
      */
     boolean endsWith(PendingCall pending, AttemptEvent event) {
         return switch (event) {
-            case AttemptEvent.Lost lost -> lose(pending, lost.reason());
+            case AttemptEvent.Lost lost -> {
+                boolean eventsSince =
+                        !lost.lastEventId().isEmpty() && !lost.lastEventId().equals(pending.lastEventId);
+                yield eventsSince ? !restore(pending, lost.reason()) : lose(pending, lost.reason());
+            }
             case AttemptEvent.Mismatched mismatched -> lose(pending, DeclaredLosses.MISMATCHED.reason());
             case AttemptEvent.Answered answered -> !goOn(pending);
             case AttemptEvent.Started started -> !goOn(pending);
@@ -102,6 +119,7 @@
     private boolean goOn(PendingCall pending) {
         boolean held = restore(pending, "the attempt goes on");
         upstreams.recordSuccess(pending.upstream);
+        crashProtection.recordGoingOn(pending);
         return held;
     }
 
@@ -111,6 +129,7 @@
             recordFailure(held.upstream(), reason);
             release(pending, held, reason);
             crashProtection.recordLost(pending, held);
+            pending.placementDeadlineMillis = context.now() + CallTiming.RESUME_TIMEOUT_MILLIS;
         });
         return true;
     }
@@ -122,6 +141,21 @@
                 .ifPresent(held -> crashProtection.recordGivenUp(pending, held));
     }
 
+    /** Handles an event of an attempt that has ended: a replacement that was never sent has not run. */
+    void recordLateEvent(AttemptId attempt, AttemptEvent event) {
+        PendingCall pending = cancelledReplacements.remove(attempt);
+        if (pending != null && event instanceof AttemptEvent.Lost lost && !lost.sent()) {
+            pending.possibleExecutions--;
+            pending.upstream.recordResumability(pending);
+        }
+    }
+
+    /** Forgets a request that ends. */
+    void close(PendingCall pending) {
+        giveUp(pending);
+        cancelledReplacements.values().removeIf(cancelled -> cancelled == pending);
+    }
+
     private void release(PendingCall pending, HeldAttempt held, String reason) {
         log.heldLost(pending, held, reason);
         calls.releaseHeld(pending);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
@@ -86,6 +86,8 @@
     boolean reportedOpen;
     /** The silent attempt that stays in flight until the current one has begun, if there is one. */
     Optional<HeldAttempt> held = Optional.empty();
+    /** The attempt whose silence was recorded as a failure of its upstream, or null after an event. */
+    AttemptId silentAttempt;
     /** When the current attempt's first and last events were received, in milliseconds; equal before the first. */
     long firstEventAtMillis;
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
@@ -81,7 +81,7 @@
     static final class InFlightAttempt {
         final long sentAtMillis;
         /** Whether the request cannot continue on another upstream. */
-        final boolean nonResumable;
+        boolean nonResumable;
 
         final boolean shortPrompt;
 
@@ -97,8 +97,7 @@
         InFlightAttempt(PendingCall pending, long nowMillis) {
             UpstreamPlacement.Placement placement = pending.placement;
             sentAtMillis = nowMillis;
-            nonResumable =
-                    !pending.route.retryable() || pending.possibleExecutions + 1 >= pending.route.maximumAttempts();
+            nonResumable = isNonResumable(pending);
             shortPrompt = UpstreamPlacement.isShort(pending.call.inputTokens());
             promptTokens = placement.uncachedTokens();
             predictedMillis = placement.predictedMillis();
@@ -106,6 +105,18 @@
         }
     }
 
+    private static boolean isNonResumable(PendingCall pending) {
+        return !pending.route.retryable() || pending.possibleExecutions + 1 >= pending.route.maximumAttempts();
+    }
+
+    /** Records whether a request can still continue elsewhere after an attempt that was to replace its current one. */
+    void recordResumability(PendingCall pending) {
+        InFlightAttempt attempt = inFlight.get(pending.attempt);
+        if (attempt != null) {
+            attempt.nonResumable = isNonResumable(pending);
+        }
+    }
+
     private record PeerWork(PeerMessage.UpstreamWork work, long receivedAtMillis) {}
 
     UpstreamState(UpstreamEntry entry) {
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashDetectorTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashDetectorTest.java
@@ -89,7 +89,7 @@
     void should_count_an_attempt_that_was_given_up_unless_it_had_not_been_sent() {
         detector.recordGivenUp(ATTEMPT, CRASH);
         detector.recordGivenUp(new AttemptId("a2"), PeerMessage.SeenCrash.ofRequest(REQUEST + 1, INCARNATION));
-        detector.recordNotSent(ATTEMPT);
+        detector.withdraw(ATTEMPT);
         advanceTime(3_000);
         detector.recordEnded(INCARNATION);
         assertThat(tracker.knownCrashes(REQUEST)).isZero();
@@ -101,7 +101,7 @@
         detector.recordEnded(INCARNATION);
         detector.recordGivenUp(ATTEMPT, CRASH);
         advanceTime(10);
-        detector.recordNotSent(ATTEMPT);
+        detector.withdraw(ATTEMPT);
         advanceTime(1_000);
         assertThat(tracker.knownCrashes(REQUEST)).isZero();
     }
