Answer requests that cross the head of a stream after SIGTERM

Callers that send a request before the head of a stream has arrived got no answer to it: during a stop the head of the stream bore Connection: close, all input behind it was read and dropped, and the connection ended with the stream, seconds later.

Cause: whether a response is the last of its connection was decided when it began. That is right for a response that is written at once, not for a stream, during which requests go on arriving.

A stream now announces the end of its connection only if its caller asked for it; a close that the router wants waits for the next response that is written at once. The connection is kept until then, or until the process ends.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/ConnectionExchange.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/ConnectionExchange.java
@@ -122,7 +122,7 @@
             context.close();
         } else if (before == Progress.NOT_ANSWERED) {
             runOnEventLoop(() -> {
-                setConnectionHeader(response.headers());
+                setConnectionHeader(response.headers(), connection.endsWithResponse());
                 writeLast(response);
             });
         }
@@ -141,7 +141,7 @@
         HttpUtil.setTransferEncodingChunked(response, true);
         if (progress.compareAndSet(Progress.NOT_ANSWERED, Progress.STREAM_BEGUN)) {
             runOnEventLoop(() -> {
-                setConnectionHeader(response.headers());
+                setConnectionHeader(response.headers(), connection.endsWithStream());
                 write(response);
             });
         }
@@ -165,8 +165,8 @@
         return headers;
     }
 
-    private void setConnectionHeader(HttpHeaders responseHeaders) {
-        closeAfterResponse = connection.endsWithResponse();
+    private void setConnectionHeader(HttpHeaders responseHeaders, boolean last) {
+        closeAfterResponse = last;
         if (closeAfterResponse) {
             responseHeaders.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
@@ -107,14 +107,25 @@
      * read; while a request behind it was received, even in part, it is not.
      */
     boolean endsWithResponse() {
-        boolean requestsBehind = pendingRequests.size() > 1 || (!inputEnded && decoder.hasBytesBehindLastRequest());
-        boolean last = !requestsBehind && (inputEnded || closeRequested.getAsBoolean());
+        boolean last = !hasRequestsBehind() && (inputEnded || closeRequested.getAsBoolean());
         if (last) {
             endInput();
         }
         return last;
     }
 
+    /**
+     * Decides whether the stream that begins now is the last response of the connection. A requested close waits for a
+     * later response: requests that cross the head of a stream would have no answer until the stream ends.
+     */
+    boolean endsWithStream() {
+        return inputEnded && !hasRequestsBehind();
+    }
+
+    private boolean hasRequestsBehind() {
+        return pendingRequests.size() > 1 || (!inputEnded && decoder.hasBytesBehindLastRequest());
+    }
+
     /**
      * Closes the connection after its last response. Only the output is closed first: closing a connection with unread
      * bytes resets it, and the caller would lose what it has not read yet.
