Do not report a connection that ends inside a request as a failure

A caller that leaves before its request is complete, or a process that ends meanwhile, was logged as an error ("Caller connection failed.", PrematureChannelClosureException) and counted in connections_failed, which operators are asked to report.

Cause: the aggregator of requests reports such an end as an exception that is no IOException, and all others counted as failures of the router. It is now treated like a reset.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
@@ -12,6 +12,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -275,7 +276,8 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        if (cause instanceof IOException) {
+        // A connection that ended inside a request is no failure: the caller left, or the process ends.
+        if (cause instanceof IOException || cause instanceof PrematureChannelClosureException) {
             LOGGER.atFine().log("Caller connection failed and is closed: %s", cause);
             context.close();
             return;
