--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
@@ -12,6 +12,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -107,14 +108,25 @@
      * read; while a request behind it was received, even in part, it is not.
      */
     boolean endsWithResponse() {
-        boolean requestsBehind = pendingRequests.size() > 1 || (!inputEnded && decoder.hasBytesBehindLastRequest());
-        boolean last = !requestsBehind && (inputEnded || closeRequested.getAsBoolean());
+        boolean last = !hasRequestsBehind() && (inputEnded || closeRequested.getAsBoolean());
         if (last) {
             endInput();
         }
         return last;
     }
 
+    /**
+     * Decides whether the stream that begins now is the last response of the connection. A requested close waits for a
+     * later response: requests that cross the head of a stream would have no answer until the stream ends.
+     */
+    boolean endsWithStream() {
+        return inputEnded && !hasRequestsBehind();
+    }
+
+    private boolean hasRequestsBehind() {
+        return pendingRequests.size() > 1 || (!inputEnded && decoder.hasBytesBehindLastRequest());
+    }
+
     /**
      * Closes the connection after its last response. Only the output is closed first: closing a connection with unread
      * bytes resets it, and the caller would lose what it has not read yet.
@@ -264,7 +276,8 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        if (cause instanceof IOException) {
+        // A connection that ended inside a request is no failure: the caller left, or the process ends.
+        if (cause instanceof IOException || cause instanceof PrematureChannelClosureException) {
             LOGGER.atFine().log("Caller connection failed and is closed: %s", cause);
             context.close();
             return;
