--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -246,7 +246,7 @@
             return;
         }
         PendingCall pending = sent.get();
-        if (!attempt.equals(pending.attempt) && heldAttempts.endsWith(pending, event)) {
+        if (!attempt.equals(pending.attempt) && heldAttempts.handleEvent(pending, event)) {
             return;
         }
         pending.upstream.recordContact(context.now());
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/HeldAttempts.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/HeldAttempts.java
@@ -98,14 +98,15 @@
     }
 
     /**
-     * Handles an event of a held attempt: it goes on, unless the event is its loss. Returns whether it is lost while
-     * another attempt may still continue the stream after the last event that was passed on.
+     * Handles an event of a held attempt. Returns whether that is all, since the attempt is lost and its replacement may
+     * still begin; otherwise the attempt is the current one again, and the event is to be handled as usual.
      */
-    boolean endsWith(PendingCall pending, AttemptEvent event) {
+    boolean handleEvent(PendingCall pending, AttemptEvent event) {
         return switch (event) {
             case AttemptEvent.Lost lost -> {
                 boolean eventsSince =
                         !lost.lastEventId().isEmpty() && !lost.lastEventId().equals(pending.lastEventId);
+                // The replacement would repeat events that were passed on since it was sent.
                 yield eventsSince ? !restore(pending, lost.reason()) : lose(pending, lost.reason());
             }
             case AttemptEvent.Mismatched mismatched -> lose(pending, DeclaredLosses.MISMATCHED.reason());
