--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/HeldAttempts.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/HeldAttempts.java
@@ -98,8 +98,8 @@
     }
 
     /**
-     * Handles an event of a held attempt. Returns whether that is all, since the attempt is lost and its replacement may
-     * still begin; otherwise the attempt is the current one again, and the event is to be handled as usual.
+     * Handles an event of a held attempt. Returns whether that is all, since the attempt is lost and its replacement
+     * may still begin; otherwise the attempt is the current one again, and the event is to be handled as usual.
      */
     boolean handleEvent(PendingCall pending, AttemptEvent event) {
         return switch (event) {
