Wait for the answer until the deadline when an engine answers another request again

Callers got 502 for calls that their engine answered in time: the engine wrote the answer to an earlier request once more while it worked on the next one of the connection.

Cause: UpstreamAnswerFilter gave the answer 100 ms to follow the other response. After that it passed the other head on, and the attempt was lost as mismatched. An unsafe call ended with 502, and a safe call or stream was sent again, though its engine was at work on it.

Change: responses to other requests are discarded, as before up to 100 in a row and 1 MB each, and nothing ends the wait but the timeouts of the attempt and the deadline. The connection is then closed with the attempt.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAnswerFilter.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAnswerFilter.java
@@ -2,7 +2,6 @@
 
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -12,21 +11,17 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.ScheduledFuture;
 import org.asynchttpclient.netty.channel.ChannelManager;
 import org.fuchsiatrail.wire.observe.LogLines;
 import org.fuchsiatrail.wire.observe.RouterMetrics;
 
 /**
  * Discards responses of an upstream that answer no waiting request: those on an idle connection, and those to another
- * request that arrive where the answer is expected. If the answer does not follow at once, the HTTP client receives the
- * head of the other response.
+ * request that arrive where the answer is expected. The request goes on waiting, since its answer may follow until its
+ * deadline.
  */
 final class UpstreamAnswerFilter extends ChannelInboundHandlerAdapter {
 
-    /** How long after a response to another request the answer may follow, in milliseconds. */
-    private static final long ANSWER_FOLLOWS_MILLIS = 100;
-
     /** The maximum size of the body of a discarded response, in bytes; its connection is closed beyond that. */
     private static final int MAXIMUM_DISCARDED_BYTES = 1024 * 1024;
 
@@ -38,7 +33,6 @@
     private boolean discarding;
     private long discardedBytes;
     private int discardedResponses;
-    private ScheduledFuture<?> withheldHead;
 
     private UpstreamAnswerFilter(CallDialect dialect, RouterMetrics metrics) {
         this.dialect = dialect;
@@ -81,10 +75,9 @@
         if (message instanceof HttpResponse response) {
             discarding = answersAnotherRequest(connection, response);
             if (discarding && context.channel().isOpen()) {
-                withhold(context, connection, response);
+                reportMismatch(context.channel(), connection, response);
             } else if (!discarding) {
                 discardedResponses = 0;
-                dropWithheldHead();
             }
         }
         if (discarding) {
@@ -136,43 +129,19 @@
                 && response.decoderResult().isSuccess();
     }
 
-    private void withhold(ChannelHandlerContext context, UpstreamConnection connection, HttpResponse head) {
+    private void reportMismatch(Channel channel, UpstreamConnection connection, HttpResponse head) {
         metrics.count("connections.mismatched-responses", 1);
         LogLines.info(
                 "upstreams",
                 "Response to another request received; awaiting the answer.",
                 Map.of(
                         "address",
-                        String.valueOf(context.channel().remoteAddress()),
+                        String.valueOf(channel.remoteAddress()),
                         "request",
                         connection.currentRequest().orElse(""),
                         "answered",
                         dialect.answeredAttemptId(head.headers()).orElse(""),
                         "status",
                         head.status().code()));
-        if (withheldHead == null && connection.currentRequest().isPresent()) {
-            withheldHead = context.executor()
-                    .schedule(() -> passOn(context, head), ANSWER_FOLLOWS_MILLIS, TimeUnit.MILLISECONDS);
-        }
-    }
-
-    private void passOn(ChannelHandlerContext context, HttpResponse head) {
-        withheldHead = null;
-        if (context.channel().isOpen()) {
-            context.fireChannelRead(head);
-        }
-    }
-
-    private void dropWithheldHead() {
-        if (withheldHead != null) {
-            withheldHead.cancel(false);
-            withheldHead = null;
-        }
-    }
-
-    @Override
-    public void channelInactive(ChannelHandlerContext context) {
-        dropWithheldHead();
-        context.fireChannelInactive();
     }
 }
