Keep inputs that arrive before the forwarding loop is started

Cause: the listeners of peers and callers are open before the loop is started on the event loop. An input in between ticked the core at once, whose peer updates could not be sent, as the loop has no transport before its start.

Inputs before the start are now kept, and handled by the first tick.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingLoop.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingLoop.java
@@ -48,11 +48,12 @@
     private ScheduledFuture<?> wakeUp;
     private long wakeUpAtMillis = Long.MAX_VALUE;
     private long clockOffsetMillis = Long.MIN_VALUE;
+    private boolean started;
     private boolean ticking;
     private long nextRequestNumber = 1;
 
     /**
-     * Creates a loop that is idle until {@link #start} is called.
+     * Creates a loop that is idle until {@link #start} is called; inputs that arrive before are kept until then.
      *
      * @param dependencies the loop's dependencies
      */
@@ -81,6 +82,7 @@
      */
     public void start(PeerTransport transport) {
         outputs.setPeers(transport);
+        started = true;
         tick();
     }
 
@@ -150,7 +152,7 @@
 
     private void accept(ForwardingInput input) {
         inputs.add(input);
-        if (!ticking) {
+        if (started && !ticking) {
             tick();
         }
     }
