Accept the connections that wait before the listening socket is closed

At the end of a planned stop, requests on new connections were reset without an answer, 300 ms after their last byte when the event loop was busy for as long.

Cause: the listener closed its socket in the first task after the busy time, before the selection that would have accepted the connections. The system resets those that wait. Of many, one selection would have accepted 16.

Now the listener accepts all that wait, up to the backlog, and then closes the socket; their requests are answered like others that have arrived.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpListener.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpListener.java
@@ -11,8 +11,10 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MaxMessagesRecvByteBufAllocator;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.AbstractNioChannel.NioUnsafe;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -31,6 +33,9 @@
     /** How long written responses may be on their way before their connections are closed, in milliseconds. */
     private static final long DELIVERY_MILLIS = 50;
 
+    /** The number of connections that may wait to be accepted. */
+    private static final int BACKLOG = 1024;
+
     private final Channel channel;
     private final ChannelGroup connections;
 
@@ -80,7 +85,7 @@
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 1024)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -113,20 +118,33 @@
     }
 
     /**
-     * Prepares the end of the process: accepts no further connection, and reads only requests that have arrived.
+     * Prepares the end of the process: accepts only connections that wait, and reads only requests that have arrived.
      *
      * @return completes once the responses to all requests that were read are delivered, and the connections closed
      */
     public Future<Void> shutDown() {
         Promise<Void> delivered = channel.eventLoop().newPromise();
-        // The system closes a listening socket at the next selection; until then callers that are told to leave come
-        // back.
-        channel.close()
-                .addListener(closed ->
-                        channel.eventLoop().schedule(() -> shutDownConnections(delivered), 1, TimeUnit.MILLISECONDS));
+        channel.eventLoop().execute(() -> {
+            acceptWaiting();
+            // The system closes a listening socket at the next selection; until then callers that are told to leave
+            // come back.
+            channel.close()
+                    .addListener(closed -> channel.eventLoop()
+                            .schedule(() -> shutDownConnections(delivered), 1, TimeUnit.MILLISECONDS));
+        });
         return delivered;
     }
 
+    /** Accepts all connections that wait, as closing the listening socket resets them with the requests on them. */
+    private void acceptWaiting() {
+        if (channel.isActive()
+                && channel.unsafe() instanceof NioUnsafe unsafe
+                && channel.config().getRecvByteBufAllocator() instanceof MaxMessagesRecvByteBufAllocator limit) {
+            limit.maxMessagesPerRead(BACKLOG);
+            unsafe.read();
+        }
+    }
+
     private void shutDownConnections(Promise<Void> delivered) {
         connections.forEach(connection ->
                 connection.eventLoop().execute(() -> httpConnection(connection).ifPresent(HttpConnection::shutDown)));
