Close each connection with its last response once the listener has shut down

After the listener had shut down, some connections were neither read nor closed until the responses on all others were delivered: requests sent on them had no answer and no end. They were then closed with these requests unread, which resets them, so that a slow reader lost the end of its response.

Cause: the head of a stream does not announce the end of its connection, nor does a response behind which a part of a request was received. Both keep the connection open for a later response, which does not come once reading has stopped.

Now the response that is due last is the last of its connection, whatever part was received behind it, and a connection whose stream was the last response is closed after it.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
@@ -150,7 +150,7 @@
     }
 
     private boolean hasRequestsBehind() {
-        return pendingRequests.size() > 1 || (!inputEnded && decoder.hasBytesBehindLastRequest());
+        return pendingRequests.size() > 1 || (!inputEnded && !readingStopped && decoder.hasBytesBehindLastRequest());
     }
 
     /**
@@ -158,6 +158,9 @@
      * bytes resets it, and the caller would lose what it has not read yet.
      */
     void closeOutput(ChannelHandlerContext context) {
+        if (closeTimeout != null) {
+            return;
+        }
         endInput();
         if (!(context.channel() instanceof DuplexChannel channel)
                 || context.pipeline().get(SslHandler.class) != null) {
@@ -191,10 +194,16 @@
         return unwrittenResponses == 0;
     }
 
-    /** Counts a response as written, or as one that cannot be written any more. */
+    /**
+     * Counts a response as written, or as one that cannot be written any more. Once reading has stopped, no response
+     * follows the last one that was awaited, even if that one could not announce the end of its connection.
+     */
     void responseWritten() {
         unwrittenResponses--;
         decoder.recordActivity();
+        if (readingStopped && unwrittenResponses == 0 && context.channel().isActive()) {
+            closeOutput(context);
+        }
     }
 
     private void enqueue(ChannelHandlerContext context, PendingRequest pending) {
