Read requests to their end that had begun when the listener shuts down

At the end of a planned stop, a request of which a part had arrived got no answer. That includes a large request whose bytes were all sent while the event loop was busy: its connection ended 300 ms after them, as it was read only in part.

Cause: the listener reads each connection once more, at most 16 buffers, and dropped what was not complete then.

Now a request that has begun is read on for up to 300 ms, and answered; the process does not end meanwhile. A request that is not complete by then is dropped as before.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
@@ -41,12 +41,17 @@
     /** How long a caller may take to close a connection after its last response, in milliseconds. */
     private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
 
+    /** How long the rest of a request is awaited that has begun when the listener shuts down, in milliseconds. */
+    private static final long REST_TIMEOUT_MILLIS = 300;
+
     private final HttpHandler handler;
     private final CallerRequestDecoder decoder;
     private final BooleanSupplier closeRequested;
     private final ArrayDeque<PendingRequest> pendingRequests = new ArrayDeque<>();
     /** Requests whose response is not written, which another thread may look at. */
     private volatile int unwrittenResponses;
+    /** Whether reading has stopped except for a request that had begun before. */
+    private volatile boolean restAwaited;
 
     private boolean inputEnded;
     private boolean continueExpected;
@@ -55,6 +60,7 @@
     private boolean nextDue;
     private ChannelHandlerContext context;
     private ScheduledFuture<?> closeTimeout;
+    private ScheduledFuture<?> restTimeout;
 
     /**
      * A request whose response is not complete.
@@ -150,7 +156,15 @@
     }
 
     private boolean hasRequestsBehind() {
-        return pendingRequests.size() > 1 || (!inputEnded && !readingStopped && decoder.hasBytesBehindLastRequest());
+        return pendingRequests.size() > 1 || (!readingHasStopped() && isPartReceived());
+    }
+
+    private boolean isPartReceived() {
+        return !inputEnded && decoder.hasBytesBehindLastRequest();
+    }
+
+    private boolean readingHasStopped() {
+        return readingStopped && !restAwaited;
     }
 
     /**
@@ -173,8 +187,9 @@
     }
 
     /**
-     * Answers what has arrived, and leaves what a caller sends from now on unread. The connection is closed at once if
-     * nothing is to be answered, as callers would wait for responses until those of all connections are delivered.
+     * Answers what has arrived, and leaves requests that a caller begins from now on unread. The connection is closed
+     * at once if nothing is to be answered, as callers would wait for responses until those of all connections are
+     * delivered.
      */
     void shutDown() {
         readArrived();
@@ -182,6 +197,29 @@
         if (closeTimeout != null || !context.channel().isActive()) {
             return;
         }
+        if (isPartReceived()) {
+            restAwaited = true;
+            restTimeout = context.executor().schedule(this::endRest, REST_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            context.channel().config().setAutoRead(true);
+        } else {
+            endReading();
+        }
+    }
+
+    /** Reads nothing more once the listener has shut down; what was read in part only is dropped. */
+    private void endRest() {
+        if (!restAwaited) {
+            return;
+        }
+        restTimeout.cancel(false);
+        restAwaited = false;
+        if (isPartReceived()) {
+            endInput();
+        }
+        endReading();
+    }
+
+    private void endReading() {
         if (unwrittenResponses == 0) {
             closeOutput(context);
         } else {
@@ -189,9 +227,17 @@
         }
     }
 
-    /** Returns whether the responses to all requests that were read are written. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+        if (restAwaited && !isPartReceived()) {
+            endRest();
+        }
+        super.channelReadComplete(context);
+    }
+
+    /** Returns whether the responses to all requests that were read, even in part, are written. */
     boolean allWritten() {
-        return unwrittenResponses == 0;
+        return unwrittenResponses == 0 && !restAwaited;
     }
 
     /**
@@ -201,7 +247,7 @@
     void responseWritten() {
         unwrittenResponses--;
         decoder.recordActivity();
-        if (readingStopped && unwrittenResponses == 0 && context.channel().isActive()) {
+        if (readingHasStopped() && unwrittenResponses == 0 && context.channel().isActive()) {
             closeOutput(context);
         }
     }
@@ -236,7 +282,7 @@
     /** Goes on with the next request, since the response to the first one is complete, although not yet written. */
     void startNext(ChannelHandlerContext context, ChannelFuture responseWritten) {
         pendingRequests.poll();
-        if (!readingStopped) {
+        if (!readingHasStopped()) {
             context.channel().config().setAutoRead(true);
         }
         if (pendingRequests.isEmpty() && inputEnded) {
@@ -311,6 +357,10 @@
         if (closeTimeout != null) {
             closeTimeout.cancel(false);
         }
+        if (restTimeout != null) {
+            restTimeout.cancel(false);
+        }
+        restAwaited = false;
         PendingRequest current = pendingRequests.peek();
         pendingRequests.clear();
         unwrittenResponses = 0;
