Read all that has arrived when the listener shuts down, also behind unanswered requests

Requests in a long pipeline that had arrived long before the listener shut down got no answer, and their connection ended with the response to an earlier one.

Cause: reading pauses behind more than four unanswered requests, so the last reading of the connection took one buffer.

Now that reading is not paused, and takes up to 16 buffers like any other.

RequestLostBehindPausedReadingAtShutDownTest, 4,000 requests behind one that is answered 1 s after the shut down: 1 of 1 failed before, 0 of 1 after. All 403 tests of fuchsiatrail-wire and the 5 of RequestLostAtEndOfProcessTest and LateRequestLostInPlannedStopTest pass.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
@@ -55,6 +55,7 @@
 
     private boolean inputEnded;
     private boolean continueExpected;
+    private boolean readingLast;
     private boolean readingStopped;
     private boolean startingRequests;
     private boolean nextDue;
@@ -192,7 +193,12 @@
      * delivered.
      */
     void shutDown() {
+        readingLast = true;
+        if (!inputEnded) {
+            context.channel().config().setAutoRead(true);
+        }
         readArrived();
+        readingLast = false;
         readingStopped = true;
         if (closeTimeout != null || !context.channel().isActive()) {
             return;
@@ -257,7 +263,7 @@
         unwrittenResponses++;
         if (pendingRequests.size() == 1) {
             start(context, pending);
-        } else if (pendingRequests.size() > MAXIMUM_PIPELINED_REQUESTS) {
+        } else if (pendingRequests.size() > MAXIMUM_PIPELINED_REQUESTS && !readingLast) {
             context.channel().config().setAutoRead(false);
         }
     }
