Leave the failure domain by what the request gains, and only by the share that ends the difference

Each other failure domain cost a fixed 4 ms, so traffic left for any difference in the predicted time, and all routers that saw the same news left at once. Now a pure function decides for each request, from the best place in the own domain and in each other one: the gain must exceed the way (round trip learned from answers, bytes of prompt and stream, age of the news) and a tenth of the latency target, unless the own domain would be late, has no usable upstream, or the shared parts are there. A random draw lets the share leave that ends the difference within the age of the news, with what lasting differences asked for added and half of the gain needed to go on; a domain is filled up to the latency target at most.

Optional settings: locality.leaving (by-gain, fixed-cost) and locality.mostPerSecond. Metrics domains_left_* and domains_left-to_*, one log line a second at most.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingSettings.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingSettings.java
@@ -16,6 +16,8 @@
     private final long orderLeaseMillis;
     private final long replacedWeightsGraceMillis;
     private final long stopGraceMillis;
+    private final boolean leavesDomainByGain;
+    private final double leavesDomainPerSecond;
 
     private ForwardingSettings(Builder builder) {
         self = Objects.requireNonNull(builder.self, "self");
@@ -27,6 +29,8 @@
         orderLeaseMillis = builder.orderLeaseMillis;
         replacedWeightsGraceMillis = builder.replacedWeightsGraceMillis;
         stopGraceMillis = builder.stopGraceMillis;
+        leavesDomainByGain = builder.leavesDomainByGain;
+        leavesDomainPerSecond = builder.leavesDomainPerSecond;
     }
 
     /**
@@ -119,6 +123,24 @@
         return stopGraceMillis;
     }
 
+    /**
+     * Returns whether requests leave the failure domain by what they gain, or for a fixed cost.
+     *
+     * @return whether the gain decides
+     */
+    public boolean leavesDomainByGain() {
+        return leavesDomainByGain;
+    }
+
+    /**
+     * Returns the most requests that may leave the failure domain while it has an upstream for them.
+     *
+     * @return requests per second of this router, possibly infinite
+     */
+    public double leavesDomainPerSecond() {
+        return leavesDomainPerSecond;
+    }
+
     /** Builds settings. */
     public static final class Builder {
         private EntryVm self;
@@ -130,6 +152,8 @@
         private long orderLeaseMillis = 3_000;
         private long replacedWeightsGraceMillis = 8_000;
         private long stopGraceMillis = 7_600;
+        private boolean leavesDomainByGain = true;
+        private double leavesDomainPerSecond = Double.POSITIVE_INFINITY;
 
         private Builder() {}
 
@@ -214,6 +238,19 @@
             return this;
         }
 
+        /**
+         * Sets how requests leave the failure domain.
+         *
+         * @param byGain whether the gain decides, or a fixed cost
+         * @param maximumPerSecond the most a second while the failure domain has an upstream for them
+         * @return this
+         */
+        public Builder leavingDomain(boolean byGain, double maximumPerSecond) {
+            leavesDomainByGain = byGain;
+            leavesDomainPerSecond = maximumPerSecond;
+            return this;
+        }
+
         /**
          * Builds the settings.
          *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AnswerHeads.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AnswerHeads.java
@@ -24,6 +24,7 @@
         if (pending.relayed) {
             return;
         }
+        context.domainTraffic().answered(pending, head);
         head.load().ifPresent(load -> {
             pending.upstream.load = load;
             pending.upstream.loadAtMillis = context.now();
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AttemptSender.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AttemptSender.java
@@ -51,6 +51,7 @@
                         : Long.MAX_VALUE;
         calls.beginAttempt(pending);
         availability.recordSend(upstream);
+        context.domainTraffic().sent(pending);
         if (pending.attemptTimeoutAtMillis < pending.deadlineAtMillis) {
             timers.schedule(pending, pending.attemptTimeoutAtMillis);
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardingContext.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/ForwardingContext.java
@@ -26,6 +26,7 @@
     private final ForwardingSettings settings;
     private final SplittableRandom random;
     private final Suspensions suspensions = new Suspensions(this);
+    private final DomainTraffic domainTraffic;
     private final PriorityQueue<Long> wakeUps = new PriorityQueue<>();
     private List<ForwardingOutput> outputs = new ArrayList<>();
     private long nowMillis;
@@ -37,6 +38,7 @@
     ForwardingContext(ForwardingSettings settings) {
         this.settings = settings;
         this.random = new SplittableRandom(settings.seed());
+        this.domainTraffic = new DomainTraffic(this, settings);
     }
 
     void beginTick(long now) {
@@ -65,6 +67,10 @@
         return suspensions;
     }
 
+    DomainTraffic domainTraffic() {
+        return domainTraffic;
+    }
+
     /** The time since the first tick of this router, in milliseconds. */
     long uptimeMillis() {
         return nowMillis - startedAtMillis;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
@@ -264,6 +264,7 @@
         }
         topology.recordContact(from, context.now());
         work.receive(from, update);
+        context.domainTraffic().heard(update.vm().failureDomain());
         if (parent.equals(Optional.of(from))
                 && context.now() - lastDownwardAtMillis >= MINIMUM_DOWNWARD_INTERVAL_MILLIS) {
             scheduleDownward(PUSH_DELAY_MILLIS);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
@@ -6,8 +6,8 @@
 import java.util.SplittableRandom;
 import java.util.function.LongToDoubleFunction;
 
-import org.fuchsiatrail.FailureDomain;
 import org.fuchsiatrail.forwarding.ForwardedCall;
+import org.fuchsiatrail.internal.locality.DomainChoice;
 import org.fuchsiatrail.internal.membership.Rendezvous;
 
 /**
@@ -26,12 +26,6 @@
     /** Prefill speed of an engine in tokens per millisecond, from the platform's data sheets. */
     static final double PREFILL_TOKENS_PER_MILLISECOND = 38;
 
-    /**
-     * Cost of another failure domain in milliseconds: a round trip of 1 to 3 ms, and the price of the transferred
-     * bytes.
-     */
-    private static final double REMOTE_DOMAIN_COST_MILLIS = 4;
-
     /**
      * The fraction of the link bandwidth that one fetch gets, given concurrent fetches and links between failure
      * domains.
@@ -86,7 +80,6 @@
      */
     private static final double RANDOM_COST_MILLIS = 2;
 
-    private final FailureDomain ownDomain;
     private final SplittableRandom random;
 
     /**
@@ -166,50 +159,40 @@
         PromptChain forWeights(long version);
     }
 
-    UpstreamPlacement(FailureDomain ownDomain, SplittableRandom random) {
-        this.ownDomain = ownDomain;
+    UpstreamPlacement(SplittableRandom random) {
         this.random = random;
     }
 
     /** Selects an upstream for a call to a plain service; empty without candidates. */
-    Optional<Placement> placeCall(List<UpstreamState> candidates, long nowMillis) {
-        Placement best = null;
-        double bestCost = Double.MAX_VALUE;
+    Optional<Placement> placeCall(List<UpstreamState> candidates, long nowMillis, DomainChoice<Placement> choice) {
         for (UpstreamState upstream : candidates) {
             int slots = slots(upstream);
             int busySlots = busySlots(upstream, nowMillis);
             double queueMillis = Math.max(0, busySlots + 1 - slots) * EXPECTED_CALL_MILLIS / slots;
             double cost = queueMillis
-                    + domainCostMillis(upstream)
                     + BUSY_SLOTS_COST_MILLIS * busySlots / slots
                     + FAILURE_COST_MILLIS * upstream.failureRate
                     + random.nextDouble(RANDOM_COST_MILLIS);
-            if (cost < bestCost) {
-                bestCost = cost;
-                best = new Placement(
-                        upstream,
-                        new PromptChain(List.of()),
-                        queueMillis + EXPECTED_CALL_MILLIS,
-                        0,
-                        0,
-                        0,
-                        Optional.empty(),
-                        Optional.empty());
-            }
+            double predictedMillis = queueMillis + EXPECTED_CALL_MILLIS;
+            Placement place = new Placement(
+                    upstream, new PromptChain(List.of()), predictedMillis, 0, 0, 0, Optional.empty(), Optional.empty());
+            choice.add(upstream.domain(), place, cost, predictedMillis, 0);
         }
-        return Optional.ofNullable(best);
+        return choice.select();
     }
 
     /** Selects an engine for a request with a prompt; empty without candidates. */
     Optional<Placement> placePrompt(
-            ForwardedCall call, List<UpstreamState> candidates, PromptChains chains, Conditions conditions) {
+            ForwardedCall call,
+            List<UpstreamState> candidates,
+            PromptChains chains,
+            Conditions conditions,
+            DomainChoice<Placement> choice) {
         long newestVersion = candidates.stream()
                 .mapToLong(upstream -> weightVersion(upstream, call))
                 .max()
                 .orElse(0);
         Optional<UpstreamState> home = homeEngine(call, candidates, chains, newestVersion);
-        Placement best = null;
-        double bestCost = Double.MAX_VALUE;
         for (UpstreamState upstream : candidates) {
             Placement placement = evaluate(call, upstream, candidates, chains, conditions);
             boolean isHome = home.isPresent() && home.get() == upstream;
@@ -217,20 +200,20 @@
             double homeSavingMillis = isHome
                     ? HOME_CACHED_FRACTION * placement.uncachedSharedTokens() / PREFILL_TOKENS_PER_MILLISECOND
                     : 0;
+            double repeatedPrefillMillis = REPEATED_PREFILL_COST_MILLIS_PER_TOKEN * repeatedPrefillTokens;
             double cost = placement.predictedMillis()
                     - homeSavingMillis
-                    + REPEATED_PREFILL_COST_MILLIS_PER_TOKEN * repeatedPrefillTokens
-                    + domainCostMillis(upstream)
+                    + repeatedPrefillMillis
                     + FAILURE_COST_MILLIS * upstream.failureRate
                     + conditions.weightsCost().applyAsDouble(weightVersion(upstream, call))
                     + BUSY_SLOTS_COST_MILLIS * busySlots(upstream, conditions.nowMillis()) / slots(upstream)
                     + random.nextDouble(RANDOM_COST_MILLIS);
-            if (cost < bestCost) {
-                bestCost = cost;
-                best = placement;
-            }
+            double partsMillis = repeatedPrefillMillis
+                    + placement.uncachedSharedTokens() / PREFILL_TOKENS_PER_MILLISECOND
+                    - homeSavingMillis;
+            choice.add(upstream.domain(), placement, cost, placement.predictedMillis(), partsMillis);
         }
-        return Optional.ofNullable(best)
+        return choice.select()
                 .map(placement -> conditions.partialReports()
                         ? placement.withFetchFrom(fetchSource(placement, home, call, conditions))
                         : placement);
@@ -383,10 +366,6 @@
         return upstream.weightVersions.getOrDefault(call.model(), 0L);
     }
 
-    private double domainCostMillis(UpstreamState upstream) {
-        return upstream.domain().equals(ownDomain) ? 0 : REMOTE_DOMAIN_COST_MILLIS;
-    }
-
     private static int busySlots(UpstreamState upstream, long nowMillis) {
         int knownBusy = upstream.running(nowMillis);
         boolean fresh = upstream.load != null && upstream.loadAtMillis >= nowMillis - LOAD_VALIDITY_MILLIS;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
@@ -9,6 +9,7 @@
 import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.RoutingTable;
 import org.fuchsiatrail.forwarding.ServiceDefinition;
+import org.fuchsiatrail.internal.locality.DomainChoice;
 
 /** Selects the upstream for a request among those that are currently eligible. */
 final class UpstreamSelector {
@@ -32,7 +33,7 @@
         this.upstreams = upstreams;
         this.timing = timing;
         this.availability = new UpstreamAvailability(context, requestLimits, upstreams.pauses(), timing);
-        this.placement = new UpstreamPlacement(context.settings().self().failureDomain(), context.random());
+        this.placement = new UpstreamPlacement(context.random());
         this.pathLoss = new PathLoss(context, upstreams);
     }
 
@@ -46,9 +47,11 @@
             return Optional.empty();
         }
         List<UpstreamState> candidates = candidates(pending);
+        DomainChoice<UpstreamPlacement.Placement> choice =
+                context.domainTraffic().choose(pending);
         return pending.route.describesPrompt()
-                ? placement.placePrompt(pending.call, candidates, promptChains(pending), conditions(pending))
-                : placement.placeCall(candidates, context.now());
+                ? placement.placePrompt(pending.call, candidates, promptChains(pending), conditions(pending), choice)
+                : placement.placeCall(candidates, context.now(), choice);
     }
 
     /** Returns whether any upstream is eligible for the request. */
