--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AnswerHeads.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AnswerHeads.java
@@ -26,6 +26,7 @@
         if (pending.relayed) {
             return;
         }
+        context.domainTraffic().answered(pending, head);
         head.load().ifPresent(load -> pending.upstream.recordLoad(load, context.now()));
         if (!pending.route.describesPrompt() && isUsual(head)) {
             observeCall(pending);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
@@ -8,11 +8,10 @@
 import java.util.SplittableRandom;
 import java.util.function.LongToDoubleFunction;
 
-import org.fuchsiatrail.FailureDomain;
 import org.fuchsiatrail.forwarding.ForwardedCall;
 import org.fuchsiatrail.internal.load.EngineModel;
 import org.fuchsiatrail.internal.load.PartHolders;
-import org.fuchsiatrail.internal.load.TimelyChoice;
+import org.fuchsiatrail.internal.locality.DomainChoice;
 import org.fuchsiatrail.internal.membership.Rendezvous;
 
 /**
@@ -28,12 +27,6 @@
  */
 final class UpstreamPlacement {
 
-    /**
-     * Cost of another failure domain in milliseconds: a round trip of 1 to 3 ms, and the price of the transferred
-     * bytes.
-     */
-    private static final double REMOTE_DOMAIN_COST_MILLIS = 4;
-
     /** The fraction of the latency target within which a predicted first event is expected to be in time. */
     private static final double IN_TIME_FRACTION = 0.5;
 
@@ -74,7 +67,6 @@
      */
     private static final double RANDOM_COST_MILLIS = 2;
 
-    private final FailureDomain ownDomain;
     private final SplittableRandom random;
     private final PartHolders partHolders = new PartHolders();
 
@@ -165,36 +157,36 @@
         PromptChain forWeights(long version);
     }
 
-    UpstreamPlacement(FailureDomain ownDomain, SplittableRandom random) {
-        this.ownDomain = ownDomain;
+    UpstreamPlacement(SplittableRandom random) {
         this.random = random;
     }
 
     /** Selects an upstream for a call to a plain service; empty without candidates. */
-    Optional<Placement> placeCall(List<UpstreamState> candidates, long nowMillis) {
-        Placement best = null;
-        double bestCost = Double.MAX_VALUE;
+    Optional<Placement> placeCall(List<UpstreamState> candidates, long nowMillis, DomainChoice<Placement> choice) {
         for (UpstreamState upstream : candidates) {
             int slots = slots(upstream);
             int busySlots = busySlots(upstream, nowMillis);
             double callMillis = upstream.model.callMillis();
             double predictedMillis = callMillis + Math.max(0, busySlots + 1 - slots) * callMillis / slots;
             double cost = predictedMillis
-                    + domainCostMillis(upstream)
                     + BUSY_SLOTS_CALL_FRACTION * callMillis * busySlots / slots
                     + FAILURE_COST_MILLIS * upstream.failureRate
                     + random.nextDouble(RANDOM_COST_MILLIS);
-            if (cost < bestCost) {
-                bestCost = cost;
-                best = Placement.withoutPrompt(upstream, predictedMillis);
-            }
+            choice.add(
+                    upstream.domain(),
+                    Placement.withoutPrompt(upstream, predictedMillis),
+                    new DomainChoice.Expectation(cost, 0, predictedMillis, 0));
         }
-        return Optional.ofNullable(best);
+        return choice.select();
     }
 
     /** Selects an engine for a request with a prompt; empty without candidates. */
     Optional<Placement> placePrompt(
-            ForwardedCall call, List<UpstreamState> candidates, PromptChains chains, Conditions conditions) {
+            ForwardedCall call,
+            List<UpstreamState> candidates,
+            PromptChains chains,
+            Conditions conditions,
+            DomainChoice<Placement> choice) {
         long newestVersion = candidates.stream()
                 .mapToLong(upstream -> weightVersion(upstream, call))
                 .max()
@@ -203,7 +195,6 @@
         List<UpstreamState> holders =
                 holders(newestChain, ofVersion(candidates, call, newestVersion), conditions.partialReports());
         Map<Long, SharedPartSources> sourcesByVersion = new HashMap<>();
-        TimelyChoice<Placement> choice = new TimelyChoice<>(inTimeMillis(conditions));
         for (UpstreamState upstream : candidates) {
             SharedPartSources sources = sourcesByVersion.computeIfAbsent(
                     weightVersion(upstream, call),
@@ -216,27 +207,30 @@
             SharedPartSources.Transfers transfers = sources.transfers(upstream, cachedTokens);
             Placement placement = evaluate(call, upstream, sources, cachedTokens, transfers, conditions);
             double answerMillis = placement.predictedMillis()
-                    + domainCostMillis(upstream)
                     + FAILURE_COST_MILLIS * upstream.failureRate
                     + conditions.weightsCost().applyAsDouble(weightVersion(upstream, call));
+            double partsMillis = sharedPartsCostMillis(placement, sources.isHolder(upstream), transfers, conditions);
             double cost = answerMillis
-                    + sharedPartsCostMillis(placement, sources.isHolder(upstream), transfers, conditions)
+                    + partsMillis
                     + upstream.model.prefillMillis(BUSY_SLOTS_TOKENS)
                             * busySlots(upstream, conditions.nowMillis())
                             / slots(upstream)
                     + random.nextDouble(RANDOM_COST_MILLIS);
-            choice.offer(placement, answerMillis, cost);
+            choice.add(
+                    upstream.domain(),
+                    placement,
+                    new DomainChoice.Expectation(cost, answerMillis, placement.predictedMillis(), partsMillis));
         }
         if (!holders.isEmpty()) {
             List<PromptChain.Link> shared = newestChain.shared();
             partHolders.record(shared.getFirst().key(), shared.getLast().key(), newestChain.sharedTokens());
         }
-        return choice.best();
+        return choice.select();
     }
 
     /** The predicted time to a first event within which a request is expected to be in time. */
-    private static double inTimeMillis(Conditions conditions) {
-        return conditions.latencyTargetMillis() * IN_TIME_FRACTION;
+    static double inTimeMillis(double latencyTargetMillis) {
+        return latencyTargetMillis * IN_TIME_FRACTION;
     }
 
     /**
@@ -278,7 +272,7 @@
         }
         return Math.min(
                         REPEATED_PREFILL_COST_FACTOR * model.prefillMillis(Math.round(repeatedTokens)),
-                        inTimeMillis(conditions))
+                        inTimeMillis(conditions.latencyTargetMillis()))
                 - savedMillis;
     }
 
@@ -354,10 +348,6 @@
         return upstream.weightVersions.getOrDefault(call.model(), 0L);
     }
 
-    private double domainCostMillis(UpstreamState upstream) {
-        return upstream.domain().equals(ownDomain) ? 0 : REMOTE_DOMAIN_COST_MILLIS;
-    }
-
     private static int busySlots(UpstreamState upstream, long nowMillis) {
         int knownBusy = upstream.running(nowMillis);
         boolean fresh = upstream.load != null && upstream.loadAtMillis >= nowMillis - LOAD_VALIDITY_MILLIS;
