Decide at full upstreams what is sent, waits or is refused

Routers sent to full upstreams until the retry budget was spent: a refusal of an upstream counted for 40 ms, the routers did not share the places that they saw in old news, and a spent budget refused the request. Now each router owns a share of all places and borrows its part of those known to be free; a refusal is believed until the router's share of the next places is due; requests wait for a place within half their latency target, the most urgent first, also with a spent retry budget, or are refused at once with a return time booked one after the other. Late answers are accepted during a burst and at idle upstreams, not while the queue stands.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -12,6 +12,7 @@
 import org.fuchsiatrail.forwarding.ForwardedCall;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
 import org.fuchsiatrail.forwarding.RequestKind;
+import org.fuchsiatrail.internal.admission.SendDecision;
 
 /**
  * Forwards callers' requests to upstreams and passes the answers back.
@@ -29,6 +30,7 @@
     private final CallLog log;
     private final StartupCallQueue startupQueue;
     private final CallTiming timing = new CallTiming();
+    private final CallAdmission admission;
     private final RetryBudgets retryBudgets;
     private final CrashProtection crashProtection;
     private final PeerGossip gossip;
@@ -66,7 +68,8 @@
         this.calls = new CallTable(context);
         this.timers = new CallTimers(context);
         streamVersions.lookup().onResolution(pending -> timers.schedule(pending, context.now()));
-        this.selector = new UpstreamSelector(context, storeReplica, upstreams, timing, requestLimits);
+        this.admission = new CallAdmission(context, storeReplica);
+        this.selector = new UpstreamSelector(context, storeReplica, upstreams, timing, requestLimits, admission);
         this.log = new CallLog(context, storeReplica);
         this.intake = new CallIntake(context, storeReplica, log);
         this.sender = new AttemptSender(context, calls, timers, timing, selector.availability(), crashProtection, log);
@@ -123,33 +126,25 @@
             return;
         }
         bindings.assign(pending);
-        Optional<UpstreamPlacement.Placement> placement =
-                bindings.mustWait(pending) ? Optional.empty() : selector.select(pending);
-        if (placement.isEmpty()) {
+        boolean mustWait = bindings.mustWait(pending);
+        Optional<UpstreamPlacement.Placement> placement = mustWait ? Optional.empty() : selector.select(pending);
+        if (placement.isEmpty() && (mustWait || !selector.isFull(pending))) {
             waitOrRefuse(pending);
             return;
         }
-        boolean firstAttempt = pending.sends == pending.unsentAttempts;
-        if (firstAttempt
-                && placement.get().predictedMillis() > timing.maximumPredictedMillis(pending, remainingMillis)) {
-            double predictedMillis = placement.get().predictedMillis();
-            long advisedRetryMillis = timing.overloadRetryMillis(pending.route, predictedMillis);
-            refuseOrAbort(
-                    pending, ResultCode.OVERLOADED, advisedRetryMillis, "predicted " + Math.round(predictedMillis));
-            return;
-        }
-        if (!firstAttempt && !retryBudgets.tryRetry(pending.service)) {
-            context.count("retries.over-budget");
-            if (pending.streamBegun && context.now() < pending.placementDeadlineMillis) {
-                awaitPlacement(pending);
-                return;
+        boolean budgetLeft = retryBudgets.mayRetry(pending.service);
+        switch (admission.decide(pending, selector.eligible(pending), placement, budgetLeft)) {
+            case SendDecision.Send send -> {
+                if (pending.sends != pending.unsentAttempts) {
+                    retryBudgets.tryRetry(pending.service);
+                }
+                pending.relayed = false;
+                sender.send(pending, placement.orElseThrow(), remainingMillis);
             }
-            refuseOrAbort(
-                    pending, ResultCode.NO_UPSTREAM, CallTiming.EXHAUSTED_BUDGET_RETRY_MILLIS, "retry budget is spent");
-            return;
+            case SendDecision.Wait wait -> awaitPlacement(pending, wait.untilMillis());
+            case SendDecision.Refuse refuse ->
+                refuseOrAbort(pending, refuse.code(), refuse.retryAfterMillis(), refuse.reason());
         }
-        pending.relayed = false;
-        sender.send(pending, placement.get(), remainingMillis);
     }
 
     /**
@@ -224,16 +219,16 @@
             return;
         }
         if (context.now() < pending.placementDeadlineMillis) {
-            awaitPlacement(pending);
+            long nextLookMillis = context.now() + CallTiming.PLACEMENT_RETRY_MILLIS;
+            awaitPlacement(pending, Math.min(pending.placementDeadlineMillis, nextLookMillis));
             return;
         }
         refuseOrAbort(pending, ResultCode.NO_UPSTREAM, CallTiming.NO_UPSTREAM_RETRY_MILLIS, "no upstream is usable");
     }
 
-    private void awaitPlacement(PendingCall pending) {
+    private void awaitPlacement(PendingCall pending, long untilMillis) {
         pending.state = PendingCall.State.WAITING;
-        timers.schedule(
-                pending, Math.min(pending.placementDeadlineMillis, context.now() + CallTiming.PLACEMENT_RETRY_MILLIS));
+        timers.schedule(pending, untilMillis);
     }
 
     /** Handles an event of an attempt. */
@@ -259,6 +254,7 @@
             case AttemptEvent.Started started -> handleStreamStart(pending, started);
             case AttemptEvent.Progressed progressed -> handleProgress(pending, progressed.lastEventId());
             case AttemptEvent.Finished finished -> {
+                admission.recordCompletion(pending);
                 upstreams.recordSuccess(pending.upstream);
                 crashProtection.recordCompletion(pending);
                 finish(pending, "Stream completed.", 200);
@@ -285,9 +281,12 @@
             handleLoss(pending, new AttemptEvent.Lost(true, true, "", "answer lacks a valid upstream signature"));
             return;
         }
+        boolean failed = head.status() >= 500;
+        if (!failed) {
+            admission.recordCompletion(pending);
+        }
         releaseAttempt(pending);
         pending.possibleExecutions++;
-        boolean failed = head.status() >= 500;
         boolean unusable = failed || pending.streamBegun;
         pending.excludedUpstreams.add(pending.upstream.id());
         boolean retry = unusable && pending.mayRetry() && retryBudgets.mayRetry(pending.service);
@@ -387,14 +386,14 @@
     }
 
     private void handleNotExecuted(PendingCall pending, AttemptEvent.Head head) {
+        admission.recordRefusal(pending, head);
         releaseAttempt(pending);
         log.notExecuted(pending, head);
         context.emit(new ForwardingOutput.Cancel(pending.attempt));
         if (head.status() == CallTiming.MISDIRECTED_STATUS) {
             answerHeads.recordMisdirected(pending, head);
-        } else {
+        } else if (pending.streamBegun || pending.mayHaveRun()) {
             pending.excludedUpstreams.add(pending.upstream.id());
-            pending.upstream.overloadedUntilMillis = context.now() + CallTiming.OVERLOADED_MILLIS;
         }
         if (pending.sends >= CallTiming.MAXIMUM_SENDS) {
             refuseOrAbort(
@@ -581,6 +580,7 @@
     private void close(PendingCall pending) {
         pending.state = PendingCall.State.FINISHED;
         calls.remove(pending);
+        admission.close(pending);
         heldAttempts.close(pending);
         if (pending.attempt != null) {
             releaseAttempt(pending);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
@@ -8,6 +8,7 @@
 
 import org.fuchsiatrail.FailureDomain;
 import org.fuchsiatrail.forwarding.ForwardedCall;
+import org.fuchsiatrail.forwarding.UpstreamLoad;
 import org.fuchsiatrail.internal.membership.Rendezvous;
 
 /**
@@ -359,7 +360,7 @@
         return busySlots(upstream, nowMillis) < slots(upstream);
     }
 
-    private static int slots(UpstreamState upstream) {
+    static int slots(UpstreamState upstream) {
         return Math.max(1, upstream.entry.slots());
     }
 
@@ -387,6 +388,12 @@
         return upstream.domain().equals(ownDomain) ? 0 : REMOTE_DOMAIN_COST_MILLIS;
     }
 
+    /** Returns the load that an upstream reported lately. */
+    static Optional<UpstreamLoad> freshLoad(UpstreamState upstream, long nowMillis) {
+        boolean fresh = upstream.load != null && upstream.loadAtMillis >= nowMillis - LOAD_VALIDITY_MILLIS;
+        return fresh ? Optional.of(upstream.load) : Optional.empty();
+    }
+
     private static int busySlots(UpstreamState upstream, long nowMillis) {
         int knownBusy = upstream.running(nowMillis);
         boolean fresh = upstream.load != null && upstream.loadAtMillis >= nowMillis - LOAD_VALIDITY_MILLIS;
