--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
@@ -9,6 +9,7 @@
 import java.util.function.LongToDoubleFunction;
 
 import org.fuchsiatrail.forwarding.ForwardedCall;
+import org.fuchsiatrail.forwarding.UpstreamLoad;
 import org.fuchsiatrail.internal.load.EngineModel;
 import org.fuchsiatrail.internal.load.PartHolders;
 import org.fuchsiatrail.internal.locality.DomainChoice;
@@ -316,8 +317,7 @@
     }
 
     private static long waiting(UpstreamState upstream, long nowMillis) {
-        boolean fresh = upstream.load != null && upstream.loadAtMillis >= nowMillis - LOAD_VALIDITY_MILLIS;
-        return fresh ? upstream.load.waiting() : 0;
+        return freshLoad(upstream, nowMillis).map(UpstreamLoad::waiting).orElse(0);
     }
 
     /** Returns whether a prompt is short enough for engines to prefill it in one piece. */
@@ -330,7 +330,7 @@
         return busySlots(upstream, nowMillis) < slots(upstream);
     }
 
-    private static int slots(UpstreamState upstream) {
+    static int slots(UpstreamState upstream) {
         return Math.max(1, upstream.entry.slots());
     }
 
@@ -348,6 +348,12 @@
         return upstream.weightVersions.getOrDefault(call.model(), 0L);
     }
 
+    /** Returns the load that an upstream reported lately. */
+    static Optional<UpstreamLoad> freshLoad(UpstreamState upstream, long nowMillis) {
+        boolean fresh = upstream.load != null && upstream.loadAtMillis >= nowMillis - LOAD_VALIDITY_MILLIS;
+        return fresh ? Optional.of(upstream.load) : Optional.empty();
+    }
+
     private static int busySlots(UpstreamState upstream, long nowMillis) {
         int knownBusy = upstream.running(nowMillis);
         boolean fresh = upstream.load != null && upstream.loadAtMillis >= nowMillis - LOAD_VALIDITY_MILLIS;
