Keep limits of customers over all routers

A customer's limit (rate_per_s, burst, unit, plain_tokens) was not read, and all requests were admitted. Each router now decides before the first send, from its own use, from the use that the others tell in their heartbeats, and from how many of the listed routers that covers; a group of routers that know of each other has its part of the limit. While callers ask for more than the group may admit, each router admits the same fraction of it; the rest is refused with 429 and the new code 2010. What no upstream executed is taken back. The settings limits.* say how exactly a limit must hold. Without a limit in the configuration nothing is counted, told or refused.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ForwardingNewsBuilder.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ForwardingNewsBuilder.java
@@ -33,6 +33,11 @@
     private List<PeerMessage.WorkChange> subtreeWork = List.of();
     private List<PeerMessage.WorkChange> domainWork = List.of();
     private List<PeerMessage.WorkChange> fleetWork = List.of();
+    private boolean countsUse;
+    private long subtreeRouters;
+    private List<PeerMessage.CustomerUse> subtreeUse = List.of();
+    private long fleetRouters;
+    private List<PeerMessage.CustomerUse> fleetUse = List.of();
 
     ForwardingNewsBuilder(EntryVm vm, long revision) {
         this.vm = vm;
@@ -314,6 +319,43 @@
         return workByChanges();
     }
 
+    /**
+     * Sets whether the sender tells the use of limited customers in its heartbeats.
+     *
+     * @param value whether it does
+     * @return this builder
+     */
+    public ForwardingNewsBuilder countsUse(boolean value) {
+        countsUse = value;
+        return this;
+    }
+
+    /**
+     * Sets the use of limited customers at the sender and at all routers that report through it.
+     *
+     * @param routers the number of these routers
+     * @param use the use of each customer that has any
+     * @return this builder
+     */
+    public ForwardingNewsBuilder subtreeUse(long routers, List<PeerMessage.CustomerUse> use) {
+        subtreeRouters = routers;
+        subtreeUse = use;
+        return this;
+    }
+
+    /**
+     * Sets the use of limited customers at all routers.
+     *
+     * @param routers the number of routers whose use is known
+     * @param use the use of each customer that has any
+     * @return this builder
+     */
+    public ForwardingNewsBuilder fleetUse(long routers, List<PeerMessage.CustomerUse> use) {
+        fleetRouters = routers;
+        fleetUse = use;
+        return this;
+    }
+
     /**
      * Builds the update.
      *
@@ -348,6 +390,11 @@
                 workByChanges,
                 subtreeWork,
                 domainWork,
-                fleetWork);
+                fleetWork,
+                countsUse,
+                subtreeRouters,
+                subtreeUse,
+                fleetRouters,
+                fleetUse);
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
@@ -203,6 +203,11 @@
      * @param subtreeWork changed work of the sender and of all routers that report through it
      * @param domainWork changed work of all routers of the sender's failure domain
      * @param fleetWork changed work of all routers
+     * @param countsUse whether the sender has customers with limits and tells their use in each heartbeat
+     * @param subtreeRouters the number of routers of which {@code subtreeUse} is the use; 0 if it is not told
+     * @param subtreeUse the use of limited customers at the sender and at all routers that report through it
+     * @param fleetRouters the number of routers of which {@code fleetUse} is the use; 0 if it is not told
+     * @param fleetUse the use of limited customers at all routers
      */
     record ForwardingNews(
             EntryVm vm,
@@ -232,7 +237,12 @@
             boolean workByChanges,
             List<WorkChange> subtreeWork,
             List<WorkChange> domainWork,
-            List<WorkChange> fleetWork)
+            List<WorkChange> fleetWork,
+            boolean countsUse,
+            long subtreeRouters,
+            List<CustomerUse> subtreeUse,
+            long fleetRouters,
+            List<CustomerUse> fleetUse)
             implements PeerMessage {
 
         /** Replaces missing lists with empty ones. */
@@ -259,6 +269,8 @@
             subtreeWork = subtreeWork == null ? List.of() : subtreeWork;
             domainWork = domainWork == null ? List.of() : domainWork;
             fleetWork = fleetWork == null ? List.of() : fleetWork;
+            subtreeUse = subtreeUse == null ? List.of() : subtreeUse;
+            fleetUse = fleetUse == null ? List.of() : fleetUse;
         }
 
         /**
@@ -323,6 +335,17 @@
     record WorkChange(
             int upstream, int running, int bound, long promptTokens, long shortPromptTokens, long memoryTokens) {}
 
+    /**
+     * What the requests of a limited customer use at a set of routers, in the unit of its limit. The times over which
+     * it is counted follow from the window of limits, which all routers share.
+     *
+     * @param customer the hash of the customer's id; two customers with the same one share their use
+     * @param asked what the customer's callers asked for lately, also in vain
+     * @param recent what was admitted lately
+     * @param admitted what was admitted in the last window
+     */
+    record CustomerUse(int customer, long asked, long recent, long admitted) {}
+
     /**
      * The work that all routers of a failure domain have in flight.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ResultCode.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ResultCode.java
@@ -65,6 +65,13 @@
             false,
             "The router could not handle the request and sent it to no upstream.",
             "Ask again after Retry-After."),
+    /** The customer's requests exceed its limit over all routers. */
+    OVER_LIMIT(
+            2010,
+            429,
+            false,
+            "The requests of this customer exceed its limit.",
+            "Ask again after Retry-After, or send fewer requests."),
     /** A call with the same idempotency key is running. */
     STILL_RUNNING(
             3001, 409, true, "A call with this key is running.", "Ask again with the same key after Retry-After."),
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingSettings.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingSettings.java
@@ -16,6 +16,7 @@
     private final long orderLeaseMillis;
     private final long replacedWeightsGraceMillis;
     private final long stopGraceMillis;
+    private final LimitTolerance limitTolerance;
 
     private ForwardingSettings(Builder builder) {
         self = Objects.requireNonNull(builder.self, "self");
@@ -27,6 +28,7 @@
         orderLeaseMillis = builder.orderLeaseMillis;
         replacedWeightsGraceMillis = builder.replacedWeightsGraceMillis;
         stopGraceMillis = builder.stopGraceMillis;
+        limitTolerance = builder.limitTolerance;
     }
 
     /**
@@ -119,6 +121,15 @@
         return stopGraceMillis;
     }
 
+    /**
+     * Returns how exactly limits of customers hold over all routers.
+     *
+     * @return the tolerance
+     */
+    public LimitTolerance limitTolerance() {
+        return limitTolerance;
+    }
+
     /** Builds settings. */
     public static final class Builder {
         private EntryVm self;
@@ -130,6 +141,7 @@
         private long orderLeaseMillis = 3_000;
         private long replacedWeightsGraceMillis = 8_000;
         private long stopGraceMillis = 7_600;
+        private LimitTolerance limitTolerance = LimitTolerance.DEFAULTS;
 
         private Builder() {}
 
@@ -214,6 +226,17 @@
             return this;
         }
 
+        /**
+         * Sets how exactly limits of customers hold over all routers.
+         *
+         * @param value the tolerance
+         * @return this
+         */
+        public Builder limitTolerance(LimitTolerance value) {
+            limitTolerance = value;
+            return this;
+        }
+
         /**
          * Builds the settings.
          *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/PeerUpdateSize.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/PeerUpdateSize.java
@@ -42,6 +42,10 @@
         size.add(PeerContent.WORK, "subtreeWork", update.subtreeWork(), PeerUpdateSize::workChange);
         size.add(PeerContent.WORK, "domainWork", update.domainWork(), PeerUpdateSize::workChange);
         size.add(PeerContent.WORK, "fleetWork", update.fleetWork(), PeerUpdateSize::workChange);
+        size.add(PeerContent.WORK, "subtreeUse", update.subtreeUse(), PeerUpdateSize::customerUse);
+        size.add(PeerContent.WORK, "fleetUse", update.fleetUse(), PeerUpdateSize::customerUse);
+        size.addNumber("subtreeRouters", update.subtreeRouters());
+        size.addNumber("fleetRouters", update.fleetRouters());
         size.add(PeerContent.CACHE_REPORTS, "caches", update.caches(), PeerUpdateSize::cacheChanges);
         size.add(PeerContent.PREFILLED_PARTS, "reads", update.reads(), PeerUpdateSize::readParts);
         size.add(PeerContent.ITEMS, "items", update.items(), PeerUpdateSize::item);
@@ -75,6 +79,10 @@
             fields++;
             bytes[PeerContent.ENVELOPE.ordinal()] += text("workByChanges") + BOOLEAN;
         }
+        if (update.countsUse()) {
+            fields++;
+            bytes[PeerContent.ENVELOPE.ordinal()] += text("countsUse") + BOOLEAN;
+        }
         bytes[PeerContent.ENVELOPE.ordinal()] += collectionHeader(fields)
                 + text("type")
                 + text("ForwardingNews")
@@ -160,6 +168,14 @@
         }
     }
 
+    /** Adds a number of the envelope, which is left out of the update while it is 0. */
+    private void addNumber(String name, long value) {
+        if (value != 0) {
+            fields++;
+            bytes[PeerContent.ENVELOPE.ordinal()] += text(name) + integer(value);
+        }
+    }
+
     private static int vm(EntryVm vm) {
         return SHORT_HEADER
                 + text("id")
@@ -192,6 +208,14 @@
                 + integer(change.memoryTokens());
     }
 
+    private static int customerUse(PeerMessage.CustomerUse use) {
+        return SHORT_HEADER
+                + integer(use.customer())
+                + integer(use.asked())
+                + integer(use.recent())
+                + integer(use.admitted());
+    }
+
     private static int domainWork(PeerMessage.DomainWork work) {
         return SHORT_HEADER
                 + text("domain")
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/RoutingTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/RoutingTable.java
@@ -18,6 +18,7 @@
     private final Map<String, CustomerEntry> customersByKey = new HashMap<>();
     private final Map<String, Long> resumableMillisByService = new TreeMap<>();
     private final boolean keysRequired;
+    private final boolean limitsCustomers;
     private final CallerLimits limits;
 
     /**
@@ -38,6 +39,8 @@
         this.version = version;
         this.limits = limits;
         this.keysRequired = !customers.isEmpty();
+        this.limitsCustomers =
+                customers.stream().anyMatch(customer -> customer.limit().isPresent());
         routes.forEach(route -> routesByHost
                 .computeIfAbsent(route.host(), host -> new ArrayList<>())
                 .add(route));
@@ -129,6 +132,15 @@
         return keysRequired;
     }
 
+    /**
+     * Returns whether any customer has a limit.
+     *
+     * @return true if requests of customers are counted
+     */
+    public boolean limitsCustomers() {
+        return limitsCustomers;
+    }
+
     /**
      * Returns the limits for callers.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallIntake.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallIntake.java
@@ -5,15 +5,21 @@
 import org.fuchsiatrail.RequestId;
 import org.fuchsiatrail.ResultCode;
 import org.fuchsiatrail.forwarding.CustomerEntry;
+import org.fuchsiatrail.forwarding.CustomerLimit;
 import org.fuchsiatrail.forwarding.ForwardedCall;
 import org.fuchsiatrail.forwarding.Route;
 import org.fuchsiatrail.forwarding.RoutingTable;
+import org.fuchsiatrail.internal.limits.CustomerLimits;
+import org.fuchsiatrail.internal.limits.LimitDecision;
 
 /** Checks new requests against the configuration in force and resolves their route, customer and service. */
 final class CallIntake {
 
+    private static final LimitDecision NOT_LIMITED = new LimitDecision.Admitted(0);
+
     private final ForwardingContext context;
     private final StoreReplica storeReplica;
+    private final CustomerLimits customerLimits;
     private final CallLog log;
     private final RecentRequestIds recentRequestIds = new RecentRequestIds();
 
@@ -26,9 +32,10 @@
     /** The request is refused; it was sent to no upstream. */
     record Refused(ResultCode code, long retryAfterMillis) implements Decision {}
 
-    CallIntake(ForwardingContext context, StoreReplica storeReplica, CallLog log) {
+    CallIntake(ForwardingContext context, StoreReplica storeReplica, CustomerLimits customerLimits, CallLog log) {
         this.context = context;
         this.storeReplica = storeReplica;
+        this.customerLimits = customerLimits;
         this.log = log;
     }
 
@@ -58,8 +65,31 @@
         if (!recentRequestIds.add(call.callerAttemptId())) {
             log.repeatedId(call);
         }
-        return new Accepted(
-                new PendingCall(request, call, route.get(), customer, drawService(route.get()), context.now()));
+        LimitDecision decision = customer.map(entry -> decideLimit(entry, call)).orElse(NOT_LIMITED);
+        if (decision instanceof LimitDecision.Refused overLimit) {
+            log.overLimit(call, customer.get(), overLimit);
+            return new Refused(ResultCode.OVER_LIMIT, overLimit.retryMillis());
+        }
+        long amount = ((LimitDecision.Admitted) decision).amount();
+        String service = drawService(route.get());
+        return new Accepted(new PendingCall(request, call, route.get(), customer, service, context.now(), amount));
+    }
+
+    /** Decides whether a request is within its customer's limit; one that was relayed counted at the other router. */
+    private LimitDecision decideLimit(CustomerEntry customer, ForwardedCall call) {
+        if (call.relayed() || customer.limit().isEmpty()) {
+            return NOT_LIMITED;
+        }
+        CustomerLimit limit = customer.limit().get();
+        return customerLimits.decide(customer.id(), limit, limit.amount(call), context.now());
+    }
+
+    /** Takes a request that ends now back from its customer's limit if no upstream can have executed it. */
+    void giveBack(PendingCall pending) {
+        if (!pending.mayHaveRun() && !pending.streamBegun) {
+            pending.customer.ifPresent(entry -> customerLimits.giveBack(
+                    entry.id(), pending.chargedAmount, pending.receivedAtMillis, context.now()));
+        }
     }
 
     private boolean mayBeCutByStop(ForwardedCall call, Route route) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
@@ -4,11 +4,14 @@
 
 import org.fuchsiatrail.ResultCode;
 import org.fuchsiatrail.forwarding.AttemptEvent;
+import org.fuchsiatrail.forwarding.CustomerEntry;
+import org.fuchsiatrail.forwarding.CustomerLimit;
 import org.fuchsiatrail.forwarding.Dispatch;
 import org.fuchsiatrail.forwarding.ForwardedCall;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
 import org.fuchsiatrail.forwarding.RequestedPause;
 import org.fuchsiatrail.forwarding.RoutingTable;
+import org.fuchsiatrail.internal.limits.LimitDecision;
 
 /** Logs each decision about a request with its inputs and outcome, and updates the counters. */
 final class CallLog {
@@ -103,6 +106,33 @@
                 head.status());
     }
 
+    void overLimit(ForwardedCall call, CustomerEntry customer, LimitDecision.Refused decision) {
+        context.count("requests.over-limit");
+        context.log(
+                COMPONENT,
+                "Request exceeds its customer's limit.",
+                "request",
+                call.callerAttemptId(),
+                "customer",
+                customer.id(),
+                "limitPerSecond",
+                customer.limit().map(CustomerLimit::perSecond).orElse(0L),
+                "amount",
+                decision.amount(),
+                "used",
+                decision.used(),
+                "allowedPerSecond",
+                decision.perSecond(),
+                "routersKnown",
+                decision.routers(),
+                "routersListed",
+                decision.listed(),
+                "retryMillis",
+                decision.retryMillis(),
+                "configuration",
+                configurationVersion());
+    }
+
     void notExecuted(PendingCall pending, AttemptEvent.Head head) {
         context.count("attempts.not-run");
         context.log(
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -12,6 +12,7 @@
 import org.fuchsiatrail.forwarding.ForwardedCall;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
 import org.fuchsiatrail.forwarding.RequestKind;
+import org.fuchsiatrail.internal.limits.CustomerLimits;
 
 /**
  * Forwards callers' requests to upstreams and passes the answers back.
@@ -50,6 +51,7 @@
             RetryBudgets retryBudgets,
             CrashProtection crashProtection,
             RequestLimits requestLimits,
+            CustomerLimits customerLimits,
             PeerGossip gossip,
             StreamVersions streamVersions,
             StreamBindings bindings) {
@@ -68,7 +70,7 @@
         streamVersions.lookup().onResolution(pending -> timers.schedule(pending, context.now()));
         this.selector = new UpstreamSelector(context, storeReplica, upstreams, timing, requestLimits);
         this.log = new CallLog(context, storeReplica);
-        this.intake = new CallIntake(context, storeReplica, log);
+        this.intake = new CallIntake(context, storeReplica, customerLimits, log);
         this.sender = new AttemptSender(context, calls, timers, timing, selector.availability(), crashProtection, log);
         this.silentStreams = new SilentStreams(
                 context, upstreams, selector, relayRouters, retryBudgets, crashProtection, timing, log);
@@ -554,9 +556,9 @@
         if (heldAttempts.restore(pending, reason)) {
             return;
         }
-        boolean codeApplies = code.mayHaveRun() || !pending.mayHaveRun();
-        ResultCode reportedCode = codeApplies ? code : ResultCode.OUTCOME_UNKNOWN;
+        ResultCode reportedCode = code.mayHaveRun() || !pending.mayHaveRun() ? code : ResultCode.OUTCOME_UNKNOWN;
         log.refused(pending, reportedCode, retryAfterMillis, reason);
+        intake.giveBack(pending);
         if (pending.streamBegun) {
             bindings.recordInterrupted(pending);
             context.emit(new ForwardingOutput.AbortStream(pending.request));
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -10,6 +10,7 @@
 import org.fuchsiatrail.forwarding.ForwardingSettings;
 import org.fuchsiatrail.forwarding.OrderReply;
 import org.fuchsiatrail.forwarding.RoutingTable;
+import org.fuchsiatrail.internal.limits.CustomerLimits;
 
 /** Dispatches inputs to the components of the forwarding core and runs each component once per tick. */
 public final class DefaultForwardingCore implements ForwardingCore {
@@ -36,6 +37,7 @@
     private final UpstreamReachability reachability;
     private final CrashProtection crashProtection;
     private final RequestLimits requestLimits;
+    private final CustomerLimits customerLimits;
     private final StreamVersions streamVersions;
     private final VersionShareSystem versionShares;
     private final CallSystem calls;
@@ -68,8 +70,16 @@
         RetryBudgets retryBudgets = new RetryBudgets(context, storeReplica);
         orderLease = new OrderLease(context, storeCalls, storeReplica);
         requestLimits = new RequestLimits(context, storeReplica);
+        customerLimits = new CustomerLimits(settings.self(), settings.limitTolerance(), context.random()::nextDouble);
         gossip = new PeerGossip(
-                context, storeReplica, storeCalls.era(), upstreams, crashProtection, requestLimits, streamVersions);
+                context,
+                storeReplica,
+                storeCalls.era(),
+                upstreams,
+                crashProtection,
+                requestLimits,
+                streamVersions,
+                customerLimits);
         versionShares =
                 new VersionShareSystem(context, storeCalls, storeReplica, upstreams, streamVersions.shareCompletion());
         calls = new CallSystem(
@@ -79,6 +89,7 @@
                 retryBudgets,
                 crashProtection,
                 requestLimits,
+                customerLimits,
                 gossip,
                 streamVersions,
                 new StreamBindings(context, streamVersions, versionShares, gossip));
@@ -103,6 +114,7 @@
                 new CoreSystem("reachability", reachability::run),
                 new CoreSystem("crash protection", crashProtection::run),
                 new CoreSystem("request limits", requestLimits::run),
+                new CoreSystem("customer limits", this::prepareCustomerLimits),
                 new CoreSystem("origins of streams", streamVersions.lookup()::run),
                 new CoreSystem("version shares", versionShares::run),
                 new CoreSystem("calls", calls::run),
@@ -129,6 +141,14 @@
         }
     }
 
+    private void prepareCustomerLimits() {
+        customerLimits.run(
+                storeReplica.routing().map(RoutingTable::limitsCustomers).orElse(false),
+                storeReplica.memberCount(),
+                gossip.parent(),
+                context.now());
+    }
+
     private void handle(ForwardingInput input) {
         switch (input) {
             case ForwardingInput.CallReceived received -> calls.submit(received.request(), received.call());
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
@@ -15,6 +15,7 @@
 import org.fuchsiatrail.PeerMessage;
 import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.StoreItemContent;
+import org.fuchsiatrail.internal.limits.CustomerLimits;
 
 /**
  * Exchanges peer updates with the other routers: work in flight, observed weight versions, engines that switch weights,
@@ -74,6 +75,7 @@
     private final WorkExchange work;
     private final GossipBuffer buffer = new GossipBuffer();
     private final PeerUpdateSender sender;
+    private final CustomerLimits customerLimits;
     private final SharedParts sharedParts = new SharedParts();
     private final Map<String, Long> lastNumberByReader = new LinkedHashMap<>();
     /** The peers that sent an incomplete update, which is logged once for each. */
@@ -96,7 +98,8 @@
             UpstreamTable upstreams,
             CrashProtection crashProtection,
             RequestLimits requestLimits,
-            StreamVersions streamVersions) {
+            StreamVersions streamVersions,
+            CustomerLimits customerLimits) {
         this.context = context;
         this.replica = replica;
         this.storeEra = storeEra;
@@ -109,7 +112,17 @@
         this.itemRelay = new ItemRelay(context, replica, storeEra);
         this.work = new WorkExchange(context, upstreams);
         this.sender = new PeerUpdateSender(
-                context, replica, upstreams, crashProtection, requestLimits, streamVersions, itemRelay, work, buffer);
+                context,
+                replica,
+                upstreams,
+                crashProtection,
+                requestLimits,
+                streamVersions,
+                itemRelay,
+                work,
+                buffer,
+                customerLimits);
+        this.customerLimits = customerLimits;
     }
 
     /** Buffers prompt parts that an engine has prefilled for the next update. */
@@ -141,6 +154,11 @@
         return GossipTopology.usesRelays(replica.memberCount()) || topology.hasRecentContact(peer, context.now());
     }
 
+    /** This router's parent in the tree. */
+    Optional<EntryVmId> parent() {
+        return parent;
+    }
+
     void setRollout(WeightsRollout weightsRollout) {
         sender.setRollout(weightsRollout);
     }
@@ -264,6 +282,7 @@
         }
         topology.recordContact(from, context.now());
         work.receive(from, update);
+        customerLimits.receive(from, update, context.now());
         if (parent.equals(Optional.of(from))
                 && context.now() - lastDownwardAtMillis >= MINIMUM_DOWNWARD_INTERVAL_MILLIS) {
             scheduleDownward(PUSH_DELAY_MILLIS);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerUpdateCheck.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerUpdateCheck.java
@@ -37,6 +37,8 @@
                 && all(update.subtreeWork(), change -> true)
                 && all(update.domainWork(), change -> true)
                 && all(update.fleetWork(), change -> true)
+                && all(update.subtreeUse(), use -> true)
+                && all(update.fleetUse(), use -> true)
                 && areStreamsComplete(update);
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerUpdateSender.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerUpdateSender.java
@@ -11,6 +11,7 @@
 import org.fuchsiatrail.PeerMessage;
 import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
+import org.fuchsiatrail.internal.limits.CustomerLimits;
 
 /** Collects this router's observations and sends them, with what it passes on for others, to its neighbours. */
 final class PeerUpdateSender {
@@ -28,6 +29,7 @@
     private final ItemRelay itemRelay;
     private final WorkExchange work;
     private final GossipBuffer buffer;
+    private final CustomerLimits customerLimits;
     private final UpdateAllowance allowance = new UpdateAllowance();
     private WeightsRollout rollout;
 
@@ -40,7 +42,8 @@
             StreamVersions streamVersions,
             ItemRelay itemRelay,
             WorkExchange work,
-            GossipBuffer buffer) {
+            GossipBuffer buffer,
+            CustomerLimits customerLimits) {
         this.context = context;
         this.replica = replica;
         this.upstreams = upstreams;
@@ -51,6 +54,7 @@
         this.itemRelay = itemRelay;
         this.work = work;
         this.buffer = buffer;
+        this.customerLimits = customerLimits;
     }
 
     void setRollout(WeightsRollout weightsRollout) {
@@ -100,6 +104,7 @@
             for (boolean sameDomain : new boolean[] {true, false}) {
                 ForwardingNewsBuilder update = newUpdate().weights(unpublishedWeightVersions());
                 work.writeOwn(update);
+                customerLimits.writeOwn(update, context.now());
                 updates.writeTo(update);
                 update.startedStreams(updates.mergedStreams());
                 updates.bulk.writeAll(update, sameDomain);
@@ -134,7 +139,8 @@
         if (heartbeat) {
             int contentBytes = allowance.contentBytes(recipients, context.now());
             int changes = work.writeUpward(update, receivers, UpdateAllowance.workChanges(contentBytes));
-            addBulk(updates, update, contentBytes - UpdateAllowance.workBytes(changes));
+            int useBytes = customerLimits.writeUpward(update, context.now());
+            addBulk(updates, update, contentBytes - UpdateAllowance.workBytes(changes) - useBytes);
         }
         send(receivers, update);
         updates.clear();
@@ -156,7 +162,8 @@
             int contentBytes = allowance.contentBytes(recipients, context.now());
             int maximumChanges = UpdateAllowance.workChanges(contentBytes);
             int changes = work.writeDownward(update, recipients.children(), maximumChanges);
-            addBulk(updates, update, contentBytes - UpdateAllowance.workBytes(changes));
+            int useBytes = customerLimits.writeDownward(update, context.now());
+            addBulk(updates, update, contentBytes - UpdateAllowance.workBytes(changes) - useBytes);
         }
         send(recipients.children(), update);
         updates.clear();
@@ -171,7 +178,10 @@
     }
 
     private ForwardingNewsBuilder newUpdate() {
-        return itemRelay.newUpdate().targetAges(replica.targetHistory().reports());
+        ForwardingNewsBuilder update =
+                itemRelay.newUpdate().targetAges(replica.targetHistory().reports());
+        customerLimits.writeMark(update);
+        return update;
     }
 
     private void send(List<EntryVm> recipients, ForwardingNewsBuilder builder) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
@@ -40,6 +40,9 @@
     /** Identify the parts of the prompt that other requests may share, in order. */
     final long[] sharedPartKeys;
 
+    /** The amount for which the request counts towards its customer's limit. */
+    final long chargedAmount;
+
     /** Upstreams that are not tried again for this request. */
     final Set<UpstreamId> excludedUpstreams = new HashSet<>();
 
@@ -109,13 +112,15 @@
             Route route,
             Optional<CustomerEntry> customer,
             String service,
-            long receivedAtMillis) {
+            long receivedAtMillis,
+            long chargedAmount) {
         this.request = request;
         this.call = call;
         this.route = route;
         this.customer = customer;
         this.service = service;
         this.receivedAtMillis = receivedAtMillis;
+        this.chargedAmount = chargedAmount;
         this.deadlineAtMillis = receivedAtMillis + Math.min(call.deadlineMillis(), route.timeoutMillis());
         this.fingerprint = fingerprint(call, customer);
         this.sharedPartKeys = call.sharedParts().stream()
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/WireMapper.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/WireMapper.java
@@ -55,6 +55,7 @@
     private static final List<Class<?>> COMPACT = List.of(
             PeerMessage.UpstreamWork.class,
             PeerMessage.WorkChange.class,
+            PeerMessage.CustomerUse.class,
             PeerMessage.ReadParts.class,
             PeerMessage.CacheChanges.class,
             PeerMessage.Switching.class,
@@ -91,6 +92,15 @@
     private interface ForwardingNewsMixin {
         @JsonInclude(JsonInclude.Include.NON_DEFAULT)
         boolean workByChanges();
+
+        @JsonInclude(JsonInclude.Include.NON_DEFAULT)
+        boolean countsUse();
+
+        @JsonInclude(JsonInclude.Include.NON_DEFAULT)
+        long subtreeRouters();
+
+        @JsonInclude(JsonInclude.Include.NON_DEFAULT)
+        long fleetRouters();
     }
 
     /**
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerUpdateMerge.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerUpdateMerge.java
@@ -74,7 +74,14 @@
                 .leaving(firstOfEach(concat(older.leaving(), newer.leaving()), Function.identity()))
                 .startedStreams(startedStreams(concat(older.startedStreams(), newer.startedStreams())))
                 .reads(prefilledParts(concat(older.reads(), newer.reads())))
-                .caches(CacheReportMerge.merge(older.caches(), newer.caches()));
+                .caches(CacheReportMerge.merge(older.caches(), newer.caches()))
+                .countsUse(newer.countsUse())
+                .subtreeUse(
+                        newest(older.subtreeRouters(), newer.subtreeRouters()),
+                        newestOfEach(older.subtreeUse(), newer.subtreeUse(), PeerMessage.CustomerUse::customer))
+                .fleetUse(
+                        newest(older.fleetRouters(), newer.fleetRouters()),
+                        newestOfEach(older.fleetUse(), newer.fleetUse(), PeerMessage.CustomerUse::customer));
         return newer.workByChanges() ? withWorkChanges(united, older, newer) : united;
     }
 
@@ -120,6 +127,11 @@
         return List.copyOf(selected.values());
     }
 
+    /** Returns the number of routers that was told last; an update that tells none has 0. */
+    private static long newest(long older, long newer) {
+        return newer == 0 ? older : newer;
+    }
+
     private static <T, K> List<T> newestOfEach(List<T> older, List<T> newer, Function<T, K> key) {
         return byKey(older, newer, key, (first, last) -> last);
     }
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerUpdateMergeTest.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerUpdateMergeTest.java
@@ -50,7 +50,9 @@
             Map.entry("leaving", ENGINE),
             Map.entry("subtreeWork", new PeerMessage.WorkChange(1, 2, 0, 0, 0, 0)),
             Map.entry("domainWork", new PeerMessage.WorkChange(2, 3, 0, 0, 0, 0)),
-            Map.entry("fleetWork", new PeerMessage.WorkChange(3, 4, 0, 0, 0, 0)));
+            Map.entry("fleetWork", new PeerMessage.WorkChange(3, 4, 0, 0, 0, 0)),
+            Map.entry("subtreeUse", new PeerMessage.CustomerUse(1, 2, 3, 4)),
+            Map.entry("fleetUse", new PeerMessage.CustomerUse(5, 6, 7, 8)));
 
     private static Stream<String> mergedLists() {
         return Arrays.stream(PeerMessage.ForwardingNews.class.getRecordComponents())
--- a/review/support/Router.java
+++ b/review/support/Router.java
@@ -48,6 +48,9 @@
                         .replace("{{bounds.budget_window_s}}", "10")
                         .replace("{{bounds.lease_ms}}", "3000")
                         .replace("{{bounds.version_ms}}", "8000")
+                        .replace("{{bounds.quota_window_s}}", "8")
+                        .replace("{{bounds.quota_over}}", "0.1")
+                        .replace("{{bounds.quota_slack}}", "110000")
                         .replace("{{bounds.grace_s}}", "8"));
     }
 
