--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingSettings.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingSettings.java
@@ -18,6 +18,7 @@
     private final long stopGraceMillis;
     private final boolean leavesDomainByGain;
     private final double leavesDomainPerSecond;
+    private final LimitTolerance limitTolerance;
 
     private ForwardingSettings(Builder builder) {
         self = Objects.requireNonNull(builder.self, "self");
@@ -31,6 +32,7 @@
         stopGraceMillis = builder.stopGraceMillis;
         leavesDomainByGain = builder.leavesDomainByGain;
         leavesDomainPerSecond = builder.leavesDomainPerSecond;
+        limitTolerance = builder.limitTolerance;
     }
 
     /**
@@ -141,6 +143,15 @@
         return leavesDomainPerSecond;
     }
 
+    /**
+     * Returns how exactly limits of customers hold over all routers.
+     *
+     * @return the tolerance
+     */
+    public LimitTolerance limitTolerance() {
+        return limitTolerance;
+    }
+
     /** Builds settings. */
     public static final class Builder {
         private EntryVm self;
@@ -154,6 +165,7 @@
         private long stopGraceMillis = 7_600;
         private boolean leavesDomainByGain = true;
         private double leavesDomainPerSecond = Double.POSITIVE_INFINITY;
+        private LimitTolerance limitTolerance = LimitTolerance.DEFAULTS;
 
         private Builder() {}
 
@@ -251,6 +263,17 @@
             return this;
         }
 
+        /**
+         * Sets how exactly limits of customers hold over all routers.
+         *
+         * @param value the tolerance
+         * @return this
+         */
+        public Builder limitTolerance(LimitTolerance value) {
+            limitTolerance = value;
+            return this;
+        }
+
         /**
          * Builds the settings.
          *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -13,6 +13,7 @@
 import org.fuchsiatrail.forwarding.ForwardingOutput;
 import org.fuchsiatrail.forwarding.RequestKind;
 import org.fuchsiatrail.internal.admission.SendDecision;
+import org.fuchsiatrail.internal.limits.CustomerLimits;
 
 /**
  * Forwards callers' requests to upstreams and passes the answers back.
@@ -52,6 +53,7 @@
             RetryBudgets retryBudgets,
             CrashProtection crashProtection,
             RequestLimits requestLimits,
+            CustomerLimits customerLimits,
             PeerGossip gossip,
             StreamVersions streamVersions,
             StreamBindings bindings) {
@@ -71,7 +73,7 @@
         this.admission = new CallAdmission(context, storeReplica);
         this.selector = new UpstreamSelector(context, storeReplica, upstreams, timing, requestLimits, admission);
         this.log = new CallLog(context, storeReplica);
-        this.intake = new CallIntake(context, storeReplica, log);
+        this.intake = new CallIntake(context, storeReplica, customerLimits, log);
         this.sender = new AttemptSender(context, calls, timers, timing, selector.availability(), crashProtection, log);
         this.silentStreams = new SilentStreams(
                 context, upstreams, selector, relayRouters, retryBudgets, crashProtection, timing, log);
@@ -553,9 +555,9 @@
         if (heldAttempts.restore(pending, reason)) {
             return;
         }
-        boolean codeApplies = code.mayHaveRun() || !pending.mayHaveRun();
-        ResultCode reportedCode = codeApplies ? code : ResultCode.OUTCOME_UNKNOWN;
+        ResultCode reportedCode = code.mayHaveRun() || !pending.mayHaveRun() ? code : ResultCode.OUTCOME_UNKNOWN;
         log.refused(pending, reportedCode, retryAfterMillis, reason);
+        intake.giveBack(pending);
         if (pending.streamBegun) {
             bindings.recordInterrupted(pending);
             context.emit(new ForwardingOutput.AbortStream(pending.request));
