Let all routers of a fleet with relays agree on a session's first holder

The holders of a first part were as many as its share of the prompts that a router placed, and sessions had their holder among these, so that routers which measured different shares named different first holders of a session.

A session's first holder is again the same at all routers, among all engines; a hot session has as many more as its share of the load fills.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
@@ -47,6 +47,9 @@
     /** The fraction of that cost for tokens that are fetched, which take memory of another engine without its time. */
     private static final double COPY_COST_FRACTION = 0.1;
 
+    /** The fraction of a session's shared tokens that its home engine is expected to have cached without a report. */
+    private static final double HOME_CACHED_FRACTION = 0.8;
+
     /** The fraction of an engine's KV memory that running requests may use before new ones wait; the rest is cache. */
     private static final double RUNNING_MEMORY_FRACTION = 0.6;
 
@@ -228,8 +231,7 @@
             choice.offer(placement, answerMillis, cost);
         }
         if (!holders.isEmpty()) {
-            List<PromptChain.Link> shared = newestChain.shared();
-            partHolders.record(shared.getFirst().key(), shared.getLast().key(), newestChain.sharedTokens());
+            partHolders.record(newestChain.sessionKey(), newestChain.sharedTokens());
         }
         return choice.best();
     }
@@ -244,22 +246,16 @@
      * engine of its session, which the reports of copies complement.
      */
     private List<UpstreamState> holders(PromptChain chain, List<UpstreamState> engines, boolean partialReports) {
-        List<PromptChain.Link> shared = chain.shared();
-        if (shared.isEmpty()) {
+        if (chain.shared().isEmpty()) {
             return List.of();
         }
         return partialReports
-                ? partHolders.holders(
-                        shared.getFirst().key(),
-                        shared.getLast().key(),
-                        chain.sharedTokens(),
-                        engines,
-                        upstream -> upstream.id().value())
-                : Rendezvous.highest(
-                        chain.sessionKey(),
-                        engines,
-                        1,
-                        upstream -> upstream.id().value());
+                ? partHolders.holders(chain.sessionKey(), chain.sharedTokens(), engines, UpstreamPlacement::name)
+                : Rendezvous.highest(chain.sessionKey(), engines, 1, UpstreamPlacement::name);
+    }
+
+    private static String name(UpstreamState upstream) {
+        return upstream.id().value();
     }
 
     /** The cost of shared tokens that are prefilled or copied although another engine has them cached. */
@@ -272,7 +268,7 @@
         if (conditions.partialReports()) {
             repeatedTokens = isHolder ? 0 : uncachedTokens + COPY_COST_FRACTION * transfers.fetchedTokens();
         } else {
-            double hitFraction = isHolder ? model.hitFraction() : 0;
+            double hitFraction = isHolder ? HOME_CACHED_FRACTION : 0;
             repeatedTokens = (1 - hitFraction) * uncachedTokens;
             savedMillis = hitFraction * model.prefillMillis(uncachedTokens);
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/load/ServiceModel.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/load/ServiceModel.java
@@ -21,9 +21,6 @@
     /** Time for which a request keeps its place before observations, in milliseconds; a short generation. */
     static final double INITIAL_PLACE_MILLIS = 300;
 
-    /** The fraction of a prompt's shared tokens expected at their holder without a report, before observations. */
-    private static final double INITIAL_HIT_FRACTION = 0.8;
-
     /** From how many observations on they replace what was assumed. */
     private static final int MINIMUM_SAMPLES = 8;
 
@@ -49,8 +46,8 @@
     private static final double MINIMUM_MILLIS_PER_TOKEN = 1e-4;
     private static final double MAXIMUM_MILLIS_PER_TOKEN = 1;
 
-    /** Smoothing factor of the moving averages, in which some twenty observations dominate. */
-    private static final double SMOOTHING = 0.05;
+    /** Smoothing factor of the moving averages, in which some ten observations dominate. */
+    private static final double SMOOTHING = 0.1;
 
     private final SampleWindow firstEvents = new SampleWindow(MINIMUM_SAMPLES, MAXIMUM_SAMPLES);
     private final SampleWindow calls = new SampleWindow(MINIMUM_SAMPLES, MAXIMUM_SAMPLES);
@@ -58,7 +55,8 @@
     private double millisPerToken = INITIAL_MILLIS_PER_TOKEN;
     private double callMillis = INITIAL_CALL_MILLIS;
     private double placeMillis = INITIAL_PLACE_MILLIS;
-    private double hitFraction = INITIAL_HIT_FRACTION;
+    /** The fraction of a prompt's shared tokens expected at their holder without a report; all are read at first. */
+    private double hitFraction;
 
     private long latestMillis;
     private int revision;
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/load/EngineModelTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/load/EngineModelTest.java
@@ -112,9 +112,12 @@
 
     @Test
     void should_learn_how_much_of_the_shared_parts_holders_have() {
-        for (int request = 0; request < 100; request++) {
-            engine.observeHolder(1_000, 6_000, Math.round(engine.firstEventMillis(0, 7_000)));
+        assertThat(engine.hitFraction()).isZero();
+        for (long readTokens : new long[] {1_000, 4_000, 7_000}) {
+            for (int request = 0; request < 60; request++) {
+                engine.observeHolder(1_000, 6_000, Math.round(engine.firstEventMillis(0, readTokens)));
+            }
+            assertThat(engine.hitFraction()).isCloseTo((7_000 - readTokens) / 6_000.0, within(0.05));
         }
-        assertThat(engine.hitFraction()).isLessThan(0.05);
     }
 }
