Take no answer with a status above 599

An engine's answer with status 600, 799 or 999 was passed on to the caller, though no status above 599 is valid. It is now an answer that ends no request: the attempt is lost, and the caller gets 502, or another attempt where the route allows one.

The test expected 799 to be passed on, and passed; that expectation was wrong. It now expects 502 for 600, 799 and 999, and that 599 is passed on. 000 and 99 were 502 already.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpExchange.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpExchange.java
@@ -16,10 +16,10 @@
      * Returns whether a status belongs to the response that ends a request, after which no other follows.
      *
      * @param status the HTTP status
-     * @return true for three digits of which the first is above 1
+     * @return true for three digits of which the first is 2 to 5
      */
     static boolean isFinalStatus(int status) {
-        return status >= 200 && status <= 999;
+        return status >= 200 && status <= 599;
     }
 
     /**
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/forwarding/OddAnswerLeavesRequestUnansweredTest.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/forwarding/OddAnswerLeavesRequestUnansweredTest.java
@@ -35,7 +35,10 @@
         "abc Odd, 502",
         "200, 200",
         "299 Odd, 299",
-        "799 Odd, 799",
+        "599 Odd, 599",
+        "600 Odd, 502",
+        "799 Odd, 502",
+        "999 Odd, 502",
     })
     void should_deliver_only_answers_of_which_the_status_ends_a_request(String status, int expected) throws Exception {
         String answer = "HTTP/1.1 " + status + "\r\nX-Attempt: a1\r\nContent-Length: 4\r\n\r\nbody";
