Bound what callers and answers keep in a router's memory

Cause: bodies were gathered in direct memory without a bound over all connections, decoded requests of one connection were kept however many a read held, fields behind a chunked body had no limit, and responses were kept whole for callers that did not read. Crowds of such callers ended in OutOfMemoryError.

Requests beyond the fifth, beyond 64 KB or behind unread responses stay undecoded, and a connection's turn ends after 32 requests. A stream whose caller reads slowly pauses the reading of its engine in place of being aborted at 256 KB; a caller that reads nothing for the idle timeout is closed. Malformed requests are logged once a second at most, with their number.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/CallerResponse.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/CallerResponse.java
@@ -7,7 +7,7 @@
 /** The response to one caller. A stream may be continued by a further attempt at another upstream. */
 final class CallerResponse {
 
-    /** The most bytes buffered for a caller that reads slowly; above this, its stream is aborted. */
+    /** The most bytes buffered for a caller that reads slowly; above this, its upstream is not read. */
     private static final long MAXIMUM_UNSENT_BYTES = 256 * 1024;
 
     private final HttpExchange exchange;
@@ -43,6 +43,11 @@
         return exchange.unsentBytes() <= MAXIMUM_UNSENT_BYTES;
     }
 
+    /** Returns whether the caller has read enough for its upstream to be read on. */
+    boolean hasCaughtUp() {
+        return exchange.unsentBytes() <= MAXIMUM_UNSENT_BYTES / 4;
+    }
+
     /** Ends the stream after bytes that are part of no event. */
     void endStream(byte[] lastBytes) {
         if (lastBytes.length > 0) {
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingDependencies.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingDependencies.java
@@ -4,6 +4,7 @@
 import org.asynchttpclient.AsyncHttpClient;
 import org.fuchsiatrail.Clock;
 import org.fuchsiatrail.forwarding.ForwardingCore;
+import org.fuchsiatrail.wire.memory.MemoryBudget;
 import org.fuchsiatrail.wire.observe.RouterMetrics;
 
 /**
@@ -19,6 +20,7 @@
  * @param steadyClock the monotonic clock that the core is driven by
  * @param wallClock the wall clock; a jump relative to the steady clock indicates that the VM was paused
  * @param onStopped the action to run when the graceful shutdown is complete
+ * @param memory bounds what is kept of answers
  */
 public record ForwardingDependencies(
         EventLoop eventLoop,
@@ -30,4 +32,5 @@
         RouterMetrics metrics,
         Clock steadyClock,
         Clock wallClock,
-        Runnable onStopped) {}
+        Runnable onStopped,
+        MemoryBudget memory) {}
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingLoop.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ForwardingLoop.java
@@ -34,6 +34,8 @@
     /** The change of the offset between wall clock and steady clock above which the clock jumped, in milliseconds. */
     private static final long CLOCK_JUMP_MILLIS = 300;
 
+    private static final long MALFORMED_LOG_INTERVAL_MILLIS = 1_000;
+
     private final EventLoop eventLoop;
     private final ForwardingCore core;
     private final CallDialect dialect;
@@ -51,6 +53,8 @@
     private boolean started;
     private boolean ticking;
     private long nextRequestNumber = 1;
+    private long malformedSinceLog;
+    private long nextMalformedLogAtMillis = Long.MIN_VALUE;
 
     /**
      * Creates a loop that is idle until {@link #start} is called; inputs that arrive before are kept until then.
@@ -124,10 +128,7 @@
             call = dialect.parseCall(exchange);
         } catch (IllegalArgumentException e) {
             metrics.count("requests.malformed", 1);
-            LogLines.info(
-                    "callers",
-                    "Malformed request refused.",
-                    Map.of("status", 400, "reason", String.valueOf(e.getMessage())));
+            logMalformed(String.valueOf(e.getMessage()));
             exchange.respond(400, Map.of(), new byte[0]);
             return;
         } catch (RuntimeException | Error e) {
@@ -144,6 +145,20 @@
         });
     }
 
+    /** Logs at most one line a second, as callers may send any number of such requests. */
+    private void logMalformed(String reason) {
+        malformedSinceLog++;
+        long nowMillis = steadyClock.nowMillis();
+        if (nowMillis >= nextMalformedLogAtMillis) {
+            nextMalformedLogAtMillis = nowMillis + MALFORMED_LOG_INTERVAL_MILLIS;
+            LogLines.info(
+                    "callers",
+                    "Malformed request refused.",
+                    Map.of("status", 400, "reason", reason, "requests", malformedSinceLog));
+            malformedSinceLog = 0;
+        }
+    }
+
     @Override
     public void connectionFailed(String message, Throwable cause) {
         metrics.count("connections.failed", 1);
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/OutputExecutor.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/OutputExecutor.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.asynchttpclient.AsyncHttpClient;
@@ -22,6 +23,7 @@
 import org.fuchsiatrail.forwarding.OrderReply;
 import org.fuchsiatrail.forwarding.StoreReply;
 import org.fuchsiatrail.wire.http.HttpExchange;
+import org.fuchsiatrail.wire.memory.MemoryBudget;
 import org.fuchsiatrail.wire.observe.LogLines;
 import org.fuchsiatrail.wire.observe.RouterMetrics;
 import org.fuchsiatrail.wire.peer.PeerTransport;
@@ -41,6 +43,8 @@
     private final RouterMetrics metrics;
     private final PeerTraffic peerTraffic;
     private final Runnable onStopped;
+    private final EventLoop eventLoop;
+    private final MemoryBudget memory;
     private final OpenRequests openRequests;
     private final Consumer<ForwardingInput> inputs;
     private final Consumer<ForwardingOutput> handler;
@@ -89,6 +93,8 @@
         this.metrics = dependencies.metrics();
         this.peerTraffic = peerTraffic;
         this.onStopped = dependencies.onStopped();
+        this.eventLoop = dependencies.eventLoop();
+        this.memory = dependencies.memory();
         this.openRequests = openRequests;
         this.inputs = inputs;
         this.handler = decorator.apply(this::handle);
@@ -177,6 +183,8 @@
                 dialect,
                 openRequest.call().callerAttemptId(),
                 send.streaming(),
+                memory,
+                eventLoop,
                 event -> receiveAttemptEvent(attempt, event));
         RunningAttempt running = new RunningAttempt(send.request(), attemptHandler);
         runningAttempts.put(attempt, running);
@@ -184,6 +192,14 @@
         running.future = http.executeRequest(request.build(), attemptHandler);
     }
 
+    private RunningAttempt forget(AttemptId attempt) {
+        RunningAttempt running = runningAttempts.remove(attempt);
+        if (running != null) {
+            running.handler.releaseMemory();
+        }
+        return running;
+    }
+
     private void receiveAttemptEvent(AttemptId attempt, AttemptEvent event) {
         inputs.accept(new ForwardingInput.AttemptEventReceived(attempt, event));
         RunningAttempt running = runningAttempts.get(attempt);
@@ -194,16 +210,16 @@
                 && openRequests.find(running.request).isEmpty();
         boolean ended = event instanceof AttemptEvent.Lost || event instanceof AttemptEvent.Mismatched;
         if (ended || callerDisconnected) {
-            runningAttempts.remove(attempt);
+            forget(attempt);
         }
         if (event instanceof AttemptEvent.Finished && running.handler.deliveryComplete()) {
-            runningAttempts.remove(attempt);
+            forget(attempt);
             openRequests.remove(running.request);
         }
     }
 
     private void cancel(AttemptId attempt) {
-        RunningAttempt cancelled = runningAttempts.remove(attempt);
+        RunningAttempt cancelled = forget(attempt);
         if (cancelled == null) {
             return;
         }
@@ -226,7 +242,7 @@
         }
         running.handler.deliverTo(openRequest.response());
         if (running.handler.deliveryComplete()) {
-            runningAttempts.remove(deliver.attempt());
+            forget(deliver.attempt());
             openRequests.remove(deliver.request());
         }
     }
@@ -239,7 +255,7 @@
             case ForwardingOutput.Deliver deliver -> {
                 RunningAttempt running = runningAttempts.get(deliver.attempt());
                 if (running != null && running.handler.deliveryComplete()) {
-                    runningAttempts.remove(deliver.attempt());
+                    forget(deliver.attempt());
                 }
                 failRequest(deliver.request());
             }
@@ -255,7 +271,7 @@
                 requestOf(failed.input()).ifPresent(this::failRequest);
             case ForwardingOutput.SystemFailed failed -> failed.request().ifPresent(this::failRequest);
             case ForwardingOutput.Cancel cancel -> {
-                RunningAttempt cancelled = runningAttempts.remove(cancel.attempt());
+                RunningAttempt cancelled = forget(cancel.attempt());
                 if (cancelled != null) {
                     cancelled.cancel();
                 }
@@ -271,7 +287,7 @@
 
     /** Loses an attempt that may have been sent; a request that cannot be sent anywhere is answered. */
     private void compensateSend(ForwardingOutput.Send send, String reason) {
-        RunningAttempt running = runningAttempts.remove(send.attempt());
+        RunningAttempt running = forget(send.attempt());
         if (running == null) {
             failRequest(send.request());
             return;
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ReadRateLimiter.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/ReadRateLimiter.java
@@ -28,6 +28,7 @@
     private long sliceBytes;
     private boolean limited;
     private boolean paused;
+    private boolean held;
     private boolean readRequested;
 
     /** The number of connections that are limited now. Used on one event loop only. */
@@ -44,6 +45,21 @@
         connection.pipeline().addFirst(new ReadRateLimiter(limitedConnections));
     }
 
+    /** Stops the reading of a connection whose caller reads slowly, or goes on with it. */
+    static void hold(Channel connection, boolean isHeld) {
+        ReadRateLimiter limiter = connection.pipeline().get(ReadRateLimiter.class);
+        ChannelHandlerContext context = connection.pipeline().context(ReadRateLimiter.class);
+        if (limiter == null || limiter.held == isHeld) {
+            return;
+        }
+        limiter.held = isHeld;
+        if (isHeld) {
+            connection.config().setAutoRead(false);
+        } else if (!limiter.paused) {
+            limiter.readOn(context);
+        }
+    }
+
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
         bytesSinceRequest = 0;
@@ -75,6 +91,12 @@
 
     private void resume(ChannelHandlerContext context) {
         paused = false;
+        if (!held) {
+            readOn(context);
+        }
+    }
+
+    private void readOn(ChannelHandlerContext context) {
         context.channel().config().setAutoRead(true);
         if (readRequested) {
             readRequested = false;
@@ -85,7 +107,7 @@
     /** The HTTP client requests reads by itself after each one, also while the connection does not read on its own. */
     @Override
     public void read(ChannelHandlerContext context) {
-        if (paused) {
+        if (paused || held) {
             readRequested = true;
         } else {
             context.read();
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAttempt.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAttempt.java
@@ -5,9 +5,11 @@
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.Queue;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -17,6 +19,7 @@
 import org.asynchttpclient.netty.request.NettyRequest;
 import org.fuchsiatrail.forwarding.AttemptEvent;
 import org.fuchsiatrail.wire.http.HttpExchange;
+import org.fuchsiatrail.wire.memory.MemoryBudget;
 
 /**
  * The HTTP response handler of one attempt at an upstream. It collects a plain response as a whole, and splits a stream
@@ -29,12 +32,17 @@
     /** The maximum size of the body of a response, in bytes; a longer one does not end. */
     private static final int MAXIMUM_RESPONSE_BYTES = 16 * 1024 * 1024;
 
+    /** How often a caller that reads slowly is asked for, in milliseconds. */
+    private static final long SLOW_CALLER_CHECK_MILLIS = 100;
+
     private static final String EVENT_STREAM = "text/event-stream";
 
     private final CallDialect dialect;
     private final String callerAttemptId;
     private final boolean streamingRequested;
     private final Consumer<AttemptEvent> listener;
+    private final EventLoop eventLoop;
+    private final MemoryBudget.Holding holding;
     private final EventStreamSplitter splitter = new EventStreamSplitter();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final Queue<EventStreamSplitter.Events> undelivered = new ArrayDeque<>();
@@ -47,26 +55,37 @@
     private boolean streamStarted;
     private boolean responseComplete;
     private boolean finished;
+    private boolean held;
+    private Channel connection;
     private CallerResponse callerResponse;
 
     UpstreamAttempt(
-            CallDialect dialect, String callerAttemptId, boolean streamingRequested, Consumer<AttemptEvent> listener) {
+            CallDialect dialect,
+            String callerAttemptId,
+            boolean streamingRequested,
+            MemoryBudget memory,
+            EventLoop eventLoop,
+            Consumer<AttemptEvent> listener) {
         this.dialect = dialect;
         this.callerAttemptId = callerAttemptId;
         this.streamingRequested = streamingRequested;
+        this.eventLoop = eventLoop;
+        this.holding = memory.open(this::stop);
         this.listener = listener;
     }
 
     @Override
-    public void onTcpConnectSuccess(InetSocketAddress address, Channel connection) {
+    public void onTcpConnectSuccess(InetSocketAddress address, Channel channel) {
         connected = true;
-        UpstreamConnection.of(connection).recordRequest(callerAttemptId);
+        connection = channel;
+        UpstreamConnection.of(channel).recordRequest(callerAttemptId);
     }
 
     @Override
-    public void onConnectionPooled(Channel connection) {
+    public void onConnectionPooled(Channel channel) {
         connected = true;
-        UpstreamConnection.of(connection).recordRequest(callerAttemptId);
+        connection = channel;
+        UpstreamConnection.of(channel).recordRequest(callerAttemptId);
     }
 
     @Override
@@ -116,6 +135,7 @@
         }
         if (!isEventStream()) {
             body.writeBytes(bytes);
+            holding.keep(body.size(), MemoryBudget.State.UNFINISHED);
             return State.CONTINUE;
         }
         try {
@@ -129,8 +149,7 @@
     private void handleEvents(EventStreamSplitter.Events events) {
         if (callerResponse != null) {
             if (!callerResponse.sendEvents(events)) {
-                abortAsLost("the caller reads too slowly");
-                return;
+                holdReading();
             }
             listener.accept(new AttemptEvent.Progressed(callerResponse.lastEventId()));
             return;
@@ -142,6 +161,49 @@
         }
     }
 
+    /** Leaves the rest of the stream unread until the caller has read more. */
+    private void holdReading() {
+        if (!held && connection != null) {
+            held = true;
+            ReadRateLimiter.hold(connection, true);
+            eventLoop.schedule(this::readOnIfCaughtUp, SLOW_CALLER_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void readOnIfCaughtUp() {
+        if (!held) {
+            return;
+        }
+        if (finished || callerResponse.hasCaughtUp()) {
+            readOn();
+        } else {
+            // The upstream is not silent; its stream is not read.
+            listener.accept(new AttemptEvent.Progressed(callerResponse.lastEventId()));
+            eventLoop.schedule(this::readOnIfCaughtUp, SLOW_CALLER_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void readOn() {
+        if (held) {
+            held = false;
+            ReadRateLimiter.hold(connection, false);
+        }
+    }
+
+    /** Gives up the response, since the memory is needed; later, as a response may be handled now. */
+    private void stop() {
+        eventLoop.execute(() -> {
+            if (!finished) {
+                abortAsLost("the response was given up for want of memory");
+            }
+        });
+    }
+
+    /** States that nothing of the response is kept any more. */
+    void releaseMemory() {
+        holding.close();
+    }
+
     private AttemptEvent.Head head() {
         return dialect.parseHead(status, headers);
     }
@@ -165,6 +227,7 @@
 
     @Override
     public Void onCompleted() {
+        readOn();
         if (finished) {
             return null;
         }
@@ -187,6 +250,7 @@
     private void finish(AttemptEvent event) {
         if (!finished) {
             finished = true;
+            holding.keep(body.size(), MemoryBudget.State.IN_WORK);
             listener.accept(event);
         }
     }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/CallerRequestDecoder.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/CallerRequestDecoder.java
@@ -6,6 +6,7 @@
 import java.util.function.Supplier;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -33,28 +34,42 @@
     private static final int MAXIMUM_CHUNK_BYTES = 64 * 1024;
     private static final Clock CLOCK = SteadyClock.ofThisMachine();
 
+    /** What a header field keeps beside its bytes. */
+    private static final long FIELD_BYTES = 160;
+
     private final Supplier<HttpLimits> limitsInForce;
+    private final ConnectionMemory memory;
     private HttpLimits limits;
     private ScheduledFuture<?> headerTimeout;
     private ScheduledFuture<?> idleCheck;
     private boolean inHead;
     private boolean inBody;
     private boolean discarding;
+    private boolean paused;
     private long headBytes;
     private long bodyBytes;
+    /** The bytes that were received since the last part of a body, which are header fields behind it. */
+    private long bytesBehindBody;
+
+    private long requestBytes;
     private long lastActivityAtMillis;
     private long idleCheckDelayMillis;
 
-    CallerRequestDecoder(Supplier<HttpLimits> limitsInForce) {
+    CallerRequestDecoder(Supplier<HttpLimits> limitsInForce, ConnectionMemory memory) {
         // The decoder's own limit on headers is fixed for the life of the connection.
         super(MAXIMUM_REQUEST_LINE_BYTES, Integer.MAX_VALUE, MAXIMUM_CHUNK_BYTES);
         this.limitsInForce = limitsInForce;
         this.limits = limitsInForce.get();
+        this.memory = memory;
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext context) throws Exception {
         super.handlerAdded(context);
+        memory.onReadingStopped(() -> {
+            refuse(context, HttpResponseStatus.SERVICE_UNAVAILABLE);
+            resume(context);
+        });
         recordActivity();
         scheduleIdleCheck(context, limits.idleTimeoutMillis());
     }
@@ -91,6 +106,51 @@
     void discardInput() {
         discarding = true;
         cancelHeaderTimeout();
+        memory.setReading(0);
+    }
+
+    /** Leaves requests that have arrived as they are, since decoded ones take more memory. */
+    void pause() {
+        paused = true;
+    }
+
+    /** Goes on with the requests that have arrived; outside of a call of this handler. */
+    void resume(ChannelHandlerContext context) {
+        if (paused) {
+            paused = false;
+            context.executor().execute(() -> decodeRest(context));
+        }
+    }
+
+    /** Decodes at once what has arrived, however many requests they are; outside of a call of this handler. */
+    void resumeNow(ChannelHandlerContext context) {
+        paused = false;
+        decodeRest(context);
+    }
+
+    private void decodeRest(ChannelHandlerContext context) {
+        if (!paused && !context.isRemoved() && internalBuffer().isReadable()) {
+            try {
+                channelRead(context, Unpooled.EMPTY_BUFFER);
+            } catch (Exception e) {
+                context.fireExceptionCaught(e);
+            }
+        }
+    }
+
+    /** Returns what the request keeps that was decoded last. */
+    long requestBytes() {
+        return requestBytes;
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+        if (paused) {
+            // The superclass would read on.
+            context.fireChannelReadComplete();
+        } else {
+            super.channelReadComplete(context);
+        }
     }
 
     private void refuse(ChannelHandlerContext context, HttpResponseStatus status) {
@@ -106,8 +166,13 @@
             return;
         }
         if (!inHead && !inBody) {
+            if (paused) {
+                memory.setReading(buffer.capacity());
+                return;
+            }
             adoptLimitsInForce(context);
             headBytes = 0;
+            requestBytes = 0;
         }
         int sizeBefore = out.size();
         int indexBefore = buffer.readerIndex();
@@ -117,17 +182,40 @@
         headBytes += inBody ? 0 : buffer.readerIndex() - indexBefore;
         inHead = !inBody && nothingDecoded && (inHeadBefore || beginsRequest(buffer, indexBefore));
         List<Object> decoded = out.subList(sizeBefore, out.size());
-        HttpResponseStatus refusal = check(context, buffer, decoded);
-        if (refusal != null) {
+        HttpResponseStatus refusal = check(context, buffer, buffer.readerIndex() - indexBefore, decoded);
+        if (refusal == null) {
+            stateRequest(buffer, indexBefore, decoded);
+        } else {
+            refuse(context, refusal);
+        }
+        if (discarding) {
             decoded.forEach(ReferenceCountUtil::release);
             decoded.clear();
-            refuse(context, refusal);
             buffer.skipBytes(buffer.readableBytes());
             return;
         }
         updateHeaderTimeout(context);
     }
 
+    /** States what the request keeps so far; it may be refused for it. */
+    private void stateRequest(ByteBuf buffer, int indexBefore, List<Object> decoded) {
+        boolean onlyBody = !decoded.isEmpty() && !(decoded.get(0) instanceof HttpRequest);
+        if (!onlyBody) {
+            requestBytes += 2L * (buffer.readerIndex() - indexBefore);
+            for (int index = indexBefore; index < buffer.readerIndex(); index++) {
+                requestBytes += buffer.getByte(index) == '\n' ? FIELD_BYTES : 0;
+            }
+        }
+        for (Object message : decoded) {
+            requestBytes +=
+                    message instanceof HttpContent content ? content.content().readableBytes() : 0;
+        }
+        boolean complete = !inHead && !inBody;
+        if (inHead || inBody || !decoded.isEmpty()) {
+            memory.setReading(requestBytes + (decoded.isEmpty() && !complete ? buffer.capacity() : 0));
+        }
+    }
+
     private void adoptLimitsInForce(ChannelHandlerContext context) {
         limits = limitsInForce.get();
         if (limits.idleTimeoutMillis() < idleCheckDelayMillis) {
@@ -143,10 +231,15 @@
     }
 
     /** Returns the status with which the request is refused, or null if it is within the limits so far. */
-    private HttpResponseStatus check(ChannelHandlerContext context, ByteBuf buffer, List<Object> decoded) {
+    private HttpResponseStatus check(
+            ChannelHandlerContext context, ByteBuf buffer, int consumedBytes, List<Object> decoded) {
         if (inHead && headBytes + buffer.readableBytes() > limits.headerBytes() + MAXIMUM_REQUEST_LINE_BYTES) {
             return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
         }
+        bytesBehindBody = inBody && decoded.isEmpty() ? bytesBehindBody + consumedBytes : 0;
+        if (bytesBehindBody > limits.headerBytes() + MAXIMUM_REQUEST_LINE_BYTES) {
+            return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+        }
         for (Object message : decoded) {
             HttpResponseStatus refusal = null;
             if (message instanceof HttpRequest request) {
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/ConnectionExchange.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/ConnectionExchange.java
@@ -61,7 +61,11 @@
         this.method = request.method().name();
         this.uri = request.uri();
         this.headers = request.headers();
-        this.body = ByteBufUtil.getBytes(request.content());
+        this.body = ByteBufUtil.getBytes(
+                request.content(),
+                request.content().readerIndex(),
+                request.content().readableBytes(),
+                false);
         this.query = new QueryStringDecoder(request.uri());
     }
 
@@ -184,7 +188,10 @@
 
     /** Writes a message; closes the connection if that fails, since the caller cannot make out a response then. */
     private ChannelFuture write(Object message) {
-        return context.writeAndFlush(message).addListener((ChannelFutureListener) written -> {
+        ChannelFuture future = context.writeAndFlush(message);
+        connection.memory().outputChanged(false);
+        return future.addListener((ChannelFutureListener) written -> {
+            connection.memory().outputChanged(true);
             if (written.isSuccess()) {
                 return;
             }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
@@ -35,18 +35,19 @@
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    /** The number of unanswered requests above which reading from the connection is paused. */
-    private static final int MAXIMUM_PIPELINED_REQUESTS = 4;
-
     /** How long a caller may take to close a connection after its last response, in milliseconds. */
     private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
 
     /** How long the rest of a request is awaited that has begun when the listener shuts down, in milliseconds. */
     private static final long REST_TIMEOUT_MILLIS = 300;
 
+    /** The number of requests after which other connections have their turn. */
+    private static final int REQUESTS_IN_TURN = 32;
+
     private final HttpHandler handler;
     private final CallerRequestDecoder decoder;
     private final BooleanSupplier closeRequested;
+    private final ConnectionMemory memory;
     private final ArrayDeque<PendingRequest> pendingRequests = new ArrayDeque<>();
     /** Requests whose response is not written, which another thread may look at. */
     private volatile int unwrittenResponses;
@@ -59,6 +60,7 @@
     private boolean readingStopped;
     private boolean startingRequests;
     private boolean nextDue;
+    private int requestsInTurn;
     private ChannelHandlerContext context;
     private ScheduledFuture<?> closeTimeout;
     private ScheduledFuture<?> restTimeout;
@@ -68,11 +70,21 @@
      *
      * @param exchange the exchange, or null for a request that is refused
      * @param refusalStatus the HTTP status of the refusal, or 0
+     * @param bytes the memory that it keeps
      */
-    private record PendingRequest(ConnectionExchange exchange, int refusalStatus) {}
+    private record PendingRequest(ConnectionExchange exchange, int refusalStatus, long bytes) {
+        static PendingRequest refused(int status) {
+            return new PendingRequest(null, status, 0);
+        }
+    }
 
-    HttpConnection(HttpHandler handler, CallerRequestDecoder decoder, BooleanSupplier closeRequested) {
+    HttpConnection(
+            HttpHandler handler,
+            CallerRequestDecoder decoder,
+            ConnectionMemory memory,
+            BooleanSupplier closeRequested) {
         this.handler = handler;
+        this.memory = memory;
         this.decoder = decoder;
         this.closeRequested = closeRequested;
     }
@@ -80,6 +92,10 @@
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
+        memory.onOutputRead(() -> context.executor().execute(() -> {
+            readOn();
+            startRequestsDue(context);
+        }));
     }
 
     @Override
@@ -93,13 +109,19 @@
             endInput();
             enqueue(
                     context,
-                    new PendingRequest(null, decoderResult.cause() instanceof TooLongFrameException ? 431 : 400));
+                    PendingRequest.refused(decoderResult.cause() instanceof TooLongFrameException ? 431 : 400));
             return;
         }
         if (!HttpUtil.isKeepAlive(request)) {
             endInput();
         }
-        enqueue(context, new PendingRequest(new ConnectionExchange(context, this, request), 0));
+        long bytes = decoder.requestBytes();
+        memory.requestWaits(bytes);
+        enqueue(context, new PendingRequest(new ConnectionExchange(context, this, request), 0, bytes));
+    }
+
+    ConnectionMemory memory() {
+        return memory;
     }
 
     /** Reads no further request; all bytes that follow are dropped. */
@@ -197,6 +219,7 @@
         if (!inputEnded) {
             context.channel().config().setAutoRead(true);
         }
+        decoder.resumeNow(context.pipeline().context(decoder));
         readArrived();
         readingLast = false;
         readingStopped = true;
@@ -263,8 +286,21 @@
         unwrittenResponses++;
         if (pendingRequests.size() == 1) {
             start(context, pending);
-        } else if (pendingRequests.size() > MAXIMUM_PIPELINED_REQUESTS && !readingLast) {
-            context.channel().config().setAutoRead(false);
+        }
+        requestsInTurn++;
+        if ((memory.isFull(pendingRequests.size()) || requestsInTurn == REQUESTS_IN_TURN) && !readingLast) {
+            pauseReading(context);
+        }
+    }
+
+    private void pauseReading(ChannelHandlerContext context) {
+        context.channel().config().setAutoRead(false);
+        if (!readingStopped && !inputEnded) {
+            decoder.pause();
+        }
+        if (requestsInTurn >= REQUESTS_IN_TURN) {
+            requestsInTurn = 0;
+            context.executor().execute(this::readOn);
         }
     }
 
@@ -287,10 +323,9 @@
 
     /** Goes on with the next request, since the response to the first one is complete, although not yet written. */
     void startNext(ChannelHandlerContext context, ChannelFuture responseWritten) {
-        pendingRequests.poll();
-        if (!readingHasStopped()) {
-            context.channel().config().setAutoRead(true);
-        }
+        PendingRequest ended = pendingRequests.poll();
+        memory.requestEnded(ended == null ? 0 : ended.bytes());
+        readOn();
         if (pendingRequests.isEmpty() && inputEnded) {
             responseWritten.addListener(done -> closeOutput(context));
         }
@@ -299,6 +334,13 @@
         sendContinueIfDue(context);
     }
 
+    private void readOn() {
+        if (context.channel().isActive() && !readingHasStopped() && !memory.isFull(pendingRequests.size())) {
+            context.channel().config().setAutoRead(true);
+            decoder.resume(context.pipeline().context(decoder));
+        }
+    }
+
     /** Starts requests until one is not answered at once. A loop, since a recursion would exhaust the stack. */
     private void startRequestsDue(ChannelHandlerContext context) {
         if (startingRequests) {
@@ -306,13 +348,13 @@
         }
         startingRequests = true;
         try {
-            while (nextDue && !pendingRequests.isEmpty() && context.channel().isActive()) {
+            while (nextDue && !pendingRequests.isEmpty() && context.channel().isActive() && !memory.isOutputFull()) {
                 nextDue = false;
                 start(context, pendingRequests.peek());
             }
         } finally {
             startingRequests = false;
-            nextDue = false;
+            nextDue = nextDue && !pendingRequests.isEmpty();
         }
     }
 
@@ -336,14 +378,15 @@
         switch (input) {
             case CallerInput.Refused refused -> {
                 endInput();
-                enqueue(context, new PendingRequest(null, refused.status()));
+                enqueue(context, PendingRequest.refused(refused.status()));
             }
             case CallerInput.ContinueExpected expected -> {
                 continueExpected = true;
                 sendContinueIfDue(context);
             }
             case CallerInput.Idle idle -> {
-                if (pendingRequests.isEmpty()) {
+                boolean unread = memory.hasUnsent();
+                if (memory.isOutputIdle() && (unread || pendingRequests.isEmpty())) {
                     context.close();
                 }
             }
@@ -389,7 +432,7 @@
             context.close();
         } else if (!inputEnded) {
             endInput();
-            enqueue(context, new PendingRequest(null, HttpResponseStatus.INTERNAL_SERVER_ERROR.code()));
+            enqueue(context, PendingRequest.refused(HttpResponseStatus.INTERNAL_SERVER_ERROR.code()));
         }
     }
 }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpListener.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpListener.java
@@ -17,12 +17,12 @@
 import io.netty.channel.nio.AbstractNioChannel.NioUnsafe;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.ssl.SslContext;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import io.netty.util.concurrent.Promise;
+import org.fuchsiatrail.wire.memory.MemoryBudget;
 
 /** An HTTP server on one port, plain or with TLS. */
 public final class HttpListener implements AutoCloseable {
@@ -60,7 +60,28 @@
             HttpLimits limits,
             Supplier<SslContext> tls,
             HttpHandler handler) {
-        return listen(group, address, () -> limits, tls, () -> false, handler);
+        return listen(group, address, () -> limits, tls, () -> false, MemoryBudget.unlimited(), handler);
+    }
+
+    /**
+     * Starts a listener without a memory budget.
+     *
+     * @param group the event loops that serve the connections
+     * @param address the address to listen on; port 0 selects a free port
+     * @param limits supplies the size limits and timeouts in force, also for connections that are open
+     * @param tls supplies the TLS context of each new connection, or null for plain HTTP
+     * @param closeRequested returns whether responses close their connection, with {@code Connection: close}
+     * @param handler handles the requests
+     * @return the listener
+     */
+    public static HttpListener listen(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            Supplier<HttpLimits> limits,
+            Supplier<SslContext> tls,
+            BooleanSupplier closeRequested,
+            HttpHandler handler) {
+        return listen(group, address, limits, tls, closeRequested, MemoryBudget.unlimited(), handler);
     }
 
     /**
@@ -71,6 +92,7 @@
      * @param limits supplies the size limits and timeouts in force, also for connections that are open
      * @param tls supplies the TLS context of each new connection, or null for plain HTTP
      * @param closeRequested returns whether responses close their connection, with {@code Connection: close}
+     * @param budget bounds what the connections keep; with a bound, the group has one event loop
      * @param handler handles the requests
      * @return the listener
      */
@@ -80,6 +102,7 @@
             Supplier<HttpLimits> limits,
             Supplier<SslContext> tls,
             BooleanSupplier closeRequested,
+            MemoryBudget budget,
             HttpHandler handler) {
         ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         ServerBootstrap bootstrap = new ServerBootstrap()
@@ -95,13 +118,19 @@
                         if (tls != null) {
                             connection.pipeline().addLast(tls.get().newHandler(connection.alloc()));
                         }
-                        CallerRequestDecoder decoder = new CallerRequestDecoder(limits);
+                        budget.connectionOpened();
+                        ConnectionMemory memory = new ConnectionMemory(budget, connection);
+                        connection.closeFuture().addListener(closed -> {
+                            memory.close();
+                            budget.connectionClosed();
+                        });
+                        CallerRequestDecoder decoder = new CallerRequestDecoder(limits, memory);
                         connection
                                 .pipeline()
                                 .addLast(decoder)
                                 .addLast(new HttpResponseEncoder())
-                                .addLast(new HttpObjectAggregator(Integer.MAX_VALUE))
-                                .addLast(new HttpConnection(handler, decoder, closeRequested));
+                                .addLast(new RequestAssembler(budget))
+                                .addLast(new HttpConnection(handler, decoder, memory, closeRequested));
                         connections.add(connection);
                     }
                 });
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/forwarding/LoopOnLoopback.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/forwarding/LoopOnLoopback.java
@@ -47,6 +47,7 @@
 import org.fuchsiatrail.wire.http.HttpExchange;
 import org.fuchsiatrail.wire.http.HttpLimits;
 import org.fuchsiatrail.wire.http.HttpListener;
+import org.fuchsiatrail.wire.memory.MemoryBudget;
 import org.fuchsiatrail.wire.observe.RouterMetrics;
 import org.fuchsiatrail.wire.peer.PeerTransport;
 
@@ -114,7 +115,8 @@
                         metrics,
                         SteadyClock.ofThisMachine(),
                         java.time.Clock.systemUTC()::millis,
-                        () -> {}),
+                        () -> {},
+                        MemoryBudget.unlimited()),
                 outputDecorator);
         InetSocketAddress anyPort = new InetSocketAddress("127.0.0.1", 0);
         peers = new PeerTransport(
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/forwarding/PeerUpdateLostBeforeStartTest.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/forwarding/PeerUpdateLostBeforeStartTest.java
@@ -21,6 +21,7 @@
 import org.fuchsiatrail.forwarding.ForwardingOutput;
 import org.fuchsiatrail.forwarding.RoutingTable;
 import org.fuchsiatrail.wire.SteadyClock;
+import org.fuchsiatrail.wire.memory.MemoryBudget;
 import org.fuchsiatrail.wire.observe.RouterMetrics;
 import org.fuchsiatrail.wire.peer.PeerTransport;
 import org.junit.jupiter.api.AfterEach;
@@ -90,7 +91,8 @@
                 metrics,
                 SteadyClock.ofThisMachine(),
                 java.time.Clock.systemUTC()::millis,
-                () -> {}));
+                () -> {},
+                MemoryBudget.unlimited()));
         PeerMessage.ForwardingNews update =
                 PeerMessage.ForwardingNews.builder(peerVm, 1).build();
 
--- /dev/null
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/memory/package-info.java
@@ -0,0 +1,2 @@
+/** Tests. */
+package org.fuchsiatrail.wire.memory;
