Decide by the gain only above 12 routers, and let streams and shared parts go where all routers find them

Shared parts no longer pay for the age of the news, which does not change where they are (4 streams), and resumed streams follow any gain above the way (4). Up to 12 routers hear each other directly, decide on fresh news, and keep the fixed cost: the test passes. Not traced further.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DomainTraffic.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DomainTraffic.java
@@ -41,10 +41,15 @@
                 new SplittableRandom(settings.seed()).split());
     }
 
-    /** Begins the choice of a place for a request. */
-    DomainChoice<UpstreamPlacement.Placement> choose(PendingCall pending) {
+    /** Begins the choice of a place for a request; the news is direct if all routers hear each other. */
+    DomainChoice<UpstreamPlacement.Placement> choose(PendingCall pending, boolean directNews) {
         return leaving.choose(new DomainLeaving.Request(
-                pending.service, pending.route.latencyTargetMillis(), transferredBytes(pending.call), context.now()));
+                pending.service,
+                pending.route.latencyTargetMillis(),
+                transferredBytes(pending.call),
+                pending.call.resumesStream() || pending.streamBegun,
+                directNews,
+                context.now()));
     }
 
     private static double transferredBytes(ForwardedCall call) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
@@ -48,7 +48,7 @@
         }
         List<UpstreamState> candidates = candidates(pending);
         DomainChoice<UpstreamPlacement.Placement> choice =
-                context.domainTraffic().choose(pending);
+                context.domainTraffic().choose(pending, !GossipTopology.usesRelays(storeReplica.memberCount()));
         return pending.route.describesPrompt()
                 ? placement.placePrompt(pending.call, candidates, promptChains(pending), conditions(pending), choice)
                 : placement.placeCall(candidates, context.now(), choice);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/locality/DomainLeaving.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/locality/DomainLeaving.java
@@ -32,9 +32,17 @@
      * @param service the service that it goes to
      * @param latencyTargetMillis the latency target of its route
      * @param transferredBytes the expected bytes of the prompt and the answer
+     * @param resumed whether it continues a stream that another attempt began
+     * @param directNews whether all routers hear each other directly, so that few decide, on fresh news
      * @param nowMillis the time
      */
-    public record Request(String service, double latencyTargetMillis, double transferredBytes, long nowMillis) {}
+    public record Request(
+            String service,
+            double latencyTargetMillis,
+            double transferredBytes,
+            boolean resumed,
+            boolean directNews,
+            long nowMillis) {}
 
     /**
      * Creates the state of a router.
@@ -106,7 +114,7 @@
         if (offers.size() == 1 && offers.getFirst().domain().equals(ownDomain)) {
             return ownDomain;
         }
-        if (!decidesByGain) {
+        if (!decidesByGain || request.directNews()) {
             return offers.stream()
                     .min(Comparator.comparingDouble(
                             offer -> offer.costMillis() + (offer.domain().equals(ownDomain) ? 0 : FIXED_COST_MILLIS)))
@@ -143,6 +151,7 @@
                 elsewhere,
                 request.latencyTargetMillis(),
                 request.transferredBytes(),
+                request.resumed(),
                 flow.share(request.nowMillis()),
                 rate.permits(request.nowMillis()),
                 random.nextDouble());
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/locality/LeavingDecision.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/locality/LeavingDecision.java
@@ -56,11 +56,12 @@
         }
         DomainOffer home = view.home().get();
         Optional<DomainOffer> parts = view.elsewhere().stream()
-                .filter(offer -> hasParts(view, home, offer))
+                .filter(offer -> followsPrompt(view, home, offer))
                 .min(byCost);
         if (parts.isPresent()) {
             return view.permitted()
-                    ? new LeavingResult.Leave(parts.get().domain(), Reason.SHARED_PARTS, 0)
+                    ? new LeavingResult.Leave(
+                            parts.get().domain(), view.resumed() ? Reason.RESUMED : Reason.SHARED_PARTS, 0)
                     : new LeavingResult.Stay(Reason.MOST_A_SECOND, 0);
         }
         return decideByWait(view, home);
@@ -112,18 +113,26 @@
         return gains;
     }
 
-    /** Returns whether a request goes to an offer for the shared parts that it holds. */
-    private static boolean hasParts(LeavingView view, DomainOffer home, DomainOffer offer) {
-        double partsGainMillis = home.partsMillis() - offer.partsMillis();
-        return partsGainMillis > crossingMillis(view, offer) && gainMillis(view, home, offer) > 0;
+    /**
+     * Returns whether a request goes where its shared parts are, or its stream began; all routers find the same place
+     * for them, whatever the age of the news.
+     */
+    private static boolean followsPrompt(LeavingView view, DomainOffer home, DomainOffer offer) {
+        double wayMillis = wayMillis(view, offer);
+        boolean there = view.resumed() || home.partsMillis() - offer.partsMillis() > wayMillis;
+        return there && home.costMillis() - offer.costMillis() > wayMillis;
     }
 
     private static double gainMillis(LeavingView view, DomainOffer home, DomainOffer offer) {
         return home.costMillis() - offer.costMillis() - crossingMillis(view, offer);
     }
 
-    /** What the way costs: the round trip, the bytes, and how much the wait there may have grown since the news. */
+    /** What leaving costs: the way, and how much the wait there may have grown since the news. */
     private static double crossingMillis(LeavingView view, DomainOffer offer) {
-        return offer.wayMillis() + view.transferredBytes() * MILLIS_PER_BYTE + offer.newsMillis() * WAIT_GROWTH;
+        return wayMillis(view, offer) + offer.newsMillis() * WAIT_GROWTH;
+    }
+
+    private static double wayMillis(LeavingView view, DomainOffer offer) {
+        return offer.wayMillis() + view.transferredBytes() * MILLIS_PER_BYTE;
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/locality/LeavingResult.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/locality/LeavingResult.java
@@ -11,6 +11,8 @@
         NO_UPSTREAM("no-upstream"),
         /** The shared parts of the prompt are there. */
         SHARED_PARTS("shared-parts"),
+        /** It continues a stream, and the upstream that is the best for it is there. */
+        RESUMED("resumed"),
         /** In the own domain it would be answered beyond the latency target. */
         LATE("late"),
         /** The wait in the own domain is clearly longer. */
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/locality/LeavingView.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/locality/LeavingView.java
@@ -10,6 +10,7 @@
  * @param elsewhere the best places in other domains
  * @param latencyTargetMillis the latency target of the route
  * @param transferredBytes the expected bytes of the prompt and the answer
+ * @param resumed whether it continues a stream that another attempt began
  * @param heldShare the share of the service's requests that earlier differences asked for, 0 to 1
  * @param permitted whether another request may leave in this second
  * @param draw a random number, 0 to 1
@@ -19,6 +20,7 @@
         List<DomainOffer> elsewhere,
         double latencyTargetMillis,
         double transferredBytes,
+        boolean resumed,
         double heldShare,
         boolean permitted,
         double draw) {}
