--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DomainTraffic.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DomainTraffic.java
@@ -41,14 +41,16 @@
                 new SplittableRandom(settings.seed()).split());
     }
 
-    /** Begins the choice of a place for a request. */
-    DomainChoice<UpstreamPlacement.Placement> choose(PendingCall pending) {
+    /** Begins the choice of a place for a request; the news is direct if all routers hear each other. */
+    DomainChoice<UpstreamPlacement.Placement> choose(PendingCall pending, boolean directNews) {
         long latencyTargetMillis = pending.route.latencyTargetMillis();
         return leaving.choose(new DomainLeaving.Request(
                 pending.service,
                 latencyTargetMillis,
                 UpstreamPlacement.inTimeMillis(latencyTargetMillis),
                 transferredBytes(pending.call),
+                pending.call.resumesStream() || pending.streamBegun,
+                directNews,
                 context.now()));
     }
 
