--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SharedPartSources.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SharedPartSources.java
@@ -139,7 +139,7 @@
             fetchFrom = storeAddress;
         }
         Optional<String> saveTo = missingTokens - fetchedTokens > MINIMUM_FETCHED_TOKENS ? store : Optional.empty();
-        if (conditions.partialReports() && !isHolder(engine) && !holders.isEmpty()) {
+        if (conditions.partialReports() && !holders.isEmpty() && engine != holders.getFirst()) {
             UpstreamState holder = holders.getFirst();
             long heldTokens = expectedTokens(holder) - cachedTokens;
             if (fetchFrom.isEmpty() || heldTokens > fetchedTokens + MINIMUM_FETCHED_TOKENS) {
