Forget that a request waits for a place once it is relayed

A relayed request still counted as one that goes before others that wait. Refusals are kept by the upstream's id, and lapsed ones are removed.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/admission/UpstreamRefusals.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/admission/UpstreamRefusals.java
@@ -66,6 +66,7 @@
         }
         long longest = Math.max(MINIMUM_MILLIS, refusal.latencyTargetMillis());
         long millis = Math.clamp(Math.round(refusal.placeMillis()), MINIMUM_MILLIS, longest);
+        refusals.values().removeIf(known -> known.untilMillis() <= refusal.nowMillis());
         refusals.put(refusal.upstream(), new Refusal(refusal.nowMillis() + millis, occupancy));
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallAdmission.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallAdmission.java
@@ -123,8 +123,8 @@
         };
     }
 
-    /** Records that a request has its final answer. */
-    void close(PendingCall pending) {
+    /** Records that a request waits for no place any more. */
+    void endWait(PendingCall pending) {
         admission(pending.service).endWait(pending.request);
     }
 
@@ -138,7 +138,7 @@
         admission
                 .refusals()
                 .record(new UpstreamRefusals.Observation(
-                        pending.incarnation,
+                        pending.upstream.id(),
                         UpstreamPlacement.slots(pending.upstream),
                         occupancy,
                         head.load(),
@@ -154,7 +154,7 @@
         }
         ServiceAdmission admission = admission(pending.service);
         admission.rate().record(context.now() - pending.upstream.sentAtMillis(pending.attempt, context.now()));
-        admission.refusals().placeCameFree(pending.incarnation);
+        admission.refusals().placeCameFree(pending.upstream.id());
     }
 
     private AdmissionDecision.Target target(UpstreamPlacement.Placement placement) {
@@ -209,7 +209,7 @@
                             .orElse(0));
             rooms.add(admission
                     .refusals()
-                    .room(upstream.incarnationId(), UpstreamPlacement.slots(upstream), occupancy, context.now()));
+                    .room(upstream.id(), UpstreamPlacement.slots(upstream), occupancy, context.now()));
         }
         return rooms;
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -169,6 +169,7 @@
             return false;
         }
         context.count("attempts.relayed");
+        admission.endWait(pending);
         pending.relayed = true;
         sender.send(pending, UpstreamPlacement.onRouter(router.get()), remainingMillis);
         return true;
@@ -201,14 +202,6 @@
     }
 
     private void waitOrRefuse(PendingCall pending) {
-        if (pending.streamVersion.isPresent() && !selector.isVersionServed(pending)) {
-            refuseOrAbort(
-                    pending,
-                    ResultCode.STREAM_NOT_RESUMABLE,
-                    CallTiming.NOT_RESUMABLE_RETRY_MILLIS,
-                    "no upstream has software version " + pending.streamVersion.orElse(""));
-            return;
-        }
         Optional<UpstreamAvailability.Unavailable> unavailable = selector.unavailable(pending);
         if (unavailable.isPresent()) {
             refuseOrAbort(
@@ -580,7 +573,7 @@
     private void close(PendingCall pending) {
         pending.state = PendingCall.State.FINISHED;
         calls.remove(pending);
-        admission.close(pending);
+        admission.endWait(pending);
         heldAttempts.close(pending);
         if (pending.attempt != null) {
             releaseAttempt(pending);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.fuchsiatrail.ResultCode;
 import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.RoutingTable;
 import org.fuchsiatrail.forwarding.ServiceDefinition;
@@ -128,7 +129,7 @@
     }
 
     /** Returns whether any registered upstream has the software version that began the request's stream. */
-    boolean isVersionServed(PendingCall pending) {
+    private boolean isVersionServed(PendingCall pending) {
         return upstreams.activeUpstreams(pending.service).stream()
                 .anyMatch(upstream -> mayContinueAt(pending, upstream));
     }
@@ -187,6 +188,12 @@
 
     /** Returns why no upstream may receive the request in time, if what they all said of themselves excludes it. */
     Optional<UpstreamAvailability.Unavailable> unavailable(PendingCall pending) {
+        if (pending.streamVersion.isPresent() && !isVersionServed(pending)) {
+            return Optional.of(new UpstreamAvailability.Unavailable(
+                    ResultCode.STREAM_NOT_RESUMABLE,
+                    CallTiming.NOT_RESUMABLE_RETRY_MILLIS,
+                    "no upstream has software version " + pending.streamVersion.orElse("")));
+        }
         if (reachesNobody(pending)) {
             // A stream that goes on is looked at anew.
             pending.upstreamsLost = false;
