Check a configuration before it is sent: fuchsiatrail configuration check FILE [--against FILE] [--json]

Errors, entries that never match (a key, address or route held twice, a model or service that nobody serves, a call that another one covers, a weight or share of 0), limits that contradict each other, and what differs from the version in force, as a table or JSON. Exits with 0, 1 for warnings, 2 for errors. It asks no router.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/Fuchsiatrail.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/Fuchsiatrail.java
@@ -1,7 +1,13 @@
 package org.fuchsiatrail;
 
+import java.util.List;
+
 import org.fuchsiatrail.forwarding.ForwardingCore;
 import org.fuchsiatrail.forwarding.ForwardingSettings;
+import org.fuchsiatrail.forwarding.RoutingTable;
+import org.fuchsiatrail.internal.configuration.IntentCheck;
+import org.fuchsiatrail.internal.configuration.IntentComparison;
+import org.fuchsiatrail.internal.configuration.RoutingCheck;
 import org.fuchsiatrail.internal.forwarding.DefaultForwardingCore;
 import org.fuchsiatrail.internal.router.DefaultRouterCore;
 
@@ -71,4 +77,46 @@
     public static ForwardingCore forwarding(ForwardingSettings settings) {
         return new DefaultForwardingCore(settings);
     }
+
+    /**
+     * Checks an intent before it is sent to a router.
+     *
+     * @param intent the intent
+     * @return what is wrong or has no effect, errors first
+     */
+    public static List<ConfigurationFinding> check(Intent intent) {
+        return IntentCheck.findings(intent);
+    }
+
+    /**
+     * Checks a routing configuration before it is put in force.
+     *
+     * @param table the configuration
+     * @return what is wrong or has no effect
+     */
+    public static List<ConfigurationFinding> check(RoutingTable table) {
+        return RoutingCheck.findings(table);
+    }
+
+    /**
+     * Compares two routing configurations.
+     *
+     * @param before the one in force
+     * @param after the new one
+     * @return one sentence for each route, service, customer and limit that differs
+     */
+    public static List<String> effects(RoutingTable before, RoutingTable after) {
+        return RoutingCheck.differences(before, after);
+    }
+
+    /**
+     * Compares two intents.
+     *
+     * @param before the intent in force
+     * @param after the new intent
+     * @return one sentence for each effect
+     */
+    public static List<String> effects(Intent before, Intent after) {
+        return IntentComparison.effects(before, after);
+    }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/RoutingTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/RoutingTable.java
@@ -17,6 +17,9 @@
     private final Map<String, ServiceDefinition> services = new HashMap<>();
     private final Map<String, CustomerEntry> customersByKey = new HashMap<>();
     private final Map<String, Long> resumableMillisByService = new TreeMap<>();
+    private final List<Route> routes;
+    private final List<ServiceDefinition> listedServices;
+    private final List<CustomerEntry> customers;
     private final boolean keysRequired;
     private final CallerLimits limits;
 
@@ -37,6 +40,9 @@
             CallerLimits limits) {
         this.version = version;
         this.limits = limits;
+        this.routes = List.copyOf(routes);
+        this.listedServices = List.copyOf(services);
+        this.customers = List.copyOf(customers);
         this.keysRequired = !customers.isEmpty();
         routes.forEach(route -> routesByHost
                 .computeIfAbsent(route.host(), host -> new ArrayList<>())
@@ -90,6 +96,33 @@
         return Optional.ofNullable(services.get(name));
     }
 
+    /**
+     * Returns all routes, also ones that never match.
+     *
+     * @return the routes as they are listed
+     */
+    public List<Route> routes() {
+        return routes;
+    }
+
+    /**
+     * Returns all services, also ones that are listed twice.
+     *
+     * @return the services as they are listed
+     */
+    public List<ServiceDefinition> services() {
+        return listedServices;
+    }
+
+    /**
+     * Returns all customers.
+     *
+     * @return the customers as they are listed
+     */
+    public List<CustomerEntry> customers() {
+        return customers;
+    }
+
     /**
      * Returns the services of routes whose streams callers may resume.
      *
--- a/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/command/FuchsiatrailCommand.java
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/command/FuchsiatrailCommand.java
@@ -26,6 +26,7 @@
             RouterCommand.class,
             SettingsCommand.class,
             IntentCommand.class,
+            ConfigurationCommand.class,
             StatusCommand.class,
             DrainCommand.class,
             ExplainCommand.class,
--- a/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/command/IntentCommand.java
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/command/IntentCommand.java
@@ -4,10 +4,7 @@
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.stream.Collectors;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
@@ -34,27 +31,6 @@
      */
     private record PlanFile(String planId, Intent intent) {}
 
-    private static <T> T read(Path file, Class<T> type) throws IOException {
-        try {
-            return YAML.readValue(Files.readAllBytes(file), type);
-        } catch (JsonProcessingException e) {
-            throw new IOException(describe(file, e), e);
-        } catch (IOException e) {
-            throw new IOException(file + " cannot be read.\nCheck the path and its permissions.", e);
-        }
-    }
-
-    private static String describe(Path file, JsonProcessingException e) {
-        int line = e.getLocation() == null ? 0 : e.getLocation().getLineNr();
-        String path = e instanceof JsonMappingException mapping
-                ? mapping.getPath().stream()
-                        .map(step -> step.getFieldName() == null ? "[" + step.getIndex() + "]" : step.getFieldName())
-                        .collect(Collectors.joining("."))
-                : "the file";
-        return file + ", line " + line + ", " + path + ": " + e.getOriginalMessage()
-                + "\nNothing was changed. Correct the line; see examples/ for complete intents.";
-    }
-
     @Command(
             name = "plan",
             mixinStandardHelpOptions = true,
@@ -67,7 +43,7 @@
 
         @Override
         OperatorRequest request() throws IOException {
-            intent = read(file, Intent.class);
+            intent = IntentFiles.read(file, Intent.class);
             return new OperatorRequest.Plan(intent);
         }
 
@@ -90,7 +66,7 @@
 
         @Override
         OperatorRequest request() throws IOException {
-            PlanFile plan = read(file, PlanFile.class);
+            PlanFile plan = IntentFiles.read(file, PlanFile.class);
             if (plan.planId() == null || plan.intent() == null) {
                 throw new IOException(file + " is not a plan file.\nCreate one with 'fuchsiatrail intent plan'.");
             }
