Give the upstreams of the test fixtures addresses of their own

Two live engines could share an address, so that routers took the first for ended until it had answered them; a request that was lost there counted as the cause of a crash that did not happen.

--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -189,7 +189,7 @@
                 new UpstreamId(id),
                 startedAtMillis,
                 service,
-                "10.1.0." + Math.abs(id.hashCode() % 200) + ":80",
+                addressOf(id),
                 new FailureDomain(failureDomain),
                 slots,
                 draining,
@@ -197,6 +197,12 @@
                 weights);
     }
 
+    /** The address of an upstream; two with the same one would replace each other. */
+    private static String addressOf(String id) {
+        int host = id.hashCode();
+        return "10." + (host >>> 16 & 0xff) + "." + (host >>> 8 & 0xff) + "." + (host & 0xff) + ":80";
+    }
+
     ForwardingFixture register(UpstreamEntry entry) {
         put("servers/" + entry.id(), new StoreItemContent.Upstream(entry));
         return this;
