Tell routers of dark engines, and end attempts there while callers can ask again

Each router found each dark engine itself, requests that no other engine may take over waited there until the deadlines of their callers, and connection timeouts at dark engines counted as the loss of the own paths: routers refused requests of others (2008) beside many sound engines.

A connection that times out while others are reached shows a dark engine (DarkUpstreamDecision). Peers are told (darkUpstreams) and use it as a last resort. A stream there, or a repeatable request without retries left, is cancelled and answered 502 if there is time to ask again (AbandonmentDecision). Relayed requests are refused only when most of many destinations failed; engines known to be dark don't count (LostPathsDecision).

On virtual time with 3, 7 and 68 routers and a quarter to half of 12, 28 and 98 engines dark: no refusal 2008, at most two sends by a router to a dark engine after 0.6 s, none 0.6 s (1.2 s with relays) after the first router found it.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
@@ -203,6 +203,7 @@
      * @param subtreeWork changed work of the sender and of all routers that report through it
      * @param domainWork changed work of all routers of the sender's failure domain
      * @param fleetWork changed work of all routers
+     * @param darkUpstreams upstreams that a router could not reach while it reached others; older builds don't tell it
      */
     record ForwardingNews(
             EntryVm vm,
@@ -232,7 +233,8 @@
             boolean workByChanges,
             List<WorkChange> subtreeWork,
             List<WorkChange> domainWork,
-            List<WorkChange> fleetWork)
+            List<WorkChange> fleetWork,
+            List<DarkUpstream> darkUpstreams)
             implements PeerMessage {
 
         /** Replaces missing lists with empty ones. */
@@ -259,6 +261,7 @@
             subtreeWork = subtreeWork == null ? List.of() : subtreeWork;
             domainWork = domainWork == null ? List.of() : domainWork;
             fleetWork = fleetWork == null ? List.of() : fleetWork;
+            darkUpstreams = darkUpstreams == null ? List.of() : darkUpstreams;
         }
 
         /**
@@ -412,6 +415,14 @@
      */
     record SeenPause(UpstreamId upstream, long millisLeft) {}
 
+    /**
+     * An upstream to which a router could establish no connection in time, while it reached others.
+     *
+     * @param upstream the incarnation of the upstream
+     * @param ageMillis the time since the router saw it, in milliseconds
+     */
+    record DarkUpstream(UpstreamId upstream, long ageMillis) {}
+
     /**
      * Streams that upstreams of one software version began.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -39,6 +39,7 @@
     private final StreamVersions streamVersions;
     private final VersionShareSystem versionShares;
     private final CallSystem calls;
+    private final DarkSights darkSights;
     private final OrderLease orderLease;
     private final WeightsRollout rollout;
     private final PeerGossip gossip;
@@ -72,6 +73,7 @@
                 context, storeReplica, storeCalls.era(), upstreams, crashProtection, requestLimits, streamVersions);
         versionShares =
                 new VersionShareSystem(context, storeCalls, storeReplica, upstreams, streamVersions.shareCompletion());
+        darkSights = new DarkSights(context, upstreams);
         calls = new CallSystem(
                 context,
                 storeReplica,
@@ -81,7 +83,8 @@
                 requestLimits,
                 gossip,
                 streamVersions,
-                new StreamBindings(context, streamVersions, versionShares, gossip));
+                new StreamBindings(context, streamVersions, versionShares, gossip),
+                darkSights);
         streamVersions.shareCompletion().setOpenStreams(calls::openStreams);
         rollout = new WeightsRollout(context, storeReplica, upstreams, orderLease, probes, gossip::scheduleUpdate);
         gossip.setRollout(rollout);
@@ -105,6 +108,7 @@
                 new CoreSystem("request limits", requestLimits::run),
                 new CoreSystem("origins of streams", streamVersions.lookup()::run),
                 new CoreSystem("version shares", versionShares::run),
+                new CoreSystem("dark upstreams", darkSights::run),
                 new CoreSystem("calls", calls::run),
                 new CoreSystem("order lease", orderLease::run),
                 new CoreSystem("weights", rollout::run),
@@ -172,6 +176,9 @@
         if (reply instanceof OrderReply.NotConnected notConnected) {
             crashProtection.recordNotConnected(engine, notConnected, sentAtMillis);
             calls.upstreamEnded(engine.incarnationId());
+            if (!notConnected.refused()) {
+                darkSights.connectionTimedOut(engine);
+            }
         } else if (!(reply instanceof OrderReply.Failed)) {
             crashProtection.recordReached(engine, sentAtMillis);
         }
