--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
@@ -326,7 +326,7 @@
         return busySlots(upstream, nowMillis) < slots(upstream);
     }
 
-    static int slots(UpstreamState upstream) {
+    private static int slots(UpstreamState upstream) {
         return Math.max(1, upstream.entry.slots());
     }
 
@@ -345,7 +345,7 @@
     }
 
     /** Returns the load that an upstream reported lately. */
-    static Optional<UpstreamLoad> freshLoad(UpstreamState upstream, long nowMillis) {
+    private static Optional<UpstreamLoad> freshLoad(UpstreamState upstream, long nowMillis) {
         boolean fresh = upstream.load != null && upstream.loadAtMillis >= nowMillis - LOAD_VALIDITY_MILLIS;
         return fresh ? Optional.of(upstream.load) : Optional.empty();
     }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/admission/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Replays of the loads that the admission decisions answer. */
-package org.fuchsiatrail.internal.admission;
