--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerUpdateBound.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerUpdateBound.java
@@ -21,7 +21,7 @@
     /** The most started streams: those of 30 s, in which they can be resumed, at 600 a second. */
     static final int MAXIMUM_STREAMS = 20_000;
 
-    /** The most crashes, clearances, limits, pauses, leaving and dark upstreams of each kind, which routers remember. */
+    /** The most crashes, clearances, limits, pauses, leaving and dark upstreams; routers remember as many of each. */
     static final int MAXIMUM_ENTRIES = 10_000;
 
     private PeerUpdateBound() {}
