--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DomainTraffic.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DomainTraffic.java
@@ -43,11 +43,9 @@
 
     /** Begins the choice of a place for a request; the news is direct if all routers hear each other. */
     DomainChoice<UpstreamPlacement.Placement> choose(PendingCall pending, boolean directNews) {
-        long latencyTargetMillis = pending.route.latencyTargetMillis();
         return leaving.choose(new DomainLeaving.Request(
                 pending.service,
-                latencyTargetMillis,
-                UpstreamPlacement.inTimeMillis(latencyTargetMillis),
+                pending.route.latencyTargetMillis(),
                 transferredBytes(pending.call),
                 pending.call.resumesStream() || pending.streamBegun,
                 directNews,
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StreamStarts.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StreamStarts.java
@@ -1,14 +1,10 @@
 package org.fuchsiatrail.internal.forwarding;
 
 import org.fuchsiatrail.forwarding.ForwardingOutput;
-import org.fuchsiatrail.internal.load.EngineModel;
 
 /** Records what the first event of an attempt's stream tells of its upstream. */
 final class StreamStarts {
 
-    /** How many times the tokens of which the cache is not known must fit into those that are certainly read. */
-    private static final long KNOWN_PART = 4;
-
     private final ForwardingContext context;
     private final StoreReplica storeReplica;
     private final UpstreamTable upstreams;
@@ -33,9 +29,6 @@
         UpstreamState.InFlightAttempt inFlightAttempt = pending.upstream.inFlight.get(pending.attempt);
         if (inFlightAttempt != null) {
             context.emit(new ForwardingOutput.Measure("first-event", context.now() - inFlightAttempt.sentAtMillis));
-            if (pending.route.describesPrompt() && pending.placement != null) {
-                observe(pending, inFlightAttempt);
-            }
             inFlightAttempt.promptTokens = 0;
             inFlightAttempt.streamBegun = true;
         }
@@ -50,24 +43,4 @@
         upstreams.recordSuccess(pending.upstream);
         bindings.recordOrigin(pending);
     }
-
-    /** Compares the time to the first event with the predicted one, and learns from it how fast the upstream is. */
-    private void observe(PendingCall pending, UpstreamState.InFlightAttempt attempt) {
-        UpstreamPlacement.Placement placement = pending.placement;
-        long millis = context.now() - attempt.sentAtMillis;
-        context.emit(new ForwardingOutput.Measure(
-                "first-event.prediction-error", Math.abs(millis - Math.round(attempt.predictedMillis))));
-        long ownTokens = placement.ownTokens();
-        EngineModel model = pending.upstream.model;
-        long unknownTokens = placement.chain().sharedTokens() - placement.cachedTokens();
-        if (unknownTokens * KNOWN_PART <= ownTokens) {
-            if (attempt.foundLittleWork) {
-                model.observeFirstEvent(context.now(), ownTokens, millis);
-            } else {
-                model.observeQueuedFirstEvent(context.now(), attempt.tokensAhead + ownTokens, millis);
-            }
-        } else if (placement.expectsHit() && attempt.foundLittleWork) {
-            model.observeHolder(ownTokens, unknownTokens, millis);
-        }
-    }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
@@ -1,17 +1,12 @@
 package org.fuchsiatrail.internal.forwarding;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.LongToDoubleFunction;
 
 import org.fuchsiatrail.forwarding.ForwardedCall;
-import org.fuchsiatrail.forwarding.UpstreamLoad;
-import org.fuchsiatrail.internal.load.EngineModel;
-import org.fuchsiatrail.internal.load.PartHolders;
 import org.fuchsiatrail.internal.locality.DomainChoice;
 import org.fuchsiatrail.internal.membership.Rendezvous;
 
@@ -20,38 +15,46 @@
  *
  * <p>Load pattern for model engines: sessions of long shared prompts at a load where a full prefill of every prompt
  * would exceed the capacity of the engines. Rendezvous hashing gives each session a home engine that is the same on all
- * routers, so its shared parts are prefilled once. A request is placed elsewhere when it would be late at the home
- * engine, or when waiting there costs more than to fetch or prefill the shared parts again.
+ * routers, so its shared parts are prefilled once. A request is placed elsewhere only when waiting at the home engine
+ * costs more than another prefill of the shared parts.
  *
  * <p>Load pattern for plain services: short calls on few slots. They are placed on the least busy upstream, with a
  * preference for the own failure domain.
  */
 final class UpstreamPlacement {
 
-    /** The fraction of the latency target within which a predicted first event is expected to be in time. */
-    private static final double IN_TIME_FRACTION = 0.5;
+    /** Prefill speed of an engine in tokens per millisecond, from the platform's data sheets. */
+    static final double PREFILL_TOKENS_PER_MILLISECOND = 38;
 
     /**
-     * Cost of another prefill of shared tokens, as a multiple of its time: the prefill delays the requests behind it,
-     * and the parts evict others. It does not exceed the time within which a request is in time, so that an engine with
-     * cached parts is preferred as long as it answers in time.
+     * The fraction of the link bandwidth that one fetch gets, given concurrent fetches and links between failure
+     * domains.
      */
-    private static final double REPEATED_PREFILL_COST_FACTOR = 7.6;
+    private static final double FETCH_BANDWIDTH_FRACTION = 0.3;
 
-    /** The fraction of that cost for tokens that are fetched, which take memory of another engine without its time. */
-    private static final double COPY_COST_FRACTION = 0.1;
+    /** The same for a fetch from a KV cache store, whose link is slower and shared by all engines. */
+    private static final double STORE_FETCH_BANDWIDTH_FRACTION = 0.1;
+
+    /** Up to this number of shared tokens, prefill is preferred to a fetch; a failed fetch costs a millisecond. */
+    private static final long MINIMUM_FETCHED_TOKENS = 64;
+
+    /**
+     * Cost of another prefill of a shared token, in milliseconds of a caller's waiting time. The price of 1,000 such
+     * tokens is half the value of a short prompt, and that value is lost when its answer is 400 ms late.
+     */
+    private static final double REPEATED_PREFILL_COST_MILLIS_PER_TOKEN = 0.2;
 
     /** The fraction of a session's shared tokens that its home engine is expected to have cached without a report. */
     private static final double HOME_CACHED_FRACTION = 0.8;
 
+    /** Cost of an engine whose slots or memory are taken, in milliseconds; the time of a short generation. */
+    private static final double FULL_ENGINE_COST_MILLIS = 300;
+
     /** The fraction of an engine's KV memory that running requests may use before new ones wait; the rest is cache. */
     private static final double RUNNING_MEMORY_FRACTION = 0.6;
 
-    /** Prompt tokens of a request in an engine's own queue, of which only the number is known; a short prompt. */
-    private static final long QUEUED_REQUEST_TOKENS = 1_140;
-
-    /** Cost when all slots are busy, in prompt tokens read; it grows in proportion to the busy slots. */
-    private static final long BUSY_SLOTS_TOKENS = 760;
+    /** Cost of each request in an engine's own queue, in milliseconds; the prefill time of a short prompt. */
+    private static final double QUEUED_REQUEST_COST_MILLIS = 30;
 
     /** The longest prompt that counts as short, in tokens; engines prefill about that many between decode steps. */
     private static final long SHORT_PROMPT_TOKENS = 4_000;
@@ -59,8 +62,14 @@
     /** Cost of a failure rate of 1, in milliseconds; a failed attempt costs about the time of a call. */
     private static final double FAILURE_COST_MILLIS = 150;
 
-    /** Cost when all slots are busy, as a fraction of the time of a call; it grows in proportion to the busy slots. */
-    private static final double BUSY_SLOTS_CALL_FRACTION = 0.25;
+    /**
+     * Cost when all slots are busy, in milliseconds, a fraction of the processing time of one call; it grows in
+     * proportion to the busy slots.
+     */
+    private static final double BUSY_SLOTS_COST_MILLIS = 20;
+
+    /** Expected processing time of a call to a plain service, in milliseconds, from the platform's data sheets. */
+    private static final double EXPECTED_CALL_MILLIS = 80;
 
     /** How long a load report is valid, in milliseconds. */
     private static final long LOAD_VALIDITY_MILLIS = 400;
@@ -72,7 +81,6 @@
     private static final double RANDOM_COST_MILLIS = 2;
 
     private final SplittableRandom random;
-    private final PartHolders partHolders = new PartHolders();
 
     /**
      * The upstream selected for a request, with the expected cost.
@@ -82,10 +90,8 @@
      * @param predictedMillis the expected time to the first event or the answer
      * @param uncachedTokens prompt tokens that are expected to need prefill
      * @param uncachedSharedTokens shared tokens among them
-     * @param cachedTokens shared tokens that are known to be cached there
      * @param newMemoryTokens prompt tokens that need new KV memory, as they belong only to this request or are not
      *     cached
-     * @param expectsHit whether shared parts are expected to be cached there only because it is their holder
      * @param fetchFrom the address of the engine or KV cache store that may hold shared parts that the upstream lacks
      * @param saveTo the address of the KV cache store that is to save shared parts prefilled by the upstream
      */
@@ -95,43 +101,32 @@
             double predictedMillis,
             long uncachedTokens,
             long uncachedSharedTokens,
-            long cachedTokens,
             long newMemoryTokens,
-            boolean expectsHit,
             Optional<String> fetchFrom,
             Optional<String> saveTo) {
 
-        /** A placement of a request without a prompt. */
-        private static Placement withoutPrompt(UpstreamState upstream, double predictedMillis) {
+        private Placement withFetchFrom(Optional<String> source) {
             return new Placement(
                     upstream,
-                    new PromptChain(List.of()),
+                    chain,
                     predictedMillis,
-                    0,
-                    0,
-                    0,
-                    0,
-                    false,
-                    Optional.empty(),
-                    Optional.empty());
-        }
-
-        /** The prompt tokens that no other request shares, which are read in any case. */
-        long ownTokens() {
-            return uncachedTokens - uncachedSharedTokens;
+                    uncachedTokens,
+                    uncachedSharedTokens,
+                    newMemoryTokens,
+                    source,
+                    saveTo);
         }
     }
 
     /** The placement on another router, which selects the upstream itself. */
     static Placement onRouter(UpstreamState router) {
-        return Placement.withoutPrompt(router, 0);
+        return new Placement(router, new PromptChain(List.of()), 0, 0, 0, 0, Optional.empty(), Optional.empty());
     }
 
     /**
      * Inputs of a placement in addition to the upstreams.
      *
      * @param nowMillis the time
-     * @param latencyTargetMillis the time to the first event that callers expect
      * @param weightsCost the cost of a version of the weights, in milliseconds
      * @param fetchTokensPerMillisecond how fast engines fetch cached parts, or 0 when they do not
      * @param engineMemoryTokens KV memory of an engine, in tokens
@@ -140,7 +135,6 @@
      */
     record Conditions(
             long nowMillis,
-            double latencyTargetMillis,
             LongToDoubleFunction weightsCost,
             double fetchTokensPerMillisecond,
             long engineMemoryTokens,
@@ -155,6 +149,10 @@
      */
     record KvCacheStore(String address, PromptCacheView view) {}
 
+    /** Where an engine fetches parts that it lacks, and where it saves those that it prefills. */
+    private record Transfers(
+            long fetchedTokens, double fetchMillis, Optional<String> fetchFrom, Optional<String> saveTo) {}
+
     /** Provides the keys of a request's prompt, which depend on the weight version of an engine. */
     @FunctionalInterface
     interface PromptChains {
@@ -170,16 +168,15 @@
         for (UpstreamState upstream : candidates) {
             int slots = slots(upstream);
             int busySlots = busySlots(upstream, nowMillis);
-            double callMillis = upstream.model.callMillis();
-            double predictedMillis = callMillis + Math.max(0, busySlots + 1 - slots) * callMillis / slots;
-            double cost = predictedMillis
-                    + BUSY_SLOTS_CALL_FRACTION * callMillis * busySlots / slots
+            double queueMillis = Math.max(0, busySlots + 1 - slots) * EXPECTED_CALL_MILLIS / slots;
+            double cost = queueMillis
+                    + BUSY_SLOTS_COST_MILLIS * busySlots / slots
                     + FAILURE_COST_MILLIS * upstream.failureRate
                     + random.nextDouble(RANDOM_COST_MILLIS);
-            choice.add(
-                    upstream.domain(),
-                    Placement.withoutPrompt(upstream, predictedMillis),
-                    new DomainChoice.Expectation(cost, 0, predictedMillis, 0));
+            double predictedMillis = queueMillis + EXPECTED_CALL_MILLIS;
+            Placement place = new Placement(
+                    upstream, new PromptChain(List.of()), predictedMillis, 0, 0, 0, Optional.empty(), Optional.empty());
+            choice.add(upstream.domain(), place, cost, predictedMillis, 0);
         }
         return choice.select();
     }
@@ -195,125 +192,144 @@
                 .mapToLong(upstream -> weightVersion(upstream, call))
                 .max()
                 .orElse(0);
-        PromptChain newestChain = chains.forWeights(newestVersion);
-        List<UpstreamState> holders =
-                holders(newestChain, ofVersion(candidates, call, newestVersion), conditions.partialReports());
-        Map<Long, SharedPartSources> sourcesByVersion = new HashMap<>();
+        Optional<UpstreamState> home = homeEngine(call, candidates, chains, newestVersion);
         for (UpstreamState upstream : candidates) {
-            SharedPartSources sources = sourcesByVersion.computeIfAbsent(
-                    weightVersion(upstream, call),
-                    version -> new SharedPartSources(
-                            chains.forWeights(version),
-                            ofVersion(candidates, call, version),
-                            version == newestVersion ? holders : List.of(),
-                            conditions));
-            long cachedTokens = upstream.cache.cachedTokens(sources.shared());
-            SharedPartSources.Transfers transfers = sources.transfers(upstream, cachedTokens);
-            Placement placement = evaluate(call, upstream, sources, cachedTokens, transfers, conditions);
-            double answerMillis = placement.predictedMillis()
+            Placement placement = evaluate(call, upstream, candidates, chains, conditions);
+            boolean isHome = home.isPresent() && home.get() == upstream;
+            double repeatedPrefillTokens = placement.uncachedSharedTokens() * (isHome ? 1 - HOME_CACHED_FRACTION : 1);
+            double homeSavingMillis = isHome
+                    ? HOME_CACHED_FRACTION * placement.uncachedSharedTokens() / PREFILL_TOKENS_PER_MILLISECOND
+                    : 0;
+            double repeatedPrefillMillis = REPEATED_PREFILL_COST_MILLIS_PER_TOKEN * repeatedPrefillTokens;
+            double cost = placement.predictedMillis()
+                    - homeSavingMillis
+                    + repeatedPrefillMillis
                     + FAILURE_COST_MILLIS * upstream.failureRate
-                    + conditions.weightsCost().applyAsDouble(weightVersion(upstream, call));
-            double partsMillis = sharedPartsCostMillis(placement, sources.isHolder(upstream), transfers, conditions);
-            double cost = answerMillis
-                    + partsMillis
-                    + upstream.model.prefillMillis(BUSY_SLOTS_TOKENS)
-                            * busySlots(upstream, conditions.nowMillis())
-                            / slots(upstream)
+                    + conditions.weightsCost().applyAsDouble(weightVersion(upstream, call))
+                    + BUSY_SLOTS_COST_MILLIS * busySlots(upstream, conditions.nowMillis()) / slots(upstream)
                     + random.nextDouble(RANDOM_COST_MILLIS);
-            choice.add(
-                    upstream.domain(),
-                    placement,
-                    new DomainChoice.Expectation(cost, answerMillis, placement.predictedMillis(), partsMillis));
-        }
-        if (!holders.isEmpty()) {
-            partHolders.record(newestChain.sessionKey(), newestChain.sharedTokens());
+            double partsMillis = repeatedPrefillMillis
+                    + placement.uncachedSharedTokens() / PREFILL_TOKENS_PER_MILLISECOND
+                    - homeSavingMillis;
+            choice.add(upstream.domain(), placement, cost, placement.predictedMillis(), partsMillis);
         }
-        return choice.select();
-    }
-
-    /** The predicted time to a first event within which a request is expected to be in time. */
-    static double inTimeMillis(double latencyTargetMillis) {
-        return latencyTargetMillis * IN_TIME_FRACTION;
+        return choice.select()
+                .map(placement -> conditions.partialReports()
+                        ? placement.withFetchFrom(fetchSource(placement, home, call, conditions))
+                        : placement);
     }
 
     /**
-     * The engines that are to hold the shared parts of a prompt: where routers hear all cache reports the one home
-     * engine of its session, which the reports of copies complement.
+     * Returns where to fetch missing shared parts from. If no report names a holder, this is the session's home engine,
+     * or the KV cache store if the request is placed on the home engine. A fetch in vain costs a millisecond.
      */
-    private List<UpstreamState> holders(PromptChain chain, List<UpstreamState> engines, boolean partialReports) {
-        if (chain.shared().isEmpty()) {
-            return List.of();
-        }
-        return partialReports
-                ? partHolders.holders(chain.sessionKey(), chain.sharedTokens(), engines, UpstreamPlacement::name)
-                : Rendezvous.highest(chain.sessionKey(), engines, 1, UpstreamPlacement::name);
-    }
-
-    private static String name(UpstreamState upstream) {
-        return upstream.id().value();
-    }
-
-    /** The cost of shared tokens that are prefilled or copied although another engine has them cached. */
-    private static double sharedPartsCostMillis(
-            Placement placement, boolean isHolder, SharedPartSources.Transfers transfers, Conditions conditions) {
-        EngineModel model = placement.upstream().model;
-        long uncachedTokens = placement.uncachedSharedTokens();
-        double repeatedTokens;
-        double savedMillis = 0;
-        if (conditions.partialReports()) {
-            repeatedTokens = isHolder ? 0 : uncachedTokens + COPY_COST_FRACTION * transfers.fetchedTokens();
-        } else {
-            double hitFraction = isHolder ? HOME_CACHED_FRACTION : 0;
-            repeatedTokens = (1 - hitFraction) * uncachedTokens;
-            savedMillis = hitFraction * model.prefillMillis(uncachedTokens);
+    private static Optional<String> fetchSource(
+            Placement placement, Optional<UpstreamState> home, ForwardedCall call, Conditions conditions) {
+        if (placement.fetchFrom().isPresent()
+                || placement.uncachedSharedTokens() <= MINIMUM_FETCHED_TOKENS
+                || conditions.fetchTokensPerMillisecond() <= 0) {
+            return placement.fetchFrom();
         }
-        return Math.min(
-                        REPEATED_PREFILL_COST_FACTOR * model.prefillMillis(Math.round(repeatedTokens)),
-                        inTimeMillis(conditions.latencyTargetMillis()))
-                - savedMillis;
+        boolean isHome = home.filter(engine -> engine == placement.upstream()).isPresent();
+        return isHome
+                ? placement.saveTo()
+                : home.filter(engine -> weightVersion(engine, call) == weightVersion(placement.upstream(), call))
+                        .map(engine -> engine.entry.address());
     }
 
-    /** Predicts the time of a request on one engine, including the fetch of parts. */
+    /**
+     * Predicts the time of a request on one engine, including the fetch of parts from another engine or a KV cache
+     * store.
+     */
     private static Placement evaluate(
             ForwardedCall call,
             UpstreamState upstream,
-            SharedPartSources sources,
-            long cachedTokens,
-            SharedPartSources.Transfers transfers,
+            List<UpstreamState> candidates,
+            PromptChains chains,
             Conditions conditions) {
-        long nowMillis = conditions.nowMillis();
-        long heldTokens = sources.isHolder(upstream) ? sources.expectedTokens(upstream) : 0;
-        long availableTokens = cachedTokens + transfers.fetchedTokens();
-        long uncachedSharedTokens = Math.max(0, sources.sharedTokens() - Math.max(availableTokens, heldTokens));
-        long ownTokens = Math.max(sources.tokens(), call.inputTokens()) - sources.sharedTokens();
-        long newMemoryTokens = Math.max(0, sources.tokens() - sources.sharedTokens())
-                + Math.max(0, sources.sharedTokens() - cachedTokens);
+        long version = weightVersion(upstream, call);
+        PromptChain chain = chains.forWeights(version);
+        long cachedTokens = upstream.cache.cachedTokens(chain.shared());
+        Transfers transfers = transfers(chain, cachedTokens, upstream, candidates, conditions, call);
+        long fetchedTokens = transfers.fetchedTokens();
+        long uncachedTokens = Math.max(0, Math.max(chain.tokens(), call.inputTokens()) - cachedTokens - fetchedTokens);
         boolean isShort = isShort(call.inputTokens());
-        boolean slotsTaken = busySlots(upstream, nowMillis) >= slots(upstream);
-        double usedMemoryTokens = upstream.memoryTokens(nowMillis) + newMemoryTokens;
+        double waitMillis =
+                upstream.pendingPromptTokens(conditions.nowMillis(), isShort) / PREFILL_TOKENS_PER_MILLISECOND;
+        long newMemoryTokens =
+                Math.max(0, chain.tokens() - chain.sharedTokens()) + Math.max(0, chain.sharedTokens() - cachedTokens);
+        boolean slotsTaken = busySlots(upstream, conditions.nowMillis()) >= slots(upstream);
+        double usedMemoryTokens = upstream.memoryTokens(conditions.nowMillis()) + newMemoryTokens;
         boolean memoryTaken = usedMemoryTokens > conditions.engineMemoryTokens() * RUNNING_MEMORY_FRACTION;
-        EngineModel model = upstream.model;
-        double predictedMillis = model.firstEventMillis(
-                        upstream.pendingPromptTokens(nowMillis, isShort), ownTokens + uncachedSharedTokens)
-                + upstream.stallMillis(nowMillis, isShort)
-                + model.prefillMillis(waiting(upstream, nowMillis) * QUEUED_REQUEST_TOKENS)
-                + (slotsTaken || memoryTaken ? model.placeMillis() : 0)
-                + transfers.fetchMillis();
+        double predictedMillis = waitMillis
+                + upstream.stallMillis(conditions.nowMillis(), isShort)
+                + queueCostMillis(upstream, conditions.nowMillis())
+                + (slotsTaken || memoryTaken ? FULL_ENGINE_COST_MILLIS : 0)
+                + transfers.fetchMillis()
+                + uncachedTokens / PREFILL_TOKENS_PER_MILLISECOND;
+        long uncachedSharedTokens = Math.max(0, chain.sharedTokens() - cachedTokens - fetchedTokens);
         return new Placement(
                 upstream,
-                sources.chain(),
+                chain,
                 predictedMillis,
-                ownTokens + uncachedSharedTokens,
+                uncachedTokens,
                 uncachedSharedTokens,
-                cachedTokens,
                 newMemoryTokens,
-                heldTokens > availableTokens,
                 transfers.fetchFrom(),
                 transfers.saveTo());
     }
 
-    private static long waiting(UpstreamState upstream, long nowMillis) {
-        return freshLoad(upstream, nowMillis).map(UpstreamLoad::waiting).orElse(0);
+    /** Selects the engine or KV cache store with the most of the shared parts that an engine lacks. */
+    private static Transfers transfers(
+            PromptChain chain,
+            long cachedTokens,
+            UpstreamState upstream,
+            List<UpstreamState> candidates,
+            Conditions conditions,
+            ForwardedCall call) {
+        List<PromptChain.Link> shared = chain.shared();
+        long missingTokens = chain.sharedTokens() - cachedTokens;
+        if (missingTokens <= MINIMUM_FETCHED_TOKENS || conditions.fetchTokensPerMillisecond() <= 0) {
+            return new Transfers(0, 0, Optional.empty(), Optional.empty());
+        }
+        long version = weightVersion(upstream, call);
+        long fetchedTokens = 0;
+        double bandwidthFraction = FETCH_BANDWIDTH_FRACTION;
+        Optional<String> fetchFrom = Optional.empty();
+        for (UpstreamState source : candidates) {
+            boolean usable = source != upstream && weightVersion(source, call) == version;
+            long additionalTokens = usable ? source.cache.cachedTokens(shared) - cachedTokens : 0;
+            if (additionalTokens > Math.max(fetchedTokens, MINIMUM_FETCHED_TOKENS)) {
+                fetchedTokens = additionalTokens;
+                fetchFrom = Optional.of(source.entry.address());
+            }
+        }
+        for (KvCacheStore store : conditions.kvCacheStores()) {
+            long additionalTokens = store.view().cachedTokens(shared) - cachedTokens;
+            if (additionalTokens > fetchedTokens + MINIMUM_FETCHED_TOKENS) {
+                fetchedTokens = additionalTokens;
+                bandwidthFraction = STORE_FETCH_BANDWIDTH_FRACTION;
+                fetchFrom = Optional.of(store.address());
+            }
+        }
+        boolean prefillsMore = missingTokens - fetchedTokens > MINIMUM_FETCHED_TOKENS;
+        Optional<String> saveTo = prefillsMore ? saveTo(chain, conditions) : Optional.empty();
+        double fetchMillis =
+                fetchedTokens == 0 ? 0 : fetchedTokens / (conditions.fetchTokensPerMillisecond() * bandwidthFraction);
+        return new Transfers(fetchedTokens, fetchMillis, fetchFrom, saveTo);
+    }
+
+    private static Optional<String> saveTo(PromptChain chain, Conditions conditions) {
+        List<KvCacheStore> reporting = conditions.kvCacheStores().stream()
+                .filter(store -> store.view().hasFreshReport(conditions.nowMillis()))
+                .toList();
+        return Rendezvous.first(chain.sessionKey(), reporting, KvCacheStore::address)
+                .map(KvCacheStore::address);
+    }
+
+    private static double queueCostMillis(UpstreamState upstream, long nowMillis) {
+        boolean fresh = upstream.load != null && upstream.loadAtMillis >= nowMillis - LOAD_VALIDITY_MILLIS;
+        return fresh ? upstream.load.waiting() * QUEUED_REQUEST_COST_MILLIS : 0;
     }
 
     /** Returns whether a prompt is short enough for engines to prefill it in one piece. */
@@ -330,26 +346,26 @@
         return Math.max(1, upstream.entry.slots());
     }
 
-    private static List<UpstreamState> ofVersion(List<UpstreamState> engines, ForwardedCall call, long version) {
-        List<UpstreamState> selected = new ArrayList<>(engines.size());
-        for (UpstreamState engine : engines) {
-            if (weightVersion(engine, call) == version) {
-                selected.add(engine);
+    private Optional<UpstreamState> homeEngine(
+            ForwardedCall call, List<UpstreamState> candidates, PromptChains chains, long newestVersion) {
+        PromptChain chain = chains.forWeights(newestVersion);
+        if (chain.sessionKey().isEmpty()) {
+            return Optional.empty();
+        }
+        List<UpstreamState> newestEngines = new ArrayList<>();
+        for (UpstreamState upstream : candidates) {
+            if (weightVersion(upstream, call) == newestVersion) {
+                newestEngines.add(upstream);
             }
         }
-        return selected;
+        return Rendezvous.first(
+                chain.sessionKey(), newestEngines, upstream -> upstream.id().value());
     }
 
     private static long weightVersion(UpstreamState upstream, ForwardedCall call) {
         return upstream.weightVersions.getOrDefault(call.model(), 0L);
     }
 
-    /** Returns the load that an upstream reported lately. */
-    private static Optional<UpstreamLoad> freshLoad(UpstreamState upstream, long nowMillis) {
-        boolean fresh = upstream.load != null && upstream.loadAtMillis >= nowMillis - LOAD_VALIDITY_MILLIS;
-        return fresh ? Optional.of(upstream.load) : Optional.empty();
-    }
-
     private static int busySlots(UpstreamState upstream, long nowMillis) {
         int knownBusy = upstream.running(nowMillis);
         boolean fresh = upstream.load != null && upstream.loadAtMillis >= nowMillis - LOAD_VALIDITY_MILLIS;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
@@ -93,7 +93,6 @@
                 .orElse(0.0);
         return new UpstreamPlacement.Conditions(
                 context.now(),
-                pending.route.latencyTargetMillis(),
                 version -> version < targetVersion
                         ? timing.replacedWeightsCostMillis(
                                 storeReplica.targetHistory().millisSinceReplaced(pending.call.model(), version))
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/locality/DomainChoice.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/locality/DomainChoice.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 
 import org.fuchsiatrail.FailureDomain;
-import org.fuchsiatrail.internal.load.TimelyChoice;
 
 /**
  * Collects the places that a request may go to and selects the cheapest of the failure domain that it is to go to.
@@ -21,30 +20,13 @@
     private final Map<FailureDomain, Best<T>> bestByDomain = new LinkedHashMap<>();
 
     private static final class Best<T> {
-        private final TimelyChoice<Place<T>> choice;
+        private T place;
+        private double costMillis = Double.MAX_VALUE;
+        private double predictedMillis;
+        private double partsMillis;
         private int upstreams;
-
-        private Best(double allowedMillis) {
-            this.choice = new TimelyChoice<>(allowedMillis);
-        }
-
-        private Place<T> place() {
-            return choice.best().orElseThrow();
-        }
     }
 
-    private record Place<T>(T place, Expectation expectation) {}
-
-    /**
-     * What is expected of a request at a place.
-     *
-     * @param costMillis the cost, in milliseconds of a caller's waiting time
-     * @param answerMillis the time within which the place has to be preferred to one that answers later
-     * @param predictedMillis the time to the first event or the answer
-     * @param partsMillis the part of the cost that is another prefill or a copy of shared parts
-     */
-    public record Expectation(double costMillis, double answerMillis, double predictedMillis, double partsMillis) {}
-
     DomainChoice(DomainLeaving leaving, DomainLeaving.Request request) {
         this.leaving = leaving;
         this.request = request;
@@ -55,12 +37,19 @@
      *
      * @param domain its failure domain
      * @param place the place
-     * @param expectation what is expected of the request there
+     * @param costMillis its expected cost, in milliseconds of a caller's waiting time
+     * @param predictedMillis the predicted time to the first event or the answer
+     * @param partsMillis the part of the cost that is another prefill of shared parts
      */
-    public void add(FailureDomain domain, T place, Expectation expectation) {
-        Best<T> best = bestByDomain.computeIfAbsent(domain, key -> new Best<>(request.inTimeMillis()));
+    public void add(FailureDomain domain, T place, double costMillis, double predictedMillis, double partsMillis) {
+        Best<T> best = bestByDomain.computeIfAbsent(domain, key -> new Best<>());
         best.upstreams++;
-        best.choice.offer(new Place<>(place, expectation), expectation.answerMillis(), expectation.costMillis());
+        if (costMillis < best.costMillis) {
+            best.place = place;
+            best.costMillis = costMillis;
+            best.predictedMillis = predictedMillis;
+            best.partsMillis = partsMillis;
+        }
     }
 
     /** Selects a place; empty without places. */
@@ -69,9 +58,8 @@
             return Optional.empty();
         }
         List<DomainOffer> offers = new ArrayList<>();
-        bestByDomain.forEach((domain, best) ->
-                offers.add(leaving.offer(request, domain, best.place().expectation(), best.upstreams)));
-        return Optional.of(
-                bestByDomain.get(leaving.decide(request, offers)).place().place());
+        bestByDomain.forEach((domain, best) -> offers.add(leaving.offer(
+                request, domain, best.costMillis, best.predictedMillis, best.partsMillis, best.upstreams)));
+        return Optional.of(bestByDomain.get(leaving.decide(request, offers)).place);
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/locality/DomainLeaving.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/locality/DomainLeaving.java
@@ -31,7 +31,6 @@
      *
      * @param service the service that it goes to
      * @param latencyTargetMillis the latency target of its route
-     * @param inTimeMillis the predicted time up to which a place is preferred to one that answers later
      * @param transferredBytes the expected bytes of the prompt and the answer
      * @param resumed whether it continues a stream that another attempt began
      * @param directNews whether all routers hear each other directly, so that few decide, on fresh news
@@ -40,7 +39,6 @@
     public record Request(
             String service,
             double latencyTargetMillis,
-            double inTimeMillis,
             double transferredBytes,
             boolean resumed,
             boolean directNews,
@@ -93,12 +91,18 @@
         rate.record(nowMillis);
     }
 
-    DomainOffer offer(Request request, FailureDomain domain, DomainChoice.Expectation expectation, int upstreams) {
+    DomainOffer offer(
+            Request request,
+            FailureDomain domain,
+            double costMillis,
+            double predictedMillis,
+            double partsMillis,
+            int upstreams) {
         return new DomainOffer(
                 domain,
-                expectation.costMillis(),
-                expectation.predictedMillis(),
-                expectation.partsMillis(),
+                costMillis,
+                predictedMillis,
+                partsMillis,
                 upstreams,
                 ways.millis(domain, request.nowMillis()),
                 news.ageMillis(domain, request.nowMillis()));
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/membership/Rendezvous.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/membership/Rendezvous.java
@@ -62,25 +62,4 @@
                 .reversed());
         return ranked;
     }
-
-    /**
-     * Returns the nodes with the highest weights for a key.
-     *
-     * @param key the key
-     * @param nodes the nodes
-     * @param count the most nodes
-     * @param name returns the name of a node
-     * @param <N> the type of a node
-     * @return the nodes, highest weight first
-     */
-    public static <N> List<N> highest(String key, Collection<N> nodes, int count, Function<N, String> name) {
-        List<Weighted<N>> weighted = new ArrayList<>(nodes.size());
-        for (N node : nodes) {
-            weighted.add(new Weighted<>(node, weight(key, name.apply(node))));
-        }
-        weighted.sort(Comparator.<Weighted<N>>comparingLong(Weighted::weight).reversed());
-        return weighted.stream().limit(count).map(Weighted::node).toList();
-    }
-
-    private record Weighted<N>(N node, long weight) {}
 }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/locality/DomainTrafficReplay.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/locality/DomainTrafficReplay.java
@@ -125,15 +125,12 @@
 
     private void send(int router, int home) {
         DomainLeaving leaving = routers.get(router);
-        DomainChoice<Integer> choice = leaving.choose(new DomainLeaving.Request(
-                "service", LATENCY_TARGET_MILLIS, LATENCY_TARGET_MILLIS, 4_000, false, false, now));
+        DomainChoice<Integer> choice =
+                leaving.choose(new DomainLeaving.Request("service", LATENCY_TARGET_MILLIS, 4_000, false, false, now));
         for (int domain = 0; domain < engines.length; domain++) {
             for (int engine = 0; engine < engines[domain] && !(cutOff[domain] && domain != home); engine++) {
                 double predictedMillis = toldMillis[domain] + CALL_MILLIS;
-                choice.add(
-                        domain(domain),
-                        domain,
-                        new DomainChoice.Expectation(predictedMillis + random.nextDouble(2), 0, predictedMillis, 0));
+                choice.add(domain(domain), domain, predictedMillis + random.nextDouble(2), predictedMillis, 0);
             }
         }
         Optional<Integer> chosen = choice.select();
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/locality/LeavingDecisionTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/locality/LeavingDecisionTest.java
@@ -119,10 +119,10 @@
 
     private static String choose(boolean byGain, boolean directNews) {
         DomainLeaving leaving = new DomainLeaving(HOME, byGain, 1, new SplittableRandom(1));
-        DomainChoice<String> choice = leaving.choose(
-                new DomainLeaving.Request("service", TARGET_MILLIS, TARGET_MILLIS, 0, false, directNews, 0));
-        choice.add(HOME, "near", new DomainChoice.Expectation(10, 0, 10, 0));
-        choice.add(THERE, "far", new DomainChoice.Expectation(5, 0, 5, 0));
+        DomainChoice<String> choice =
+                leaving.choose(new DomainLeaving.Request("service", TARGET_MILLIS, 0, false, directNews, 0));
+        choice.add(HOME, "near", 10, 10, 0);
+        choice.add(THERE, "far", 5, 5, 0);
         return choice.select().orElseThrow();
     }
 
