--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/locality/LeavingDecisionTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/locality/LeavingDecisionTest.java
@@ -126,16 +126,6 @@
         return choice.select().orElseThrow();
     }
 
-    @Test
-    void should_prefer_a_holder_of_the_engines_domain_that_has_as_much() {
-        assertThat(HolderChoice.isPreferred(1_000, HOME, 1_000, THERE, HOME, 64))
-                .isTrue();
-        assertThat(HolderChoice.isPreferred(1_000, THERE, 1_000, HOME, HOME, 64))
-                .isFalse();
-        assertThat(HolderChoice.isPreferred(2_000, THERE, 1_000, HOME, HOME, 64))
-                .isTrue();
-    }
-
     @Test
     void should_learn_how_late_a_way_is_and_forget_it() {
         DomainWays ways = new DomainWays(HOME);
