Read refusals without a reason in the fleet's log

A refusal at the intake logs no reason, and the reader of the log ended with a NullPointerException: 4 of 4 histories of WeightsHistoryTest.

--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetLog.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetLog.java
@@ -24,7 +24,7 @@
     void record(ForwardingOutput.LogEvent event) {
         if (event.message().equals("Request refused.")) {
             Map<String, Object> fields = event.fields();
-            refusalsWithoutPath += fields.get("reason").equals("no upstream is reachable") ? 1 : 0;
+            refusalsWithoutPath += "no upstream is reachable".equals(fields.get("reason")) ? 1 : 0;
             refusalByAttemptId.put(fields.get("request").toString(), fields.toString());
         }
         if (event.component().equals("quarantine") || event.message().equals(UPSTREAM_DARK)) {
