--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashingPromptPartHistoryTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashingPromptPartHistoryTest.java
@@ -47,9 +47,7 @@
 
     @ParameterizedTest
     @ValueSource(
-            longs = {
-                1_015, 1_238, 1_936, 2_008, 2_120, 2_136, 2_152, 2_380, 2_776, 3_012, 4_244, 4_928, 5_168, 5_396
-            })
+            longs = {1_015, 1_238, 1_936, 2_008, 2_120, 2_136, 2_152, 2_380, 2_776, 3_012, 4_244, 4_928, 5_168, 5_396})
     void should_quarantine_only_the_crashing_part_in_histories_that_failed(long seed) {
         new History(seed).run();
     }
