--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/paths/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Tests of the decisions about lost paths and dark upstreams. */
-package org.fuchsiatrail.internal.paths;
