--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ForwardingNewsBuilder.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ForwardingNewsBuilder.java
@@ -23,6 +23,7 @@
     private List<PeerMessage.TargetAge> targetAges = List.of();
     private List<PeerMessage.SeenPause> pauses = List.of();
     private List<UpstreamId> leaving = List.of();
+    private List<PeerMessage.DarkUpstream> darkUpstreams = List.of();
     private List<PeerMessage.OpenStreamQuery> openStreamQueries = List.of();
     private List<PeerMessage.OpenStreamReply> openStreamReplies = List.of();
     private List<PeerMessage.ReadParts> reads = List.of();
@@ -254,6 +255,17 @@
         return this;
     }
 
+    /**
+     * Sets the upstreams that a router could not reach while it reached others.
+     *
+     * @param upstreams the upstreams
+     * @return this builder
+     */
+    public ForwardingNewsBuilder darkUpstreams(List<PeerMessage.DarkUpstream> upstreams) {
+        darkUpstreams = upstreams;
+        return this;
+    }
+
     /**
      * Sets the replaced version shares whose open streams the sender asks for.
      *
@@ -395,6 +407,7 @@
                 subtreeRouters,
                 subtreeUse,
                 fleetRouters,
-                fleetUse);
+                fleetUse,
+                darkUpstreams);
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/PeerMessage.java
@@ -208,6 +208,7 @@
      * @param subtreeUse the use of limited customers at the sender and at all routers that report through it
      * @param fleetRouters the number of routers of which {@code fleetUse} is the use; 0 if it is not told
      * @param fleetUse the use of limited customers at all routers
+     * @param darkUpstreams upstreams that a router could not reach while it reached others; older builds don't tell it
      */
     record ForwardingNews(
             EntryVm vm,
@@ -242,7 +243,8 @@
             long subtreeRouters,
             List<CustomerUse> subtreeUse,
             long fleetRouters,
-            List<CustomerUse> fleetUse)
+            List<CustomerUse> fleetUse,
+            List<DarkUpstream> darkUpstreams)
             implements PeerMessage {
 
         /** Replaces missing lists with empty ones. */
@@ -271,6 +273,7 @@
             fleetWork = fleetWork == null ? List.of() : fleetWork;
             subtreeUse = subtreeUse == null ? List.of() : subtreeUse;
             fleetUse = fleetUse == null ? List.of() : fleetUse;
+            darkUpstreams = darkUpstreams == null ? List.of() : darkUpstreams;
         }
 
         /**
@@ -435,6 +438,14 @@
      */
     record SeenPause(UpstreamId upstream, long millisLeft) {}
 
+    /**
+     * An upstream to which a router could establish no connection in time, while it reached others.
+     *
+     * @param upstream the incarnation of the upstream
+     * @param ageMillis the time since the router saw it, in milliseconds
+     */
+    record DarkUpstream(UpstreamId upstream, long ageMillis) {}
+
     /**
      * Streams that upstreams of one software version began.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/PeerUpdateSize.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/PeerUpdateSize.java
@@ -158,6 +158,15 @@
                         + text("millisLeft")
                         + integer(pause.millisLeft()));
         add(PeerContent.URGENT, "leaving", update.leaving(), PeerUpdateSize::id);
+        add(
+                PeerContent.URGENT,
+                "darkUpstreams",
+                update.darkUpstreams(),
+                dark -> SHORT_HEADER
+                        + text("upstream")
+                        + id(dark.upstream())
+                        + text("ageMillis")
+                        + integer(dark.ageMillis()));
     }
 
     /** Adds a list, which is left out of the update while it is empty. */
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AttemptSender.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AttemptSender.java
@@ -45,10 +45,7 @@
         pending.pathLost = false;
         pending.firstEventAtMillis = context.now();
         pending.lastEventAtMillis = context.now();
-        pending.attemptTimeoutAtMillis =
-                pending.mayRetry() && pending.possibleExecutions + 1 < pending.route.maximumAttempts()
-                        ? context.now() + timing.attemptTimeoutMillis(pending)
-                        : Long.MAX_VALUE;
+        pending.attemptTimeoutAtMillis = timing.firstLookAtMillis(pending, context.now());
         calls.beginAttempt(pending);
         availability.recordSend(upstream);
         context.domainTraffic().sent(pending);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
@@ -234,6 +234,24 @@
                 reason);
     }
 
+    void abandoned(PendingCall pending, String reason) {
+        // Counts attempts that were ended while their callers could still ask again.
+        context.count("attempts.abandoned");
+        context.log(
+                COMPONENT,
+                "Silent attempt ended.",
+                "request",
+                pending.call.callerAttemptId(),
+                "upstream",
+                pending.upstream.id(),
+                "silentMillis",
+                context.now() - pending.lastEventAtMillis,
+                "millisLeft",
+                pending.deadlineAtMillis - context.now(),
+                "reason",
+                reason);
+    }
+
     void refused(PendingCall pending, ResultCode code, long retryAfterMillis, String reason) {
         context.count("refusals." + code.number());
         if (pending.streamBegun) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -54,7 +54,8 @@
             CustomerLimits customerLimits,
             PeerGossip gossip,
             StreamVersions streamVersions,
-            StreamBindings bindings) {
+            StreamBindings bindings,
+            DarkSights darkSights) {
         this.context = context;
         this.storeReplica = storeReplica;
         this.upstreams = upstreams;
@@ -73,7 +74,17 @@
         this.intake = new CallIntake(context, storeReplica, customerLimits, log);
         this.sender = new AttemptSender(context, calls, timers, timing, selector.availability(), crashProtection, log);
         this.silentStreams = new SilentStreams(
-                context, upstreams, selector, relayRouters, retryBudgets, crashProtection, timing, log);
+                context,
+                upstreams,
+                selector,
+                relayRouters,
+                retryBudgets,
+                crashProtection,
+                timing,
+                log,
+                calls,
+                timers,
+                darkSights);
         this.streamStarts = new StreamStarts(context, storeReplica, upstreams, gossip, bindings);
         this.heldAttempts = new HeldAttempts(context, upstreams, crashProtection, calls, timers, log);
         this.startupQueue = new StartupCallQueue(context);
@@ -161,7 +172,7 @@
     private boolean relayIfCutOff(PendingCall pending, long remainingMillis) {
         boolean cutOff = pending.pathLost
                 || (!pending.placeFound && selector.isCutOff(pending))
-                || pending.unsentAttempts >= CallTiming.UNSENT_BEFORE_RELAY;
+                || pending.unsentAttempts >= selector.unsentBeforeRelay(pending);
         pending.placeFound = false;
         if (!cutOff || pending.relayRefusals >= CallTiming.MAXIMUM_RELAY_REFUSALS) {
             return false;
@@ -380,9 +391,7 @@
         pending.recordEventId(eventId);
         pending.keptReason = "";
         pending.silentAttempt = null;
-        if (pending.state == PendingCall.State.DELIVERING
-                && pending.mayRetry()
-                && pending.possibleExecutions + 1 < pending.route.maximumAttempts()) {
+        if (pending.state == PendingCall.State.DELIVERING && pending.mayBeReplaced()) {
             pending.attemptTimeoutAtMillis = context.now() + CallTiming.STREAM_IDLE_TIMEOUT_MILLIS;
             timers.schedule(pending, pending.attemptTimeoutAtMillis);
         }
@@ -410,14 +419,10 @@
     }
 
     private void handleLoss(PendingCall pending, AttemptEvent.Lost lost) {
-        boolean delivering = pending.state == PendingCall.State.DELIVERING;
         boolean shortSilence = silentStreams.isShortSilence(pending, lost);
         releaseAttempt(pending);
-        log.lost(pending, lost, delivering);
-        boolean expectedLoss = lost.sent() && pending.upstream.isSwitchingWeights(context.now());
-        if (!expectedLoss) {
-            silentStreams.recordFailure(pending.upstream, lost.reason(), shortSilence);
-        }
+        log.lost(pending, lost, pending.state == PendingCall.State.DELIVERING);
+        silentStreams.recordLoss(pending.upstream, lost, shortSilence);
         pending.excludedUpstreams.add(pending.upstream.id());
         context.emit(new ForwardingOutput.Cancel(pending.attempt));
         if (lost.sent()) {
@@ -426,6 +431,7 @@
         } else {
             pending.unsentAttempts++;
             crashProtection.recordEnded(pending.incarnation);
+            silentStreams.recordUnsent(pending, lost);
         }
         pending.recordEventId(lost.lastEventId());
         retryAfterLoss(pending, lost.sent());
@@ -505,25 +511,16 @@
             handleDeadline(pending);
         } else if (pending.state == PendingCall.State.WAITING) {
             place(pending);
-        } else if (context.now() >= pending.attemptTimeoutAtMillis) {
-            boolean late = context.now() - pending.attemptTimeoutAtMillis > CallTiming.LATE_TIMER_MILLIS;
-            pending.attemptTimeoutAtMillis = Long.MAX_VALUE;
-            if (late || context.uptimeMillis() < CallTiming.WARM_UP_MILLIS) {
-                pending.attemptTimeoutAtMillis = context.now() + CallTiming.LATE_TIMER_EXTENSION_MILLIS;
-                timers.schedule(pending, pending.attemptTimeoutAtMillis);
-                return;
-            }
-            if (silentStreams.giveUp(pending)) {
-                // Counts attempts that another one replaces because of the attempt timeout or stream idle timeout.
-                context.count("attempts.given-up");
-                replaceSilentAttempt(pending);
-            }
+        } else if (context.now() >= pending.attemptTimeoutAtMillis && silentStreams.giveUp(pending)) {
+            replaceSilentAttempt(pending);
         }
     }
 
-    /** Sends a request again whose attempt shows no progress; that of a begun stream is held meanwhile. */
+    /** Sends a request again whose attempt shows no progress, or ends it; that of a begun stream is held meanwhile. */
     private void replaceSilentAttempt(PendingCall pending) {
-        if (pending.state != PendingCall.State.DELIVERING) {
+        // Counts attempts that end because of the attempt timeout, the stream idle timeout or a dark upstream.
+        context.count("attempts.given-up");
+        if (pending.state != PendingCall.State.DELIVERING || !pending.mayBeReplaced()) {
             handleLoss(pending, DeclaredLosses.NO_PROGRESS);
             return;
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -41,6 +41,7 @@
     private final StreamVersions streamVersions;
     private final VersionShareSystem versionShares;
     private final CallSystem calls;
+    private final DarkSights darkSights;
     private final OrderLease orderLease;
     private final WeightsRollout rollout;
     private final PeerGossip gossip;
@@ -82,6 +83,7 @@
                 customerLimits);
         versionShares =
                 new VersionShareSystem(context, storeCalls, storeReplica, upstreams, streamVersions.shareCompletion());
+        darkSights = new DarkSights(context, upstreams);
         calls = new CallSystem(
                 context,
                 storeReplica,
@@ -92,7 +94,8 @@
                 customerLimits,
                 gossip,
                 streamVersions,
-                new StreamBindings(context, streamVersions, versionShares, gossip));
+                new StreamBindings(context, streamVersions, versionShares, gossip),
+                darkSights);
         streamVersions.shareCompletion().setOpenStreams(calls::openStreams);
         rollout = new WeightsRollout(context, storeReplica, upstreams, orderLease, probes, gossip::scheduleUpdate);
         gossip.setRollout(rollout);
@@ -117,6 +120,7 @@
                 new CoreSystem("customer limits", this::prepareCustomerLimits),
                 new CoreSystem("origins of streams", streamVersions.lookup()::run),
                 new CoreSystem("version shares", versionShares::run),
+                new CoreSystem("dark upstreams", darkSights::run),
                 new CoreSystem("calls", calls::run),
                 new CoreSystem("order lease", orderLease::run),
                 new CoreSystem("weights", rollout::run),
@@ -192,6 +196,9 @@
         if (reply instanceof OrderReply.NotConnected notConnected) {
             crashProtection.recordNotConnected(engine, notConnected, sentAtMillis);
             calls.upstreamEnded(engine.incarnationId());
+            if (!notConnected.refused()) {
+                darkSights.connectionTimedOut(engine);
+            }
         } else if (!(reply instanceof OrderReply.Failed)) {
             crashProtection.recordReached(engine, sentAtMillis);
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/GossipBuffer.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/GossipBuffer.java
@@ -42,6 +42,7 @@
         final List<PeerMessage.NamedLimit> limits = new ArrayList<>();
         final List<PeerMessage.SeenPause> pauses = new ArrayList<>();
         final List<UpstreamId> leaving = new ArrayList<>();
+        final List<PeerMessage.DarkUpstream> dark = new ArrayList<>();
         final List<PeerMessage.StartedStreams> startedStreams = new ArrayList<>();
         final List<PeerMessage.Switching> switching = new ArrayList<>();
         final BulkUpdates bulk = new BulkUpdates();
@@ -61,6 +62,7 @@
                     .limits(List.copyOf(limits))
                     .pauses(List.copyOf(pauses))
                     .leaving(List.copyOf(leaving))
+                    .darkUpstreams(List.copyOf(dark))
                     .switching(List.copyOf(switching));
         }
 
@@ -102,6 +104,7 @@
             limits.clear();
             pauses.clear();
             leaving.clear();
+            dark.clear();
             startedStreams.clear();
             switching.clear();
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/HeldAttempts.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/HeldAttempts.java
@@ -86,7 +86,7 @@
     }
 
     private void watch(PendingCall pending) {
-        if (pending.mayRetry() && pending.possibleExecutions + 1 < pending.route.maximumAttempts()) {
+        if (pending.mayBeReplaced()) {
             pending.attemptTimeoutAtMillis = context.now() + REPLACEMENT_INTERVAL_MILLIS;
             timers.schedule(pending, pending.attemptTimeoutAtMillis);
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PathLoss.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PathLoss.java
@@ -1,9 +1,12 @@
 package org.fuchsiatrail.internal.forwarding;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
+import org.fuchsiatrail.internal.paths.LostPathsDecision;
+
 /**
  * Decides whether this router has probably lost its paths to all upstreams of a service: several failed or are silent
  * since the last answer of any of them, or connections to more than one timed out and none made later was of use.
@@ -13,7 +16,7 @@
  */
 final class PathLoss {
 
-    /** The number of upstreams whose failures show that the paths to all are lost, or all of fewer. */
+    /** The number of a few upstreams whose failures show that the paths to all are lost, or all of fewer. */
     private static final int FAILED_WHEN_LOST = 3;
 
     /**
@@ -63,25 +66,28 @@
             lastAnswerAtMillis = Math.max(lastAnswerAtMillis, upstream.lastAnswerAtMillis);
         }
         boolean repeatable = pending.route.retryable();
-        int failed = 0;
         long lastFailureAtMillis = Long.MIN_VALUE / 2;
+        List<LostPathsDecision.Destination> destinations = new ArrayList<>();
         for (UpstreamState upstream : active) {
             long silentAtMillis = silentAtMillis(pending, upstream, lastAnswerAtMillis);
             boolean silent = context.now() > silentAtMillis;
             boolean failedSince = upstream.lastFailureAtMillis > lastAnswerAtMillis;
             boolean unansweredSince = failedSince && upstream.lastUnansweredSentAtMillis >= lastAnswerAtMillis;
-            if (silent || (repeatable ? failedSince : unansweredSince)) {
-                failed++;
+            boolean failed = silent || (repeatable ? failedSince : unansweredSince);
+            if (failed) {
                 lastFailureAtMillis = Math.max(
                         lastFailureAtMillis,
                         Math.max(upstream.lastFailureAtMillis, silent ? silentAtMillis : Long.MIN_VALUE));
             }
+            destinations.add(
+                    new LostPathsDecision.Destination(wasTriedLately(upstream), failed, upstreams.isDark(upstream)));
         }
         int failedWhenLost = repeatable ? FAILED_WHEN_LOST : FAILED_WHEN_LOST_UNREPEATABLE;
-        boolean failuresShowLoss = failed > 0 && failed >= Math.min(failedWhenLost, active.size());
+        boolean failuresShowLoss = LostPathsDecision.decide(destinations, failedWhenLost, pending.call.relayed())
+                instanceof LostPathsDecision.Lost;
         // Streams that go on over old connections don't show that a new request finds one.
-        boolean timeoutsShowLoss =
-                ConnectionHistory.areLost(active, context.settings().self().failureDomain());
+        boolean timeoutsShowLoss = ConnectionHistory.areLost(
+                withoutDark(active), context.settings().self().failureDomain());
         if (timeoutsShowLoss) {
             lastFailureAtMillis = Math.max(lastFailureAtMillis, ConnectionHistory.lastTimeoutAtMillis(active));
         }
@@ -89,6 +95,15 @@
         return lost && !mayTry(pending, lastAnswerAtMillis, lastFailureAtMillis);
     }
 
+    private List<UpstreamState> withoutDark(List<UpstreamState> active) {
+        return active.stream().filter(upstream -> !upstreams.isDark(upstream)).toList();
+    }
+
+    private boolean wasTriedLately(UpstreamState upstream) {
+        long lastAtMillis = Math.max(upstream.lastAnswerAtMillis, upstream.lastFailureAtMillis);
+        return context.now() - lastAtMillis <= LostPathsDecision.RECENT_MILLIS;
+    }
+
     /** When an upstream with requests in flight became silent, or the end of time if it has none. */
     private static long silentAtMillis(PendingCall pending, UpstreamState upstream, long lastAnswerAtMillis) {
         long silenceMillis = Math.max(
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
@@ -361,6 +361,11 @@
                 passOn(destination, updates -> updates.leaving.add(incarnation));
             }
         }
+        for (PeerMessage.DarkUpstream dark : update.darkUpstreams()) {
+            if (upstreams.dark().receive(dark, context.now()) && passesOn) {
+                passOn(destination, updates -> updates.dark.add(dark));
+            }
+        }
         for (PeerMessage.StartedStreams started : update.startedStreams()) {
             streamVersions
                     .origins()
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerUpdateCheck.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerUpdateCheck.java
@@ -34,6 +34,7 @@
                 && all(update.limits(), limit -> limit.upstream() != null)
                 && all(update.pauses(), pause -> pause.upstream() != null)
                 && all(update.leaving(), upstream -> true)
+                && all(update.darkUpstreams(), dark -> dark.upstream() != null)
                 && all(update.subtreeWork(), change -> true)
                 && all(update.domainWork(), change -> true)
                 && all(update.fleetWork(), change -> true)
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerUpdateSender.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerUpdateSender.java
@@ -67,7 +67,8 @@
                 || promptParts.hasUnsent()
                 || requestLimits.hasUnsent()
                 || upstreams.pauses().hasUnsent()
-                || upstreams.leaving().hasUnsent();
+                || upstreams.leaving().hasUnsent()
+                || upstreams.dark().hasUnsent();
     }
 
     /** Moves this router's observations to the buffers. */
@@ -78,6 +79,7 @@
         List<PeerMessage.NamedLimit> limits = requestLimits.drainUnsent();
         List<PeerMessage.SeenPause> pauses = upstreams.pauses().drainUnsent();
         List<UpstreamId> leaving = upstreams.leaving().drainUnsent();
+        List<PeerMessage.DarkUpstream> dark = upstreams.dark().drainUnsent(context.now());
         List<PeerMessage.StartedStreams> streams = streamVersions.origins().drainUnsent();
         List<PeerMessage.Switching> switching = rollout.switchingEngines().stream()
                 .map(engine -> new PeerMessage.Switching(engine, SWITCHING_VALIDITY_MILLIS))
@@ -89,6 +91,7 @@
             updates.limits.addAll(limits);
             updates.pauses.addAll(pauses);
             updates.leaving.addAll(leaving);
+            updates.dark.addAll(dark);
             updates.switching.addAll(switching);
         });
         buffer.upward().startedStreams.addAll(streams);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
@@ -10,6 +10,7 @@
 import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.CustomerEntry;
 import org.fuchsiatrail.forwarding.ForwardedCall;
+import org.fuchsiatrail.forwarding.RequestKind;
 import org.fuchsiatrail.forwarding.Route;
 
 /** An accepted request that has no final answer yet. */
@@ -153,6 +154,16 @@
         return route.retryable() && possibleExecutions < route.maximumAttempts() && !isWithoutResumePosition();
     }
 
+    /** Returns whether another attempt may replace the current one although that may have been executed. */
+    boolean mayBeReplaced() {
+        return mayRetry() && possibleExecutions + 1 < route.maximumAttempts();
+    }
+
+    /** Returns whether the caller may send the request again after an attempt of unknown outcome. */
+    boolean mayBeAskedAgain() {
+        return route.kind() != RequestKind.NOT_IDEMPOTENT;
+    }
+
     /** Returns whether events were passed on of which none has an id, so that no upstream can continue after them. */
     private boolean isWithoutResumePosition() {
         return streamBegun && !eventIdPassedOn;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreams.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreams.java
@@ -5,6 +5,7 @@
 
 import org.fuchsiatrail.forwarding.AttemptEvent;
 import org.fuchsiatrail.forwarding.RequestKind;
+import org.fuchsiatrail.internal.paths.AbandonmentDecision;
 
 /** Decides which attempts of this router are given up because they show no progress, and what that says. */
 final class SilentStreams {
@@ -20,6 +21,9 @@
     private final CrashProtection crashProtection;
     private final CallTiming timing;
     private final CallLog log;
+    private final CallTable calls;
+    private final CallTimers timers;
+    private final DarkSights darkSights;
     private final Map<String, Silence> silenceByService = new HashMap<>();
     private long silenceAtMillis = Long.MIN_VALUE;
 
@@ -34,8 +38,14 @@
             RetryBudgets retryBudgets,
             CrashProtection crashProtection,
             CallTiming timing,
-            CallLog log) {
+            CallLog log,
+            CallTable calls,
+            CallTimers timers,
+            DarkSights darkSights) {
         this.context = context;
+        this.calls = calls;
+        this.timers = timers;
+        this.darkSights = darkSights;
         this.upstreams = upstreams;
         this.selector = selector;
         this.relayRouters = relayRouters;
@@ -43,16 +53,71 @@
         this.crashProtection = crashProtection;
         this.timing = timing;
         this.log = log;
+        darkSights.onDark(this::lookAtAttempts);
     }
 
-    /** Returns whether an attempt that shows no progress is to be given up. */
+    /** Returns whether an attempt that shows no progress is to be given up; a late look is repeated first. */
     boolean giveUp(PendingCall pending) {
+        boolean late = context.now() - pending.attemptTimeoutAtMillis > CallTiming.LATE_TIMER_MILLIS;
+        pending.attemptTimeoutAtMillis = Long.MAX_VALUE;
+        if (late || context.uptimeMillis() < CallTiming.WARM_UP_MILLIS) {
+            pending.attemptTimeoutAtMillis = context.now() + CallTiming.LATE_TIMER_EXTENSION_MILLIS;
+            timers.schedule(pending, pending.attemptTimeoutAtMillis);
+            return false;
+        }
+        return isInVain(pending);
+    }
+
+    private boolean isInVain(PendingCall pending) {
         boolean streaming = pending.state == PendingCall.State.DELIVERING && !pending.relayed;
-        return streaming
-                ? giveUpStream(pending)
-                : pending.sends < CallTiming.MAXIMUM_SENDS
-                        && retryBudgets.mayRetry(pending.service)
-                        && selector.hasAlternative(pending);
+        if (!pending.mayBeReplaced()) {
+            return giveUpForCaller(pending);
+        }
+        if (streaming) {
+            return giveUpStream(pending);
+        }
+        boolean replaceable = pending.sends < CallTiming.MAXIMUM_SENDS
+                && retryBudgets.mayRetry(pending.service)
+                && selector.hasAlternative(pending);
+        return replaceable || giveUpForCaller(pending);
+    }
+
+    /** The same for an attempt that no other one replaces: whether its caller is to ask again. */
+    private boolean giveUpForCaller(PendingCall pending) {
+        if (pending.relayed || !pending.mayBeAskedAgain()) {
+            return false;
+        }
+        return switch (AbandonmentDecision.decide(darkSights.view(pending))) {
+            case AbandonmentDecision.End end -> {
+                log.abandoned(pending, end.reason());
+                yield true;
+            }
+            case AbandonmentDecision.Keep keep -> {
+                if (keep.probe()) {
+                    darkSights.probe(pending.upstream);
+                }
+                pending.attemptTimeoutAtMillis = keep.lookAtMillis();
+                yield false;
+            }
+        };
+    }
+
+    /** Records that a request could not be sent. */
+    void recordUnsent(PendingCall pending, AttemptEvent.Lost lost) {
+        if (!pending.relayed && !lost.connected() && !lost.refused()) {
+            darkSights.connectionTimedOut(pending.upstream);
+        }
+    }
+
+    /** Looks at once at the attempts in flight at an upstream that is dark. */
+    private void lookAtAttempts(UpstreamState upstream) {
+        for (PendingCall pending : calls.sent()) {
+            boolean affected = calls.hasAttemptInFlight(pending) && pending.upstream == upstream;
+            if (affected && (pending.mayBeReplaced() || pending.mayBeAskedAgain())) {
+                pending.attemptTimeoutAtMillis = context.now();
+                timers.schedule(pending, context.now());
+            }
+        }
     }
 
     /** The same for a stream that an upstream has begun; one that stays is looked at again after an interval. */
@@ -140,12 +205,15 @@
     }
 
     /**
-     * Records a failure of an upstream. A short silence starts its backoff, but does not show that the path to it is
-     * lost.
+     * Records a loss as a failure of its upstream, unless that switches weights. A short silence starts its backoff,
+     * but does not show that the path to it is lost.
      */
-    void recordFailure(UpstreamState upstream, String reason, boolean shortSilence) {
+    void recordLoss(UpstreamState upstream, AttemptEvent.Lost lost, boolean shortSilence) {
+        if (lost.sent() && upstream.isSwitchingWeights(context.now())) {
+            return;
+        }
         long previousFailureAtMillis = upstream.lastFailureAtMillis;
-        upstreams.recordFailure(upstream, reason);
+        upstreams.recordFailure(upstream, lost.reason());
         if (shortSilence) {
             upstream.lastFailureAtMillis = previousFailureAtMillis;
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamAvailability.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamAvailability.java
@@ -15,6 +15,7 @@
 
     private final ForwardingContext context;
     private final RequestLimits requestLimits;
+    private final UpstreamTable upstreams;
     private final RequestedPauses pauses;
     private final CallTiming timing;
 
@@ -28,16 +29,20 @@
     record Unavailable(ResultCode code, long retryMillis, String reason) {}
 
     UpstreamAvailability(
-            ForwardingContext context, RequestLimits requestLimits, RequestedPauses pauses, CallTiming timing) {
+            ForwardingContext context, RequestLimits requestLimits, UpstreamTable upstreams, CallTiming timing) {
         this.context = context;
         this.requestLimits = requestLimits;
-        this.pauses = pauses;
+        this.upstreams = upstreams;
+        this.pauses = upstreams.pauses();
         this.timing = timing;
     }
 
     /** Returns whether an upstream may receive a request of this router now. */
     RequestedPauses.Permission permission(UpstreamState upstream) {
-        return requestLimits.permits(upstream) ? pauses.permission(upstream) : RequestedPauses.Permission.DENIED;
+        RequestedPauses.Permission permission =
+                requestLimits.permits(upstream) ? pauses.permission(upstream) : RequestedPauses.Permission.DENIED;
+        boolean demoted = permission == RequestedPauses.Permission.GRANTED && upstreams.isDark(upstream);
+        return demoted ? RequestedPauses.Permission.LAST_RESORT : permission;
     }
 
     /** Records a request that is sent to an upstream. */
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
@@ -10,6 +10,7 @@
 import org.fuchsiatrail.forwarding.RoutingTable;
 import org.fuchsiatrail.forwarding.ServiceDefinition;
 import org.fuchsiatrail.internal.locality.DomainChoice;
+import org.fuchsiatrail.internal.paths.LostPathsDecision;
 
 /** Selects the upstream for a request among those that are currently eligible. */
 final class UpstreamSelector {
@@ -32,7 +33,7 @@
         this.storeReplica = storeReplica;
         this.upstreams = upstreams;
         this.timing = timing;
-        this.availability = new UpstreamAvailability(context, requestLimits, upstreams.pauses(), timing);
+        this.availability = new UpstreamAvailability(context, requestLimits, upstreams, timing);
         this.placement = new UpstreamPlacement(context.random());
         this.pathLoss = new PathLoss(context, upstreams);
     }
@@ -119,6 +120,13 @@
         return pending.upstreamsLost;
     }
 
+    /** Returns after how many attempts without a connection a request is relayed, or refused to another router. */
+    int unsentBeforeRelay(PendingCall pending) {
+        boolean few = LostPathsDecision.areFew(
+                upstreams.activeUpstreams(pending.service).size());
+        return pending.call.relayed() && !few ? CallTiming.MAXIMUM_SENDS : CallTiming.UNSENT_BEFORE_RELAY;
+    }
+
     /** Returns whether an attempt would only wait for a connection, as this router reaches nobody. */
     private static boolean reachesNobody(PendingCall pending) {
         boolean upstreamsLost = pending.upstreamsLost || pending.unsentAttempts >= CallTiming.UNSENT_BEFORE_RELAY;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
@@ -12,6 +12,7 @@
 import org.fuchsiatrail.forwarding.StoreItem;
 import org.fuchsiatrail.forwarding.StoreItemContent;
 import org.fuchsiatrail.forwarding.UpstreamEntry;
+import org.fuchsiatrail.internal.paths.DarkUpstreams;
 
 /** The known upstreams, maintained from their own entries in the platform's store. */
 final class UpstreamTable {
@@ -40,6 +41,9 @@
     /** Interval between probes of an unreachable engine, in milliseconds; each probe is a paid call. */
     private static final long PROBE_INTERVAL_MILLIS = 400;
 
+    /** The same of an engine that may only be slow, in milliseconds. */
+    private static final long SILENT_PROBE_INTERVAL_MILLIS = 800;
+
     /** The longest backoff of an upstream, in milliseconds; two of its heartbeats. */
     private static final long MAXIMUM_BACKOFF_MILLIS = 2_400;
 
@@ -49,6 +53,7 @@
     private final SoftwareVersions softwareVersions;
     private final RequestedPauses pauses;
     private final LeavingUpstreams leaving;
+    private final DarkUpstreams dark = new DarkUpstreams();
     private final Map<UpstreamId, UpstreamState> upstreams = new LinkedHashMap<>();
     private final Map<UpstreamId, PromptCacheView> kvCacheStores = new LinkedHashMap<>();
     private Consumer<UpstreamId> endListener = incarnation -> {};
@@ -80,6 +85,21 @@
         return leaving;
     }
 
+    DarkUpstreams dark() {
+        return dark;
+    }
+
+    /** Returns whether an upstream was lately seen to be dark, at any router, and has not answered this one since. */
+    boolean isDark(UpstreamState upstream) {
+        return !dark.isEmpty() && dark.isDark(upstream.incarnationId(), upstream.lastAnswerAtMillis, context.now());
+    }
+
+    /** Returns the same by what other routers reported. */
+    boolean isDarkElsewhere(UpstreamState upstream) {
+        return !dark.isEmpty()
+                && dark.isDarkElsewhere(upstream.incarnationId(), upstream.lastAnswerAtMillis, context.now());
+    }
+
     /** Applies a changed store item. */
     void itemChanged(StoreItemContent previousContent, StoreItem item) {
         if (item.content() instanceof StoreItemContent.Upstream upstream) {
@@ -273,6 +293,15 @@
         upstream.awaitsProbe = false;
     }
 
+    /** Probes an engine whose requests show no progress, unless it was probed lately. */
+    void probeSilent(UpstreamState upstream) {
+        boolean engine = !upstream.weightVersions.isEmpty();
+        if (engine && pauses.millisLeft(upstream) == 0 && context.now() >= upstream.nextProbeAtMillis) {
+            upstream.nextProbeAtMillis = context.now() + SILENT_PROBE_INTERVAL_MILLIS;
+            probes.send(upstream);
+        }
+    }
+
     /** Allows new requests to an engine that answered a probe. */
     void probeAnswered(UpstreamState upstream) {
         upstream.lastAnswerAtMillis = context.now();
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -61,6 +61,7 @@
     private final List<Answer> answers = new ArrayList<>();
     private final List<Beginning> beginnings = new ArrayList<>();
     private final Map<EntryVmId, Long> suspendedUntilMillis = new HashMap<>();
+    String path = "/ask/";
     private String crashingPart = "";
     private boolean endsSilently;
     private int lastRequestNumber;
@@ -269,7 +270,7 @@
         String resumeAfterEventId = stream.firstAttemptId.isEmpty() ? "" : stream.lastEventId();
         RequestId id = router.call(
                 attemptId,
-                "/ask/" + lastRequestNumber,
+                path + lastRequestNumber,
                 ForwardingFixture.KEY,
                 prompt,
                 resumeAfterEventId,
@@ -434,8 +435,9 @@
         FleetEngine engine = engines.find(send.dispatch().upstream());
         FleetAttempt attempt = new FleetAttempt(router, request, engine, send);
         open(attempt);
-        if (engine.ended || paths.failsToEngine(router)) {
-            failToConnect(attempt, paths.failsByTimeout(router) || (engine.ended && endsSilently));
+        if (engine.isDown() || paths.failsToEngine(router)) {
+            log.unconnected.add(new Arrival(now(), router.self().id(), engine.id, request, request.sends));
+            failToConnect(attempt, paths.failsByTimeout(router) || engine.dark || (engine.ended && endsSilently));
             return;
         }
         network.requestSent(router.self().id(), request);
@@ -457,7 +459,7 @@
     }
 
     private void start(FleetAttempt attempt) {
-        if (!isOpen(attempt) || attempt.engine().ended || paths.hangs(attempt.router())) {
+        if (!isOpen(attempt) || attempt.engine().isDown() || paths.hangs(attempt.router())) {
             return;
         }
         if (deferBySilence(attempt.engine(), () -> start(attempt))) {
@@ -486,7 +488,7 @@
         if (lastEvent >= eventsOfStream) {
             finish(attempt);
         } else if (isOpen(attempt)
-                && !attempt.engine().ended
+                && !attempt.engine().isDown()
                 && !paths.hangs(attempt.router())
                 && !deferBySilence(attempt.engine(), () -> goOn(attempt, lastEvent))) {
             int event = lastEvent + 1;
@@ -511,7 +513,7 @@
         if (deferBySilence(attempt.engine(), () -> finish(attempt))) {
             return;
         }
-        if (isOpen(attempt) && !attempt.engine().ended && !paths.hangs(attempt.router())) {
+        if (isOpen(attempt) && !attempt.engine().isDown() && !paths.hangs(attempt.router())) {
             attempt.request().finished = true;
             network.streamPassed(attempt.router().self().id());
             close(attempt, new AttemptEvent.Finished());
@@ -573,8 +575,8 @@
     private void answerProbe(ForwardingFixture router, ForwardingOutput.QueryEngineState query) {
         FleetEngine engine = engines.find(query.engine());
         boolean cut = paths.failsToEngine(router);
-        boolean byTimeout = (cut && paths.failsByTimeout(router)) || (engine.ended && endsSilently);
-        OrderReply reply = engine.ended || cut
+        boolean byTimeout = (cut && paths.failsByTimeout(router)) || engine.dark || (engine.ended && endsSilently);
+        OrderReply reply = engine.isDown() || cut
                 ? new OrderReply.NotConnected("not connected", !byTimeout)
                 : new OrderReply.State(false, 0, Map.of(ForwardingFixture.MODEL, engine.weightsVersion));
         long silentMillis = Math.max(0, engine.silentUntilMillis - now());
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetEngine.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetEngine.java
@@ -18,6 +18,9 @@
     String failureDomain = "";
     boolean draining;
     boolean ended;
+    /** Whether it answers nothing, neither on open connections nor by new ones. */
+    boolean dark;
+
     long weightsVersion;
     OptionalDouble limit = OptionalDouble.empty();
     /** The pause for which it asks while it turns all requests away, in milliseconds; 0 while it accepts them. */
@@ -37,6 +40,10 @@
         this.weightsVersion = weightsVersion;
     }
 
+    boolean isDown() {
+        return ended || dark;
+    }
+
     /** The head of an answer. */
     AttemptEvent.Head head() {
         return AttemptEvent.Head.builder(200)
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetLog.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetLog.java
@@ -7,19 +7,27 @@
 
 import org.fuchsiatrail.forwarding.ForwardingOutput;
 
-/** What the routers of an {@link EngineFleet} logged of crashes, quarantines and refusals. */
+/** What the routers of an {@link EngineFleet} logged of crashes, quarantines, dark engines and refusals. */
 final class FleetLog {
 
+    static final String UPSTREAM_DARK = "Upstream is dark.";
+
     private final List<ForwardingOutput.LogEvent> events = new ArrayList<>();
 
     private final Map<String, String> refusalByAttemptId = new HashMap<>();
+    /** The requests for which a connection to an engine was not established, in order. */
+    final List<EngineFleet.Arrival> unconnected = new ArrayList<>();
+
+    /** The requests that routers refused to each other for want of a path to any engine. */
+    int refusalsWithoutPath;
 
     void record(ForwardingOutput.LogEvent event) {
         if (event.message().equals("Request refused.")) {
             Map<String, Object> fields = event.fields();
+            refusalsWithoutPath += "no upstream is reachable".equals(fields.get("reason")) ? 1 : 0;
             refusalByAttemptId.put(fields.get("request").toString(), fields.toString());
         }
-        if (event.component().equals("quarantine")) {
+        if (event.component().equals("quarantine") || event.message().equals(UPSTREAM_DARK)) {
             events.add(event);
         }
     }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerUpdateBound.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerUpdateBound.java
@@ -21,7 +21,7 @@
     /** The most started streams: those of 30 s, in which they can be resumed, at 600 a second. */
     static final int MAXIMUM_STREAMS = 20_000;
 
-    /** The most crashes, clearances, limits, pauses and leaving upstreams of each kind, as many as routers remember. */
+    /** The most crashes, clearances, limits, pauses, leaving and dark upstreams; routers remember as many of each. */
     static final int MAXIMUM_ENTRIES = 10_000;
 
     private PeerUpdateBound() {}
@@ -54,6 +54,7 @@
                 .limits(newest(update.limits()))
                 .pauses(newest(update.pauses()))
                 .leaving(newest(update.leaving()))
+                .darkUpstreams(newest(update.darkUpstreams()))
                 .build();
         return new Bounded(bounded, excess);
     }
@@ -68,7 +69,8 @@
                 update.clearedParts(),
                 update.limits(),
                 update.pauses(),
-                update.leaving());
+                update.leaving(),
+                update.darkUpstreams());
         for (List<?> kind : entries) {
             excess += Math.max(0, kind.size() - MAXIMUM_ENTRIES);
         }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerUpdateMerge.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerUpdateMerge.java
@@ -72,6 +72,11 @@
                         older.limits(), newer.limits(), PeerMessage.NamedLimit::upstream, PeerUpdateMerge::recent))
                 .pauses(pauses(concat(older.pauses(), newer.pauses())))
                 .leaving(firstOfEach(concat(older.leaving(), newer.leaving()), Function.identity()))
+                .darkUpstreams(byKey(
+                        older.darkUpstreams(),
+                        newer.darkUpstreams(),
+                        PeerMessage.DarkUpstream::upstream,
+                        (first, second) -> first.ageMillis() < second.ageMillis() ? first : second))
                 .startedStreams(startedStreams(concat(older.startedStreams(), newer.startedStreams())))
                 .reads(prefilledParts(concat(older.reads(), newer.reads())))
                 .caches(CacheReportMerge.merge(older.caches(), newer.caches()))
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/ReceiverModel.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/ReceiverModel.java
@@ -38,6 +38,7 @@
     private final Map<UpstreamId, Long> pauseEndAtMillis = new HashMap<>();
     private final Map<UpstreamId, List<Long>> pauseEndsInOrder = new HashMap<>();
     private final Set<UpstreamId> leaving = new HashSet<>();
+    private final Map<UpstreamId, Long> darkSeenAtMillis = new HashMap<>();
     private final Map<Long, String> streams = new HashMap<>();
     private final Map<UpstreamId, LinkedHashMap<Long, Long>> prefills = new HashMap<>();
     private final Map<UpstreamId, LinkedHashMap<Long, Long>> caches = new HashMap<>();
@@ -144,6 +145,8 @@
             }
         }
         leaving.addAll(update.leaving());
+        update.darkUpstreams()
+                .forEach(dark -> darkSeenAtMillis.merge(dark.upstream(), nowMillis - dark.ageMillis(), Math::max));
     }
 
     /** Returns all that is known at a time, in a form that is equal for equal knowledge; what is over is left out. */
@@ -166,6 +169,7 @@
         state.put("pauseEnds", later(pauseEndAtMillis, nowMillis));
         state.put("lastPauses", lastPauses(nowMillis));
         state.put("leaving", leaving);
+        state.put("dark", darkSeenAtMillis);
         state.put("streams", streams);
         state.put("prefills", inOrder(prefills));
         state.put("caches", inOrder(caches));
