Judge crashing prompt parts once their crashes have settled in fleets with relays

Cause: with dark engines told, 70 routers sent four requests with a crashing part to engines that end silently, three allowed (CrashingPromptPartSentOnTest). No evidence was lost: the crashes were attributed as early as before or up to 1.8 s earlier. But a verdict was made a second after the last one while any crash was unsettled, so a router that knew of three crashes at 8,650 ms judged them at 10,250 ms in place of 9,650 ms. Without sights of dark engines a request that came meanwhile waited for a connection to a dead engine, or was not sent; with them it reached a sound one at once.

Change: in a fleet with relays the next verdict is due when the next crash has settled.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PromptPartTracker.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PromptPartTracker.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 import org.fuchsiatrail.PeerMessage;
 import org.fuchsiatrail.UpstreamId;
@@ -29,6 +30,12 @@
     /** How long routers collect the suspects of a crash before it counts, in milliseconds; three peer updates. */
     private static final long SETTLING_MILLIS = 1_000;
 
+    /**
+     * The least time between two verdicts in a fleet with relays, in milliseconds. News of a crash pass through several
+     * routers there, so that it must count once it has settled.
+     */
+    private static final long RELAYED_VERDICT_INTERVAL_MILLIS = 100;
+
     /** How long a quarantine lasts after the last crash, and how long crashes are remembered, in milliseconds. */
     private static final long RETENTION_MILLIS = CrashTracker.RETENTION_MILLIS;
 
@@ -51,6 +58,7 @@
     private static final int MAXIMUM_PARTS = 10_000;
 
     private final ForwardingContext context;
+    private final BooleanSupplier usesRelays;
     private final Map<Long, PromptPartSuspect> suspects = new LinkedHashMap<>();
     private final Map<Long, Long> completedAtMillis = new LinkedHashMap<>();
     private final Map<Long, Long> clearanceSentAtMillis = new LinkedHashMap<>();
@@ -60,12 +68,14 @@
     private final Set<Long> unsentClearances = new HashSet<>();
     private List<Quarantine> newQuarantines = new ArrayList<>();
     private long nextVerdictAtMillis = Long.MAX_VALUE;
+    private long lastVerdictAtMillis = Long.MIN_VALUE / 2;
     private long nextExpiryAtMillis;
 
     private record Published(Set<UpstreamId> crashes, long atMillis) {}
 
-    PromptPartTracker(ForwardingContext context) {
+    PromptPartTracker(ForwardingContext context, BooleanSupplier usesRelays) {
         this.context = context;
+        this.usesRelays = usesRelays;
     }
 
     /** Records a crash that was not known before, with the shared parts of one of the requests that were running. */
@@ -84,14 +94,21 @@
         PromptPartSuspect suspect = suspects.computeIfAbsent(part, key -> new PromptPartSuspect());
         trim(suspects);
         suspect.recordCrash(seen, depth, context.now());
-        scheduleVerdict();
+        scheduleVerdict(context.now());
     }
 
-    private void scheduleVerdict() {
-        nextVerdictAtMillis = Math.min(nextVerdictAtMillis, context.now() + SETTLING_MILLIS);
+    /** Schedules the verdict that counts a crash noticed at a time. */
+    private void scheduleVerdict(long noticedAtMillis) {
+        long settledAtMillis = noticedAtMillis + SETTLING_MILLIS;
+        long atMillis = Math.max(settledAtMillis, lastVerdictAtMillis + verdictIntervalMillis());
+        nextVerdictAtMillis = Math.min(nextVerdictAtMillis, atMillis);
         context.wakeAt(nextVerdictAtMillis);
     }
 
+    private long verdictIntervalMillis() {
+        return usesRelays.getAsBoolean() ? RELAYED_VERDICT_INTERVAL_MILLIS : SETTLING_MILLIS;
+    }
+
     private static <V> void trim(Map<Long, V> entries) {
         if (entries.size() > MAXIMUM_PARTS) {
             entries.remove(entries.keySet().iterator().next());
@@ -244,13 +261,14 @@
             return;
         }
         nextVerdictAtMillis = Long.MAX_VALUE;
+        lastVerdictAtMillis = context.now();
         quarantineCauses();
-        boolean unsettled = suspects.values().stream()
+        suspects.values().stream()
                 .flatMap(suspect -> suspect.crashes().values().stream())
-                .anyMatch(crash -> crash.noticedAtMillis() > settledBeforeMillis());
-        if (unsettled) {
-            scheduleVerdict();
-        }
+                .mapToLong(PromptPartSuspect.Crash::noticedAtMillis)
+                .filter(noticedAtMillis -> noticedAtMillis > settledBeforeMillis())
+                .min()
+                .ifPresent(this::scheduleVerdict);
     }
 
     private void forgetExpired() {
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashDetectorTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashDetectorTest.java
@@ -19,7 +19,7 @@
 
     private final ForwardingContext context = new ForwardingContext(
             ForwardingSettings.builder().self(new ForwardingFixture().self()).build());
-    private final CrashTracker tracker = new CrashTracker(context, new PromptPartTracker(context));
+    private final CrashTracker tracker = new CrashTracker(context, new PromptPartTracker(context, () -> false));
     private final CrashDetector detector = new CrashDetector(context, tracker);
     private long now = 1_000;
 
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashTrackerTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CrashTrackerTest.java
@@ -111,7 +111,7 @@
     void should_count_one_crash_per_upstream_incarnation() {
         ForwardingContext context = new ForwardingContext(
                 ForwardingSettings.builder().self(fixture.self()).build());
-        CrashTracker tracker = new CrashTracker(context, new PromptPartTracker(context));
+        CrashTracker tracker = new CrashTracker(context, new PromptPartTracker(context, () -> false));
         PeerMessage.SeenCrash crash = PeerMessage.SeenCrash.ofRequest(5, new UpstreamId("u1@1"));
         List.of(crash, crash, crash, crash).forEach(tracker::recordCrash);
         assertThat(tracker.isQuarantined(5)).isFalse();
