Tell of dark engines only in fleets with relays

Cause: what is new is to take effect only where a deployment calls for it.

Change: sights, the early end of attempts, and the proportion by which relayed requests are refused hold where relays are in use (GossipTopology.usesRelays). ConnectionHistory and CallTiming are as before these parts; a decision by few destinations is the same as the count was.

An attempt that is ended at a dark engine leaves the evidence of a crash (UnrepeatableStreamAtDarkEngineTest).

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AttemptSender.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AttemptSender.java
@@ -12,6 +12,7 @@
     private final CallTimers timers;
     private final CallTiming timing;
     private final UpstreamAvailability availability;
+    private final DarkSights darkSights;
     private final CrashProtection crashProtection;
     private final CallLog log;
 
@@ -21,6 +22,7 @@
             CallTimers timers,
             CallTiming timing,
             UpstreamAvailability availability,
+            DarkSights darkSights,
             CrashProtection crashProtection,
             CallLog log) {
         this.context = context;
@@ -28,6 +30,7 @@
         this.timers = timers;
         this.timing = timing;
         this.availability = availability;
+        this.darkSights = darkSights;
         this.crashProtection = crashProtection;
         this.log = log;
     }
@@ -45,7 +48,9 @@
         pending.pathLost = false;
         pending.firstEventAtMillis = context.now();
         pending.lastEventAtMillis = context.now();
-        pending.attemptTimeoutAtMillis = timing.firstLookAtMillis(pending, context.now());
+        pending.attemptTimeoutAtMillis = pending.mayBeReplaced()
+                ? context.now() + timing.attemptTimeoutMillis(pending)
+                : darkSights.firstLookAtMillis(pending);
         calls.beginAttempt(pending);
         availability.recordSend(upstream);
         context.domainTraffic().sent(pending);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -72,7 +72,8 @@
         this.selector = new UpstreamSelector(context, storeReplica, upstreams, timing, requestLimits);
         this.log = new CallLog(context, storeReplica);
         this.intake = new CallIntake(context, storeReplica, customerLimits, log);
-        this.sender = new AttemptSender(context, calls, timers, timing, selector.availability(), crashProtection, log);
+        this.sender = new AttemptSender(
+                context, calls, timers, timing, selector.availability(), darkSights, crashProtection, log);
         this.silentStreams = new SilentStreams(
                 context,
                 upstreams,
@@ -520,7 +521,7 @@
     private void replaceSilentAttempt(PendingCall pending) {
         // Counts attempts that end because of the attempt timeout, the stream idle timeout or a dark upstream.
         context.count("attempts.given-up");
-        if (pending.state != PendingCall.State.DELIVERING || !pending.mayBeReplaced()) {
+        if (!silentStreams.mayBeHeld(pending)) {
             handleLoss(pending, DeclaredLosses.NO_PROGRESS);
             return;
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTiming.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTiming.java
@@ -2,7 +2,6 @@
 
 import org.fuchsiatrail.forwarding.RequestKind;
 import org.fuchsiatrail.forwarding.Route;
-import org.fuchsiatrail.internal.paths.AbandonmentDecision;
 
 /** Timeouts, retry times and costs that apply to forwarded requests. */
 final class CallTiming {
@@ -183,16 +182,6 @@
                 : Math.min(UNRESPONSIVE_MILLIS, pending.route.latencyTargetMillis() * UNRESPONSIVE_FACTOR);
     }
 
-    /** Returns when it is looked at whether an attempt that is sent now shows progress, or the end of time if never. */
-    long firstLookAtMillis(PendingCall pending, long nowMillis) {
-        if (pending.mayBeReplaced()) {
-            return nowMillis + attemptTimeoutMillis(pending);
-        }
-        return pending.relayed || !pending.mayBeAskedAgain()
-                ? Long.MAX_VALUE
-                : nowMillis + Math.round(pending.placement.predictedMillis()) + AbandonmentDecision.PROBE_AFTER_MILLIS;
-    }
-
     /** Returns the time after which the current attempt, if it may be retried, is abandoned without progress. */
     long attemptTimeoutMillis(PendingCall pending) {
         Route route = pending.route;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DarkSights.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DarkSights.java
@@ -11,13 +11,17 @@
 import org.fuchsiatrail.internal.paths.AbandonmentDecision;
 import org.fuchsiatrail.internal.paths.DarkUpstreamDecision;
 
-/** Watches connections of this router that time out, and tells of upstreams that these show to be dark. */
+/**
+ * Watches connections of this router that time out, and tells of upstreams that these show to be dark. That is done in
+ * fleets with relays, whose routers are too many for each to find each upstream by itself.
+ */
 final class DarkSights {
 
     /** Interval at which a connection timeout is judged again that did not show enough, in milliseconds. */
     private static final long JUDGEMENT_INTERVAL_MILLIS = 100;
 
     private final ForwardingContext context;
+    private final StoreReplica replica;
     private final UpstreamTable upstreams;
     /** The upstreams to which connections timed out lately, as long as that shows nothing. */
     private final Set<UpstreamId> unjudged = new HashSet<>();
@@ -27,8 +31,9 @@
     private Consumer<UpstreamState> listener = upstream -> {};
     private long nextJudgementAtMillis;
 
-    DarkSights(ForwardingContext context, UpstreamTable upstreams) {
+    DarkSights(ForwardingContext context, StoreReplica replica, UpstreamTable upstreams) {
         this.context = context;
+        this.replica = replica;
         this.upstreams = upstreams;
     }
 
@@ -37,9 +42,14 @@
         listener = darkListener;
     }
 
+    /** Returns whether routers tell each other of dark upstreams, and end attempts there. */
+    boolean areTold() {
+        return GossipTopology.usesRelays(replica.memberCount());
+    }
+
     /** Judges an upstream to which a connection of an attempt or a probe timed out. */
     void connectionTimedOut(UpstreamState upstream) {
-        if (judge(upstream)) {
+        if (!areTold() || judge(upstream)) {
             return;
         }
         unjudged.add(upstream.id());
@@ -127,6 +137,15 @@
                 timedOut);
     }
 
+    /** When an attempt that is sent now, and that no other one replaces, is first looked at, in milliseconds. */
+    long firstLookAtMillis(PendingCall pending) {
+        return !areTold() || pending.relayed || !pending.mayBeAskedAgain()
+                ? Long.MAX_VALUE
+                : context.now()
+                        + Math.round(pending.placement.predictedMillis())
+                        + AbandonmentDecision.PROBE_AFTER_MILLIS;
+    }
+
     /** Probes the upstream of a silent attempt, and records since when probes are unanswered. */
     void probe(UpstreamState upstream) {
         probedAtMillis.keySet().removeIf(id -> upstreams.find(id).isEmpty());
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -83,7 +83,7 @@
                 customerLimits);
         versionShares =
                 new VersionShareSystem(context, storeCalls, storeReplica, upstreams, streamVersions.shareCompletion());
-        darkSights = new DarkSights(context, upstreams);
+        darkSights = new DarkSights(context, storeReplica, upstreams);
         calls = new CallSystem(
                 context,
                 storeReplica,
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PathLoss.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PathLoss.java
@@ -44,6 +44,7 @@
     private static final int MAXIMUM_DOUBLINGS = 3;
 
     private final ForwardingContext context;
+    private final StoreReplica replica;
     private final UpstreamTable upstreams;
     private final Map<String, Trials> trialsByService = new HashMap<>();
 
@@ -53,8 +54,9 @@
         private int unrepeatable;
     }
 
-    PathLoss(ForwardingContext context, UpstreamTable upstreams) {
+    PathLoss(ForwardingContext context, StoreReplica replica, UpstreamTable upstreams) {
         this.context = context;
+        this.replica = replica;
         this.upstreams = upstreams;
     }
 
@@ -83,8 +85,9 @@
                     new LostPathsDecision.Destination(wasTriedLately(upstream), failed, upstreams.isDark(upstream)));
         }
         int failedWhenLost = repeatable ? FAILED_WHEN_LOST : FAILED_WHEN_LOST_UNREPEATABLE;
-        boolean failuresShowLoss = LostPathsDecision.decide(destinations, failedWhenLost, pending.call.relayed())
-                instanceof LostPathsDecision.Lost;
+        boolean inProportion = pending.call.relayed() && GossipTopology.usesRelays(replica.memberCount());
+        boolean failuresShowLoss =
+                LostPathsDecision.decide(destinations, failedWhenLost, inProportion) instanceof LostPathsDecision.Lost;
         // Streams that go on over old connections don't show that a new request finds one.
         boolean timeoutsShowLoss = ConnectionHistory.areLost(
                 withoutDark(active), context.settings().self().failureDomain());
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreams.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreams.java
@@ -70,7 +70,7 @@
 
     private boolean isInVain(PendingCall pending) {
         boolean streaming = pending.state == PendingCall.State.DELIVERING && !pending.relayed;
-        if (!pending.mayBeReplaced()) {
+        if (isEndedForCaller(pending)) {
             return giveUpForCaller(pending);
         }
         if (streaming) {
@@ -82,9 +82,19 @@
         return replaceable || giveUpForCaller(pending);
     }
 
+    /** Returns whether an attempt that is given up ends its request, since no other one may replace it. */
+    private boolean isEndedForCaller(PendingCall pending) {
+        return darkSights.areTold() && !pending.mayBeReplaced();
+    }
+
+    /** Returns whether the attempt that is given up is held until another one has begun. */
+    boolean mayBeHeld(PendingCall pending) {
+        return pending.state == PendingCall.State.DELIVERING && !isEndedForCaller(pending);
+    }
+
     /** The same for an attempt that no other one replaces: whether its caller is to ask again. */
     private boolean giveUpForCaller(PendingCall pending) {
-        if (pending.relayed || !pending.mayBeAskedAgain()) {
+        if (!darkSights.areTold() || pending.relayed || !pending.mayBeAskedAgain()) {
             return false;
         }
         return switch (AbandonmentDecision.decide(darkSights.view(pending))) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
@@ -35,7 +35,7 @@
         this.timing = timing;
         this.availability = new UpstreamAvailability(context, requestLimits, upstreams, timing);
         this.placement = new UpstreamPlacement(context.random());
-        this.pathLoss = new PathLoss(context, upstreams);
+        this.pathLoss = new PathLoss(context, storeReplica, upstreams);
     }
 
     UpstreamAvailability availability() {
@@ -122,9 +122,11 @@
 
     /** Returns after how many attempts without a connection a request is relayed, or refused to another router. */
     int unsentBeforeRelay(PendingCall pending) {
-        boolean few = LostPathsDecision.areFew(
-                upstreams.activeUpstreams(pending.service).size());
-        return pending.call.relayed() && !few ? CallTiming.MAXIMUM_SENDS : CallTiming.UNSENT_BEFORE_RELAY;
+        boolean refusedLater = pending.call.relayed()
+                && GossipTopology.usesRelays(storeReplica.memberCount())
+                && !LostPathsDecision.areFew(
+                        upstreams.activeUpstreams(pending.service).size());
+        return refusedLater ? CallTiming.MAXIMUM_SENDS : CallTiming.UNSENT_BEFORE_RELAY;
     }
 
     /** Returns whether an attempt would only wait for a connection, as this router reaches nobody. */
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/UnrepeatableStreamAtDarkEngineTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/UnrepeatableStreamAtDarkEngineTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.fuchsiatrail.EntryVm;
 import org.fuchsiatrail.RequestId;
 import org.fuchsiatrail.ResultCode;
 import org.fuchsiatrail.UpstreamId;
@@ -11,6 +12,7 @@
 import org.fuchsiatrail.forwarding.ForwardingInput;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
 import org.fuchsiatrail.forwarding.OrderReply;
+import org.fuchsiatrail.forwarding.StoreItemContent;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -20,6 +22,8 @@
 
     private static final long STEP_MILLIS = 50;
     private static final long CONNECT_TIMEOUT_MILLIS = 400;
+    /** The least number of routers with relays among them. */
+    private static final int ROUTERS = 13;
 
     private final ForwardingFixture router = new ForwardingFixture().configured();
     private final List<RequestId> requests = new ArrayList<>();
@@ -28,6 +32,10 @@
     private int lastNumber;
 
     UnrepeatableStreamAtDarkEngineTest() {
+        for (int number = 1; number <= ROUTERS; number++) {
+            EntryVm member = new ForwardingFixture("vm-" + number).self();
+            router.put("members/vm-" + number, new StoreItemContent.Member(member));
+        }
         for (int number = 1; number <= 4; number++) {
             router.register(router.engine("engine-" + number, 1));
         }
@@ -95,6 +103,24 @@
         });
     }
 
+    @Test
+    void should_leave_the_same_evidence_of_a_crash_as_streams_that_end_with_their_engine() {
+        List<RequestId> waiting = atSilent();
+        pass(700, true, false);
+        assertThat(waiting)
+                .allSatisfy(request -> assertThat(router.refusal(request)).isPresent());
+        router.remove("servers/" + silent);
+        router.advanceTime(100);
+        long sentToSilent = router.all(ForwardingOutput.Send.class).stream()
+                .filter(send -> send.dispatch().upstream().value().equals(silent))
+                .count();
+        assertThat(router.all(ForwardingOutput.LogEvent.class).stream()
+                        .filter(event -> event.message().equals("Upstream crash attributed to a request."))
+                        .map(event -> event.fields().get("fingerprint"))
+                        .distinct())
+                .hasSize(Math.toIntExact(sentToSilent));
+    }
+
     @Test
     void should_send_no_more_requests_to_an_engine_that_is_dark() {
         pass(700, true, false);
