Age sights of dark engines in updates that wait for a peer

Cause: an update that waits for a slow peer was corrected for the wait but for darkUpstreams, so that a sight arrived as young as when it was queued and held for longer than 2.5 s. The tests of merged updates had no such entry, and one of them, which asks for an entry of each list, failed (PeerUpdateMergeTest#should_keep_what_either_update_tells_in_any_list, 1 of 33).

Change: the ages grow by the wait. Random updates and the list of entries contain dark engines.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerUpdateAge.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerUpdateAge.java
@@ -18,7 +18,8 @@
         boolean timeless = update.targetAges().isEmpty()
                 && update.switching().isEmpty()
                 && update.limits().isEmpty()
-                && update.pauses().isEmpty();
+                && update.pauses().isEmpty()
+                && update.darkUpstreams().isEmpty();
         if (millis <= 0 || timeless) {
             return update;
         }
@@ -39,6 +40,9 @@
                         .filter(pause -> pause.millisLeft() > millis)
                         .map(pause -> new PeerMessage.SeenPause(pause.upstream(), pause.millisLeft() - millis))
                         .toList())
+                .darkUpstreams(update.darkUpstreams().stream()
+                        .map(dark -> new PeerMessage.DarkUpstream(dark.upstream(), dark.ageMillis() + millis))
+                        .toList())
                 .build();
     }
 }
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerUpdateMergeTest.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerUpdateMergeTest.java
@@ -48,6 +48,7 @@
             Map.entry("targetAges", new PeerMessage.TargetAge("m", 7, 8, true)),
             Map.entry("pauses", new PeerMessage.SeenPause(ENGINE, 9)),
             Map.entry("leaving", ENGINE),
+            Map.entry("darkUpstreams", new PeerMessage.DarkUpstream(ENGINE, 10)),
             Map.entry("subtreeWork", new PeerMessage.WorkChange(1, 2, 0, 0, 0, 0)),
             Map.entry("domainWork", new PeerMessage.WorkChange(2, 3, 0, 0, 0, 0)),
             Map.entry("fleetWork", new PeerMessage.WorkChange(3, 4, 0, 0, 0, 0)),
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/RandomUpdates.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/RandomUpdates.java
@@ -59,6 +59,7 @@
                         upstream(), random.nextBoolean(), random.nextInt(5), random.nextLong(3_000))))
                 .pauses(few(() -> new PeerMessage.SeenPause(upstream(), random.nextLong(4_000))))
                 .leaving(few(this::upstream))
+                .darkUpstreams(few(() -> new PeerMessage.DarkUpstream(upstream(), random.nextLong(2_500))))
                 .startedStreams(few(() -> new PeerMessage.StartedStreams(
                         "s" + random.nextInt(2), "v" + random.nextInt(2), keys(random.nextInt(4)))))
                 .reads(few(this::prefill))
