--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/UnrepeatableStreamAtDarkEngineTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/UnrepeatableStreamAtDarkEngineTest.java
@@ -22,6 +22,8 @@
 
     private static final long STEP_MILLIS = 50;
     private static final long CONNECT_TIMEOUT_MILLIS = 400;
+    /** More than the time for which a removed entry of an upstream may be missing without its end. */
+    private static final long ENTRY_GRACE_MILLIS = 3_000;
     /** The least number of routers with relays among them. */
     private static final int ROUTERS = 13;
 
@@ -106,11 +108,11 @@
     @Test
     void should_leave_the_same_evidence_of_a_crash_as_streams_that_end_with_their_engine() {
         List<RequestId> waiting = atSilent();
-        pass(700, true, false);
+        pass(2_500, false, false);
         assertThat(waiting)
                 .allSatisfy(request -> assertThat(router.refusal(request)).isPresent());
         router.remove("servers/" + silent);
-        router.advanceTime(100);
+        router.advanceTime(ENTRY_GRACE_MILLIS);
         long sentToSilent = router.all(ForwardingOutput.Send.class).stream()
                 .filter(send -> send.dispatch().upstream().value().equals(silent))
                 .count();
