--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
@@ -361,6 +361,11 @@
                 passOn(destination, updates -> updates.leaving.add(incarnation));
             }
         }
+        for (PeerMessage.DarkUpstream dark : update.darkUpstreams()) {
+            if (passesOn && upstreams.dark().receive(dark, context.now())) {
+                passOn(destination, updates -> updates.dark.add(dark));
+            }
+        }
         for (PeerMessage.StartedStreams started : update.startedStreams()) {
             streamVersions
                     .origins()
