Refuse small customers less below their limit and learn of rises sooner

A customer of three requests a second over 70 routers was refused at its usual rate: its requests come by single ones, and neither the recent use nor the rate above the limit had enough of the reserve. And a rise from 0.85 of the limit to five times it exceeded the tolerance at 68 routers, as requests were counted over an eighth of the window, and half of all tolerance was planned for.

Recent use now has a third of the reserve, and the rate half of it; requests are counted over a sixteenth of the window where the reserve does not cover a rise meanwhile; a quarter of the fraction is planned for. A restarted router assumes as much use as before.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/limits/LimitRate.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/limits/LimitRate.java
@@ -22,8 +22,14 @@
     /** The fraction of the burst that may be used within the time over which requests are counted. */
     private static final long BURST_PERMILLE = 600;
 
+    /** The fraction of the reserve that may be used within that time. */
+    private static final long RESERVE_PERMILLE = 500;
+
     /** The fraction of the reserve that recent use may have. */
-    private static final long RESERVE_PARTS = 4;
+    private static final long RESERVE_PARTS = 3;
+
+    /** The fraction of what may run above the limit that is planned for. */
+    private static final long OVER_PARTS = 4;
 
     private LimitRate() {}
 
@@ -58,7 +64,8 @@
                 + Math.max(0, burst - usualBurst)
                 + group.part(tolerance.reserve()) / RESERVE_PARTS;
         long correction = (level - groupUse.recent()) * 1_000 * ASKED_PARTS / window;
-        long mostAbove = burst * BURST_PERMILLE * ASKED_PARTS / window;
+        long mostAbove =
+                (burst * BURST_PERMILLE + group.part(tolerance.reserve()) * RESERVE_PERMILLE) * ASKED_PARTS / window;
         return Math.max(0, rate + Math.min(correction, mostAbove));
     }
 
@@ -69,9 +76,11 @@
         return Math.max(0, left * 1_000 / lastingMillis(tolerance));
     }
 
-    /** Returns the use to plan for: half of the tolerance is for what routers do not know of each other yet. */
+    /** Returns the use to plan for: the rest of the tolerance is for what routers do not know of each other yet. */
     private static long planned(CustomerLimit limit, LimitTolerance tolerance, Group group) {
-        return group.part((tolerance.exactPerWindow(limit) + tolerance.perWindow(limit)) / 2);
+        long exact = tolerance.exactPerWindow(limit);
+        long over = tolerance.perWindow(limit) - exact - tolerance.reserve();
+        return group.part(exact + over / OVER_PARTS + tolerance.reserve() / 2);
     }
 
     private static long lastingMillis(LimitTolerance tolerance) {
@@ -81,7 +90,8 @@
     /** Returns the use in a window of which only the rate of the limit is left, but no burst. */
     static long useWithoutBurst(CustomerLimit limit, LimitTolerance tolerance, Group group) {
         long left = group.part(limit.perSecond()) * lastingMillis(tolerance) / 1_000;
-        return Math.max(0, planned(limit, tolerance, group) - left);
+        long mostUsed = group.part((tolerance.exactPerWindow(limit) + tolerance.perWindow(limit)) / 2);
+        return Math.max(0, mostUsed - left);
     }
 
     /** Returns the amount a second that callers asked the group for. */
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/limits/LimitedCustomer.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/limits/LimitedCustomer.java
@@ -42,7 +42,7 @@
         this.key = key;
         this.limit = limit;
         this.tolerance = tolerance;
-        this.asked = new SlidingCount(slotMillis, SLOTS / LimitRate.ASKED_PARTS - 1);
+        this.asked = new SlidingCount(slotMillis / 2, 2 * SLOTS / LimitRate.ASKED_PARTS - 1);
         this.admitted = new SlidingCount(slotMillis, SLOTS);
         this.firstRemainder = firstRemainder;
     }
@@ -71,15 +71,25 @@
     /** Returns what was asked and admitted at this router; what was asked in a shorter time stands for all. */
     PeerMessage.CustomerUse use(long nowMillis) {
         long askedMillis = tolerance.windowMillis() / LimitRate.ASKED_PARTS;
+        int slots = SLOTS / LimitRate.ASKED_PARTS * (showsRiseSoon() ? 1 : 2);
+        long countedMillis = slots * tolerance.windowMillis() / SLOTS / 2;
         return new PeerMessage.CustomerUse(
                 key,
-                asked.sum(nowMillis)
+                asked.sum(slots - 1, nowMillis)
                         * askedMillis
-                        / Math.clamp(nowMillis - askedSinceMillis, MINIMUM_ASKED_MILLIS, askedMillis),
+                        / Math.clamp(nowMillis - askedSinceMillis, MINIMUM_ASKED_MILLIS, countedMillis),
                 admitted.sum(SLOTS / LimitRate.RECENT_PARTS - 1, nowMillis),
                 admitted.sum(nowMillis));
     }
 
+    /**
+     * Returns whether requests are counted over half of the time, so that a rise shows sooner. The reserve covers what
+     * is admitted meanwhile for a customer with a small limit, whose few requests need the whole time.
+     */
+    private boolean showsRiseSoon() {
+        return limit.perSecond() * tolerance.windowMillis() / LimitRate.ASKED_PARTS / 2 / 1_000 > tolerance.reserve();
+    }
+
     /**
      * Decides on a request, which counts at once if it is admitted.
      *
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/limits/CustomerLimitsTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/limits/CustomerLimitsTest.java
@@ -19,6 +19,7 @@
 class CustomerLimitsTest {
 
     private static final int SEEDS = 3;
+    private static final int MANY_SEEDS = 20;
     private static final long REQUEST = 9_200;
     private static final LimitTolerance TOLERANCE = new LimitTolerance(8_000, 100, 110_000);
 
@@ -71,6 +72,31 @@
         }
     }
 
+    @ParameterizedTest
+    @CsvSource({"68,29000", "70,29000", "340,300000"})
+    void should_refuse_almost_nothing_to_small_customers_below_the_limit(int routers, long perSecond) {
+        long asked = 0;
+        long refused = 0;
+        for (int seed = 1; seed <= MANY_SEEDS; seed++) {
+            LimitFleet fleet = fleet(routers, perSecond, seed);
+            fleet.run(40_000, times(1 / 1.8, perSecond), REQUEST);
+            asked += fleet.asked;
+            refused += fleet.refusedBelow;
+        }
+        assertThat(refused).isLessThanOrEqualTo(asked / 400);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {29_000, 58_000, 614_000, 2_800_000})
+    void should_keep_the_limit_when_a_customer_rises_from_close_to_it_to_five_times_it(long perSecond) {
+        for (int seed = 1; seed <= MANY_SEEDS; seed++) {
+            LimitFleet fleet = fleet(68, perSecond, seed);
+            fleet.run(10_000, times(0.85, perSecond), REQUEST);
+            fleet.run(10_000, 5 * perSecond, REQUEST);
+            assertThat(fleet.largestPart).as("seed %d", seed).isLessThanOrEqualTo(1);
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {100_000, 614_000, 2_800_000})
     void should_keep_the_limit_while_a_failure_domain_is_cut_off_under_a_hot_customer(long perSecond) {
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/limits/LimitFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/limits/LimitFleet.java
@@ -44,6 +44,13 @@
     long asked;
     long refused;
     long admitted;
+    /** The requests that were refused although a count without delay would have admitted them. */
+    long refusedBelow;
+
+    /** What such a count would admit now, and when it was computed. */
+    private long allowance;
+
+    private long allowanceAtMillis;
     /** The largest use in a window, as a fraction of what the window allows. */
     double largestPart;
 
@@ -133,11 +140,15 @@
             return;
         }
         asked++;
+        allowance = Math.min(limit.burst(), allowance + limit.perSecond() * (now - allowanceAtMillis) / 1_000);
+        allowanceAtMillis = now;
         if (!unaware.contains(router.position)
                 && router.limits.decide(CUSTOMER, limit, amount, router.clock()) instanceof LimitDecision.Refused) {
             refused++;
+            refusedBelow += amount <= allowance ? 1 : 0;
             return;
         }
+        allowance = Math.max(0, allowance - amount);
         admitted += amount;
         window.addLast(new long[] {now, amount});
         windowAmount += amount;
