Find limits of customers that contradict themselves before they are in force

configuration check said nothing of limits, and told a changed one as 'changes what it may do'. Differences of keys and limits are told beside each other.

RoutingCheckTest with two new tests passes.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/configuration/RoutingCheck.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/configuration/RoutingCheck.java
@@ -5,7 +5,9 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Function;
 
 import org.fuchsiatrail.ConfigurationFinding;
@@ -13,6 +15,7 @@
 import org.fuchsiatrail.CustomerId;
 import org.fuchsiatrail.forwarding.CallerLimits;
 import org.fuchsiatrail.forwarding.CustomerEntry;
+import org.fuchsiatrail.forwarding.CustomerLimit;
 import org.fuchsiatrail.forwarding.Route;
 import org.fuchsiatrail.forwarding.RoutingTable;
 import org.fuchsiatrail.forwarding.ServiceDefinition;
@@ -112,6 +115,7 @@
             if (customer.apiKeys().isEmpty()) {
                 warn(where, "has no key; it never matches a request.");
             }
+            customer.limit().ifPresent(limit -> checkLimit(where, limit));
             for (String key : customer.apiKeys()) {
                 CustomerId holder = holders.put(key, customer.id());
                 if (holder != null) {
@@ -121,6 +125,26 @@
         }
     }
 
+    private void checkLimit(String where, CustomerLimit limit) {
+        if (limit.perSecond() <= 0 || limit.burst() < 0) {
+            add(Severity.ERROR, where, "has a limit of " + limit + "; it must be above 0, and its burst not below.");
+            return;
+        }
+        long smallest = limit.unit() == CustomerLimit.Unit.REQUESTS ? 1 : limit.undescribedTokens();
+        if (limit.burst() < smallest) {
+            warn(
+                    where,
+                    "has a burst of " + limit.burst() + ", less than one request (" + smallest
+                            + "); requests are refused as soon as two come together.");
+        }
+        if (limit.unit() == CustomerLimit.Unit.TOKENS && limit.perSecond() < smallest) {
+            warn(
+                    where,
+                    "has a limit of " + limit.perSecond() + " tokens a second, less than one request without token"
+                            + " counts (" + smallest + ").");
+        }
+    }
+
     private void checkLimits(CallerLimits limits) {
         if (limits.idleTimeoutMillis() < limits.headerTimeoutMillis()) {
             warn(
@@ -165,15 +189,27 @@
                 differences.add("Customer " + id + " is added.");
             } else if (!old.apiKeys().equals(customer.apiKeys())) {
                 differences.add("Customer " + id + " changes its keys.");
-            } else if (!old.equals(customer)) {
+            } else if (!old.priority().equals(customer.priority()) || old.isolated() != customer.isolated()) {
                 differences.add("Customer " + id + " changes what it may do.");
             }
+            Optional<CustomerLimit> oldLimit = old == null ? Optional.empty() : old.limit();
+            if (!oldLimit.equals(customer.limit())) {
+                differences.add("Customer " + id + " changes its limit from " + text(oldLimit) + " to "
+                        + text(customer.limit()) + ".");
+            }
         });
         olds.keySet().stream()
                 .filter(id -> !news.containsKey(id))
                 .forEach(id -> differences.add("Customer " + id + " is removed; its keys are refused."));
     }
 
+    private static String text(Optional<CustomerLimit> limit) {
+        return limit.map(present -> present.perSecond() + " "
+                        + present.unit().name().toLowerCase(Locale.ROOT) + " a second and a burst of "
+                        + present.burst())
+                .orElse("none");
+    }
+
     private static void compare(String kind, Map<String, ?> before, Map<String, ?> after, List<String> differences) {
         after.forEach((name, entry) -> {
             Object old = before.get(name);
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/configuration/RoutingCheckTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/configuration/RoutingCheckTest.java
@@ -10,6 +10,7 @@
 import org.fuchsiatrail.CustomerId;
 import org.fuchsiatrail.forwarding.CallerLimits;
 import org.fuchsiatrail.forwarding.CustomerEntry;
+import org.fuchsiatrail.forwarding.CustomerLimit;
 import org.fuchsiatrail.forwarding.RequestKind;
 import org.fuchsiatrail.forwarding.Route;
 import org.fuchsiatrail.forwarding.RoutingTable;
@@ -138,4 +139,29 @@
                 .noneMatch(text -> text.contains("key-"));
         assertThat(RoutingCheck.differences(before, before)).isEmpty();
     }
+
+    private static CustomerEntry limited(long perSecond, long burst) {
+        CustomerLimit limit = new CustomerLimit(perSecond, burst, CustomerLimit.Unit.TOKENS, 200);
+        return new CustomerEntry(
+                new CustomerId("school"), List.of("key-1"), OptionalInt.empty(), false, Optional.of(limit));
+    }
+
+    @Test
+    void should_find_limits_that_contradict_themselves() {
+        customers.set(0, limited(0, 1_000));
+        assertFound(Severity.ERROR, "customer school", "must be above 0");
+        customers.set(0, limited(1_000, 100));
+        assertFound(Severity.WARNING, "customer school", "less than one request (200)");
+        customers.set(0, limited(100, 1_000));
+        assertFound(Severity.WARNING, "customer school", "less than one request without token counts (200)");
+    }
+
+    @Test
+    void should_tell_which_limits_change() {
+        RoutingTable before = table();
+        customers.set(0, limited(1_000, 2_000));
+        assertThat(RoutingCheck.differences(before, table()))
+                .containsExactly(
+                        "Customer school changes its limit from none to 1000 tokens a second and a burst of 2000.");
+    }
 }
