Log refusals over a limit once a second and count them for each customer

Each refused request wrote a line of its own for the limit beside 'Request refused.'; at six times the usual rate these fill the log, and no counter told the customer.

CustomerLimitInCallsTest: 10 s at five times the limit, at most one line a second, the counter as many as refused.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
@@ -5,7 +5,6 @@
 import org.fuchsiatrail.ResultCode;
 import org.fuchsiatrail.forwarding.AttemptEvent;
 import org.fuchsiatrail.forwarding.CustomerEntry;
-import org.fuchsiatrail.forwarding.CustomerLimit;
 import org.fuchsiatrail.forwarding.Dispatch;
 import org.fuchsiatrail.forwarding.ForwardedCall;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
@@ -20,10 +19,12 @@
 
     private final ForwardingContext context;
     private final StoreReplica storeReplica;
+    private final OverLimitLog overLimit;
 
     CallLog(ForwardingContext context, StoreReplica storeReplica) {
         this.context = context;
         this.storeReplica = storeReplica;
+        this.overLimit = new OverLimitLog(context);
     }
 
     private long configurationVersion() {
@@ -107,30 +108,7 @@
     }
 
     void overLimit(ForwardedCall call, CustomerEntry customer, LimitDecision.Refused decision) {
-        context.count("requests.over-limit");
-        context.log(
-                COMPONENT,
-                "Request exceeds its customer's limit.",
-                "request",
-                call.callerAttemptId(),
-                "customer",
-                customer.id(),
-                "limitPerSecond",
-                customer.limit().map(CustomerLimit::perSecond).orElse(0L),
-                "amount",
-                decision.amount(),
-                "used",
-                decision.used(),
-                "allowedPerSecond",
-                decision.perSecond(),
-                "routersKnown",
-                decision.routers(),
-                "routersListed",
-                decision.listed(),
-                "retryMillis",
-                decision.retryMillis(),
-                "configuration",
-                configurationVersion());
+        overLimit.refused(call, customer, decision, configurationVersion());
     }
 
     void notExecuted(PendingCall pending, AttemptEvent.Head head) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/limits/LimitDecision.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/limits/LimitDecision.java
@@ -17,9 +17,11 @@
      * @param retryMillis when the allowance is back for it, in milliseconds
      * @param used what all routers that are known of admitted in the last window
      * @param perSecond the amount a second that they may admit now
+     * @param ownPerSecond this router's part of that
      * @param routers the number of these routers
      * @param listed the number of all routers
      */
-    record Refused(long amount, long retryMillis, long used, long perSecond, long routers, long listed)
+    record Refused(
+            long amount, long retryMillis, long used, long perSecond, long ownPerSecond, long routers, long listed)
             implements LimitDecision {}
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/limits/LimitedCustomer.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/limits/LimitedCustomer.java
@@ -107,9 +107,15 @@
         long perSecond = LimitRate.perSecond(limit, tolerance, group, all);
         long askedPerSecond = LimitRate.askedPerSecond(tolerance, all);
         if (perSecond < askedPerSecond && !takesFraction(amount, perSecond, askedPerSecond)) {
-            long retryMillis = retryMillis(amount, perSecond, own.asked(), all.asked(), spread);
+            long ownPerSecond = (long) ((double) perSecond * own.asked() / Math.max(1, all.asked()));
             return new LimitDecision.Refused(
-                    amount, retryMillis, all.admitted(), perSecond, group.routers(), group.listed());
+                    amount,
+                    retryMillis(amount, ownPerSecond, spread),
+                    all.admitted(),
+                    perSecond,
+                    ownPerSecond,
+                    group.routers(),
+                    group.listed());
         }
         admitted.add(amount, nowMillis);
         return new LimitDecision.Admitted(amount);
@@ -131,10 +137,9 @@
     }
 
     /** Returns when this router's part of the allowance suffices for the request. */
-    private long retryMillis(long amount, long perSecond, long ownAsked, long allAsked, double spread) {
-        long ownPerSecond = Math.max(1, (long) ((double) perSecond * ownAsked / Math.max(1, allAsked)));
+    private long retryMillis(long amount, long ownPerSecond, double spread) {
         long millis = Math.clamp(
-                Math.max(1, amount - remainder / REMAINDER_PARTS) * 1_000 / ownPerSecond,
+                Math.max(1, amount - remainder / REMAINDER_PARTS) * 1_000 / Math.max(1, ownPerSecond),
                 MINIMUM_RETRY_MILLIS,
                 tolerance.windowMillis() / 2);
         return millis + (long) (spread * millis);
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CustomerLimitInCallsTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CustomerLimitInCallsTest.java
@@ -119,4 +119,22 @@
                 .allSatisfy(request -> assertThat(fixture.refusal(request).map(ForwardingOutput.Refuse::code))
                         .isNotEqualTo(Optional.of(ResultCode.OVER_LIMIT)));
     }
+
+    @Test
+    void should_log_refusals_once_a_second_and_count_them_for_each_customer() {
+        start(10);
+        List<ForwardingOutput.Refuse> refused = callFor(10_000);
+        List<ForwardingOutput.LogEvent> lines = fixture.all(ForwardingOutput.LogEvent.class).stream()
+                .filter(line -> line.message().equals("Requests exceed their customer's limit."))
+                .toList();
+        assertThat(lines.size()).isBetween(5, 10);
+        assertThat(lines.getLast().fields())
+                .containsEntry("customer", new CustomerId("hot"))
+                .containsEntry("limitPerSecond", 10L)
+                .containsEntry("configuration", 1L)
+                .containsKeys("used", "ownPerSecond", "refused");
+        assertThat(fixture.all(ForwardingOutput.Count.class))
+                .filteredOn(new ForwardingOutput.Count("requests.over-limit-of.hot")::equals)
+                .hasSameSizeAs(refused);
+    }
 }
