Take requests back whose callers leave before they are sent

A request counted against its customer's limit when it was admitted, and was taken back only when this router refused it. One whose caller left while it waited for an upstream, or that another router refused as not run, stayed counted: with no upstream in reach and impatient callers a customer below its limit was refused with 2010. Both are taken back now.

CustomerLimitInCallsTest: the new test failed before.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -342,6 +342,7 @@
                     pending, ResultCode.OUTCOME_UNKNOWN, 0, "another router refused with status " + head.status());
         } else {
             upstreams.recordSuccess(pending.upstream);
+            intake.giveBack(pending);
             context.emit(new ForwardingOutput.Deliver(pending.request, pending.attempt));
             finish(pending, "Refusal of another router delivered.", head.status());
         }
@@ -445,17 +446,13 @@
         }
     }
 
-    /**
-     * Handles a caller that closed its connection. An attempt of a non-idempotent request that was already sent is not
-     * cancelled.
-     */
+    /** Handles a caller that closed its connection. A sent attempt of a non-idempotent request is not cancelled. */
     void callerDisconnected(RequestId request) {
         startupQueue.discard(request);
-        Optional<PendingCall> open = calls.find(request);
-        if (open.isEmpty()) {
-            return;
-        }
-        PendingCall pending = open.get();
+        calls.find(request).ifPresent(this::endWithoutCaller);
+    }
+
+    private void endWithoutCaller(PendingCall pending) {
         // Counts requests whose caller disconnected before the answer was complete.
         context.count("requests.caller-left");
         bindings.recordInterrupted(pending);
@@ -465,6 +462,8 @@
                 upstreams.recordUnanswered(pending, timing.unresponsiveMillis(pending));
             }
             crashProtection.recordGivenUp(pending);
+        } else {
+            intake.giveBack(pending);
         }
         boolean keepAttempt =
                 pending.route.kind() == RequestKind.NOT_IDEMPOTENT && pending.state == PendingCall.State.SENT;
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CustomerLimitInCallsTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CustomerLimitInCallsTest.java
@@ -14,6 +14,7 @@
 import org.fuchsiatrail.forwarding.CallerLimits;
 import org.fuchsiatrail.forwarding.CustomerEntry;
 import org.fuchsiatrail.forwarding.CustomerLimit;
+import org.fuchsiatrail.forwarding.ForwardingInput;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
 import org.fuchsiatrail.forwarding.RequestKind;
 import org.fuchsiatrail.forwarding.RoutingTable;
@@ -42,18 +43,18 @@
     }
 
     private static StoreItemContent configuration(long version, Optional<CustomerLimit> limit) {
+        return configuration(version, limit, ForwardingFixture.KEY, OTHER_KEY);
+    }
+
+    private static StoreItemContent configuration(
+            long version, Optional<CustomerLimit> limit, String hotKey, String otherKey) {
         return new StoreItemContent.Routing(new RoutingTable(
                 version,
                 List.of(ForwardingFixture.route("/read/", RequestKind.IDEMPOTENT, false, 2, "records")),
                 List.of(new ServiceDefinition("records", 100, Optional.empty(), Optional.empty())),
                 List.of(
-                        new CustomerEntry(
-                                new CustomerId("hot"),
-                                List.of(ForwardingFixture.KEY),
-                                OptionalInt.empty(),
-                                false,
-                                limit),
-                        new CustomerEntry(new CustomerId("other"), List.of(OTHER_KEY), OptionalInt.empty(), false)),
+                        new CustomerEntry(new CustomerId("hot"), List.of(hotKey), OptionalInt.empty(), false, limit),
+                        new CustomerEntry(new CustomerId("other"), List.of(otherKey), OptionalInt.empty(), false)),
                 CallerLimits.DEFAULTS));
     }
 
@@ -137,4 +138,44 @@
                 .filteredOn(new ForwardingOutput.Count("requests.over-limit-of.hot")::equals)
                 .hasSameSizeAs(refused);
     }
+
+    @Test
+    void should_not_count_requests_whose_callers_leave_before_they_are_sent() {
+        start(10);
+        fixture.remove("servers/r-1");
+        fixture.remove("servers/r-2");
+        fixture.advanceTime(100);
+        for (int number = 0; number < 400; number++) {
+            RequestId request = fixture.call("/read/" + number);
+            assertThat(fixture.sends(request)).isEmpty();
+            assertThat(fixture.refusal(request).map(ForwardingOutput.Refuse::code))
+                    .isNotEqualTo(Optional.of(ResultCode.OVER_LIMIT));
+            fixture.tick(new ForwardingInput.CallerDisconnected(request));
+            fixture.advanceTime(80);
+        }
+    }
+
+    @Test
+    void should_count_a_key_for_the_customer_to_which_it_was_moved() {
+        start(10);
+        callFor(8_000);
+        fixture.put("configuration", configuration(2, Optional.of(limit(10)), OTHER_KEY, ForwardingFixture.KEY));
+        fixture.advanceTime(100);
+        assertThat(callFor(2_000)).isEmpty();
+        int refused = 0;
+        for (int number = 0; number < 100; number++) {
+            RequestId request = fixture.call("/read/1", OTHER_KEY, List.of());
+            refused += fixture.refusal(request).isPresent() ? 1 : 0;
+            fixture.advanceTime(20);
+        }
+        assertThat(refused).isGreaterThan(60);
+    }
+
+    @Test
+    void should_keep_the_limit_while_the_store_is_down() {
+        start(10);
+        callFor(4_000);
+        fixture.storeAnswers = false;
+        assertThat(callFor(16_000).size()).isBetween(16_000 / 20 - 16 * 10 - 20, 16_000 / 20 - 16 * 9);
+    }
 }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/limits/CustomerLimitsTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/limits/CustomerLimitsTest.java
@@ -138,6 +138,24 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {100_000, 614_000, 2_800_000})
+    void should_begin_no_second_burst_when_all_routers_restart_and_the_list_of_routers_grows(long perSecond) {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            LimitFleet fleet = usual(68, perSecond, seed);
+            fleet.run(5_000, hot(perSecond), REQUEST);
+            fleet.restartAll();
+            fleet.listed = 0;
+            fleet.run(1_000, hot(perSecond), REQUEST);
+            while (fleet.listed < 68) {
+                fleet.listed += 2;
+                fleet.run(40, hot(perSecond), REQUEST);
+            }
+            fleet.run(10_000, hot(perSecond), REQUEST);
+            assertThat(fleet.largestPart).as("seed %d", seed).isLessThanOrEqualTo(1);
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {200_000, 614_000, 2_800_000})
     void should_keep_a_lower_limit_one_window_after_it_was_set(long perSecond) {
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/limits/LimitFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/limits/LimitFleet.java
@@ -39,6 +39,9 @@
     /** The positions of routers whose build knows no limits. */
     final Set<Integer> unaware = new HashSet<>();
 
+    /** The routers that the store lists. */
+    int listed;
+
     CustomerLimit limit;
     long now = 1_000_000;
     long asked;
@@ -112,6 +115,7 @@
         this.random = new SplittableRandom(seed);
         this.limit = limit;
         this.tolerance = tolerance;
+        this.listed = size;
         for (int position = 0; position < size; position++) {
             routers.add(new Router(position));
         }
@@ -122,8 +126,7 @@
         for (long end = now + millis; now < end; now += TICK_MILLIS) {
             for (Router router : routers) {
                 if (router.runs()) {
-                    router.limits.run(
-                            !unaware.contains(router.position), routers.size(), router.parent(), router.clock());
+                    router.limits.run(!unaware.contains(router.position), listed, router.parent(), router.clock());
                     exchange(router);
                 }
             }
