--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/limits/LimitFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/limits/LimitFleet.java
@@ -39,11 +39,21 @@
     /** The positions of routers whose build knows no limits. */
     final Set<Integer> unaware = new HashSet<>();
 
+    /** The routers that the store lists. */
+    int listed;
+
     CustomerLimit limit;
     long now = 1_000_000;
     long asked;
     long refused;
     long admitted;
+    /** The requests that were refused although a count without delay would have admitted them. */
+    long refusedBelow;
+
+    /** What such a count would admit now, and when it was computed. */
+    private long allowance;
+
+    private long allowanceAtMillis;
     /** The largest use in a window, as a fraction of what the window allows. */
     double largestPart;
 
@@ -105,6 +115,7 @@
         this.random = new SplittableRandom(seed);
         this.limit = limit;
         this.tolerance = tolerance;
+        this.listed = size;
         for (int position = 0; position < size; position++) {
             routers.add(new Router(position));
         }
@@ -115,8 +126,7 @@
         for (long end = now + millis; now < end; now += TICK_MILLIS) {
             for (Router router : routers) {
                 if (router.runs()) {
-                    router.limits.run(
-                            !unaware.contains(router.position), routers.size(), router.parent(), router.clock());
+                    router.limits.run(!unaware.contains(router.position), listed, router.parent(), router.clock());
                     exchange(router);
                 }
             }
@@ -133,11 +143,15 @@
             return;
         }
         asked++;
+        allowance = Math.min(limit.burst(), allowance + limit.perSecond() * (now - allowanceAtMillis) / 1_000);
+        allowanceAtMillis = now;
         if (!unaware.contains(router.position)
                 && router.limits.decide(CUSTOMER, limit, amount, router.clock()) instanceof LimitDecision.Refused) {
             refused++;
+            refusedBelow += amount <= allowance ? 1 : 0;
             return;
         }
+        allowance = Math.max(0, allowance - amount);
         admitted += amount;
         window.addLast(new long[] {now, amount});
         windowAmount += amount;
