Take no end of a connection for the end of an answer while its request is unread

Cause: an upstream that closes its connection with a part of the request unread ends its output before it resets the connection. The router read the end of output first, and took the part of an answer without a length that it had for a whole one. The system's buffers take 4 MB on loopback, so that the request often counted as written.

Answers with a length or in chunks are delivered as before. An upstream that ends such an answer early and whole cannot be told from one that broke it off; its request is not answered with a part.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAnswerFilter.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAnswerFilter.java
@@ -41,29 +41,12 @@
 
     /** Filters what arrives on a connection of the HTTP client. */
     static void install(Channel connection, CallDialect dialect, RouterMetrics metrics) {
-        connection.pipeline().addFirst(new ReceivedBytes());
+        connection.pipeline().addFirst(new TransferredBytes());
         connection
                 .pipeline()
                 .addBefore(ChannelManager.AHC_HTTP_HANDLER, null, new UpstreamAnswerFilter(dialect, metrics));
     }
 
-    /** Records that bytes arrive; on an idle connection they may be the beginning of a response. */
-    private static final class ReceivedBytes extends ChannelInboundHandlerAdapter {
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object bytes) {
-            UpstreamConnection connection = UpstreamConnection.of(context.channel());
-            if (connection.isIdle()) {
-                connection.setInsideResponse(true);
-            }
-            connection.setReading(true);
-            try {
-                context.fireChannelRead(bytes);
-            } finally {
-                connection.setReading(false);
-            }
-        }
-    }
-
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         UpstreamConnection connection = UpstreamConnection.of(context.channel());
@@ -78,6 +61,7 @@
                 reportMismatch(context.channel(), connection, response);
             } else if (!discarding) {
                 discardedResponses = 0;
+                connection.setResponse(response);
             }
         }
         if (discarding) {
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAttempt.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAttempt.java
@@ -231,6 +231,10 @@
         if (finished) {
             return null;
         }
+        if (endedBeforeRequestWasWritten()) {
+            finish(lostEvent("the connection ended before the request was written"));
+            return null;
+        }
         responseComplete = true;
         if (isEventStream() && !streamStarted) {
             finish(lostEvent("the stream ended before its first event was complete"));
@@ -247,6 +251,18 @@
         return null;
     }
 
+    /**
+     * Returns whether only the end of the connection ended the response, although the upstream has not read its request
+     * whole: such a response cannot be told from one that was broken off.
+     */
+    private boolean endedBeforeRequestWasWritten() {
+        if (connection == null || connection.isActive()) {
+            return false;
+        }
+        UpstreamConnection ended = UpstreamConnection.of(connection);
+        return ended.endsWithConnection() && ended.isRequestUnwritten();
+    }
+
     private void finish(AttemptEvent event) {
         if (!finished) {
             finished = true;
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamConnection.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamConnection.java
@@ -5,6 +5,9 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.nio.AbstractNioChannel.NioUnsafe;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.Attribute;
 import io.netty.util.AttributeKey;
 
@@ -25,6 +28,9 @@
     private boolean idle;
     private boolean insideResponse;
     private boolean reading;
+    private int unwrittenMessages;
+    private long requestBytes;
+    private boolean endsWithConnection;
 
     private UpstreamConnection() {}
 
@@ -46,6 +52,7 @@
         }
         requestHashes[requestCount++] = callerAttemptId.hashCode();
         currentRequest = Optional.of(callerAttemptId);
+        beginRequest();
     }
 
     /** Returns whether the request was sent over the connection before; at times also for another request. */
@@ -71,6 +78,12 @@
     void setIdle(boolean isIdle) {
         idle = isIdle;
         currentRequest = Optional.empty();
+        beginRequest();
+    }
+
+    private void beginRequest() {
+        requestBytes = 0;
+        endsWithConnection = false;
     }
 
     boolean isIdle() {
@@ -91,6 +104,38 @@
         reading = isReading;
     }
 
+    /** Records the head of the response to the current request. */
+    void setResponse(HttpResponse head) {
+        endsWithConnection =
+                !head.headers().contains(HttpHeaderNames.CONTENT_LENGTH) && !HttpUtil.isTransferEncodingChunked(head);
+    }
+
+    /** Returns whether only the end of the connection ends the response, unless it has no body. */
+    boolean endsWithConnection() {
+        return endsWithConnection;
+    }
+
+    /** Returns the size of what was handed over to be written for the current request, in bytes. */
+    long requestBytes() {
+        return requestBytes;
+    }
+
+    /** Records that a part of a request is handed over to be written. */
+    void writeBegun(long bytes) {
+        requestBytes += bytes;
+        unwrittenMessages++;
+    }
+
+    /** Records that a part of a request was written whole; one whose connection ends before is never recorded. */
+    void writeEnded() {
+        unwrittenMessages--;
+    }
+
+    /** Returns whether the upstream cannot have read its request whole, since a part of it has not been written. */
+    boolean isRequestUnwritten() {
+        return unwrittenMessages > 0;
+    }
+
     /**
      * Reads at once what has arrived on the connection, unless received bytes are being handled: a response or the end
      * of the connection that came while the event loop was busy is not known otherwise.
