Bound what the daemon's connections keep by a memory budget

Cause: the listeners of the daemon had no budget; only the router on the users' platform had. 60 bodies that stop short of their ends filled the heap, and the process ended, also when they came to the operators' port without a token.

Change: callers and operators share one MemoryBudget on one event loop. Settings memory.connectionMegabytes and memory.connections; by default a fifth of the heap, at least two of the largest bodies, and three quarters of the descriptors.

--- a/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/RouterProcess.java
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/RouterProcess.java
@@ -23,8 +23,10 @@
 import org.fuchsiatrail.daemon.settings.Settings;
 import org.fuchsiatrail.wire.SteadyClock;
 import org.fuchsiatrail.wire.client.HttpClients;
+import org.fuchsiatrail.wire.http.HttpHandler;
 import org.fuchsiatrail.wire.http.HttpLimits;
 import org.fuchsiatrail.wire.http.HttpListener;
+import org.fuchsiatrail.wire.memory.MemoryBudget;
 import org.fuchsiatrail.wire.observe.LogLines;
 import org.fuchsiatrail.wire.observe.RouterMetrics;
 import org.fuchsiatrail.wire.peer.Addresses;
@@ -43,7 +45,10 @@
     private final LinkedBlockingQueue<Input> inputs = new LinkedBlockingQueue<>();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final RouterMetrics metrics = new RouterMetrics();
-    private final EventLoopGroup eventLoopGroup = new NioEventLoopGroup(NETWORK_THREADS);
+    private final EventLoopGroup peerLoop = new NioEventLoopGroup(1);
+    /** One loop, on which the memory budget is kept. */
+    private final EventLoopGroup listenerLoop = new NioEventLoopGroup(1);
+
     private final AsyncHttpClient http = HttpClients.create(NETWORK_THREADS);
     private final Traces traces;
     private final RouterCore core;
@@ -66,7 +71,7 @@
         core = Fuchsiatrail.router(settings.routerSettings(incarnation));
         traces = Traces.create(settings.text(SettingKey.TRACING_EXPORTER), settings.text(SettingKey.ROUTER_ID));
         peers = new PeerTransport(
-                eventLoopGroup,
+                peerLoop,
                 settings.self().id(),
                 Addresses.toSocketAddress(settings.text(SettingKey.PEERS_LISTEN)),
                 settings.text(SettingKey.ROUTER_SECRET),
@@ -99,18 +104,15 @@
                 settings.text(SettingKey.CALLERS_TLS_CERTIFICATE), settings.text(SettingKey.CALLERS_TLS_KEY));
         ReloadingTlsContext operatorTls = ReloadingTlsContext.of(
                 settings.text(SettingKey.OPERATORS_TLS_CERTIFICATE), settings.text(SettingKey.OPERATORS_TLS_KEY));
+        MemoryBudget budget = ConnectionBudget.of(settings, clock, metrics);
+        listen(settings.text(SettingKey.CALLERS_LISTEN), limits, callerTls, budget, callers);
+        listen(settings.text(SettingKey.OPERATORS_LISTEN), HttpLimits.internal(), operatorTls, budget, operators);
+    }
+
+    private void listen(
+            String address, HttpLimits limits, ReloadingTlsContext tls, MemoryBudget budget, HttpHandler handler) {
         listeners.add(HttpListener.listen(
-                eventLoopGroup,
-                Addresses.toSocketAddress(settings.text(SettingKey.CALLERS_LISTEN)),
-                limits,
-                callerTls,
-                callers));
-        listeners.add(HttpListener.listen(
-                eventLoopGroup,
-                Addresses.toSocketAddress(settings.text(SettingKey.OPERATORS_LISTEN)),
-                HttpLimits.internal(),
-                operatorTls,
-                operators));
+                listenerLoop, Addresses.toSocketAddress(address), () -> limits, tls, () -> false, budget, handler));
     }
 
     private void tickUntilStopped() {
@@ -164,7 +166,9 @@
         peers.close();
         closeQuietly(http);
         traces.close();
-        eventLoopGroup.shutdownGracefully(100, 1_000, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        for (EventLoopGroup loop : List.of(peerLoop, listenerLoop)) {
+            loop.shutdownGracefully(100, 1_000, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        }
         LogLines.info("router", "Router stopped.", Map.of());
         LogLines.flush();
     }
--- a/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/settings/SettingKey.java
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/settings/SettingKey.java
@@ -70,6 +70,24 @@
     CALLERS_TLS_CERTIFICATE("callers.tlsCertificate", Kind.FILE, "", 0, 0, "PEM", "Certificate chain for callers."),
     /** Private key of {@link #CALLERS_TLS_CERTIFICATE}. */
     CALLERS_TLS_KEY("callers.tlsKey", Kind.FILE, "", 0, 0, "PEM", "Private key for callers, PKCS 8."),
+    /** Memory that the connections of callers and operators may keep together. */
+    MEMORY_CONNECTION_MEGABYTES(
+            "memory.connectionMegabytes",
+            Kind.INTEGER,
+            "0",
+            0,
+            65_536,
+            "MB",
+            "What all connections may keep together; 0 for a fifth of the heap, at least two largest bodies."),
+    /** Maximum number of open connections of callers and operators. */
+    MEMORY_CONNECTIONS(
+            "memory.connections",
+            Kind.INTEGER,
+            "0",
+            0,
+            1_000_000,
+            "count",
+            "Connections that may be open at once; 0 for three quarters of the descriptors of the process."),
     /** Address on which this router accepts connections of operators. */
     OPERATORS_LISTEN("operators.listen", Kind.ADDRESS, null, 0, 0, "IP:port", "Where to listen for operators."),
     /** Token that operators send with every request. */
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/memory/MemoryBudget.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/memory/MemoryBudget.java
@@ -54,7 +54,20 @@
      */
     public static MemoryBudget ofMachine(
             long machineBytes, int maximumConnections, Clock clock, RouterMetrics metrics) {
-        MemoryBudget budget = new MemoryBudget(machineBytes / MACHINE_PART, maximumConnections, clock, metrics);
+        return ofBytes(machineBytes / MACHINE_PART, maximumConnections, clock, metrics);
+    }
+
+    /**
+     * Creates a budget.
+     *
+     * @param budgetBytes what all connections may keep together
+     * @param maximumConnections the callers' connections that may be open at once
+     * @param clock the steady clock
+     * @param metrics counts what is stopped
+     * @return the budget
+     */
+    public static MemoryBudget ofBytes(long budgetBytes, int maximumConnections, Clock clock, RouterMetrics metrics) {
+        MemoryBudget budget = new MemoryBudget(budgetBytes, maximumConnections, clock, metrics);
         metrics.gauge("memory.held-bytes", () -> budget.heldBytes);
         metrics.gauge("memory.budget-bytes", () -> budget.budgetBytes);
         return budget;
