--- /dev/null
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/admission/PlaceShare.java
@@ -0,0 +1,57 @@
+package org.fuchsiatrail.internal.admission;
+
+/**
+ * Decides whether a router may take one more of the places of a service.
+ *
+ * <p>Load pattern: hundreds of routers see the same few free places in news that is several hundred milliseconds old.
+ * If each of them takes one, most are turned away. Each router owns an equal share of all places, which it may use
+ * whatever others do. It borrows beyond that only its part of the places that are known to be free, so that together
+ * the routers take them once before they hear of each other. While most slots are idle it may use more than its share,
+ * but not so much that a burst overfills the upstreams before the news of it arrives, and at least the slots of one
+ * upstream.
+ *
+ * @param upstreams the upstreams that may be sent to
+ * @param slots the slots of these upstreams
+ * @param places the places of these upstreams: their slots and a useful queue
+ * @param occupancy the requests that run or wait there, from all routers, as far as known
+ * @param own those of this router
+ * @param routers the routers that share the places
+ * @param borrowed the places that this router has borrowed within the age of the news
+ */
+public record PlaceShare(int upstreams, long slots, long places, long occupancy, int own, int routers, int borrowed) {
+
+    /** How many shares a router may use while most slots are idle; upstreams accept more than the useful places. */
+    private static final double CALM_SHARES = 1.25;
+
+    /**
+     * Returns whether the router may use a place as most are free.
+     *
+     * @param ahead its requests that come before
+     * @return whether most slots are idle, as far as known, and its own requests are not many
+     */
+    public boolean isCalm(int ahead) {
+        double allowed = Math.max(slots / Math.max(1, upstreams), CALM_SHARES * places / routers);
+        return 2 * occupancy < slots && own + ahead < allowed;
+    }
+
+    /**
+     * Returns whether the router may use a place of its share.
+     *
+     * @param ahead its requests that come before
+     * @return whether its own requests leave some of it
+     */
+    public boolean ownsPlace(int ahead) {
+        return (own + (long) ahead) * routers < places;
+    }
+
+    /**
+     * Returns whether the router may borrow a place of others.
+     *
+     * @param ahead its requests that come before
+     * @return whether its part of the free places is not used up
+     */
+    public boolean mayBorrow(int ahead) {
+        long free = Math.max(0, places - occupancy);
+        return (borrowed + 1L + ahead) * routers <= free;
+    }
+}
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
@@ -11,6 +11,7 @@
 import org.fuchsiatrail.forwarding.ForwardingOutput;
 import org.fuchsiatrail.forwarding.RequestedPause;
 import org.fuchsiatrail.forwarding.RoutingTable;
+import org.fuchsiatrail.forwarding.UpstreamLoad;
 import org.fuchsiatrail.internal.limits.LimitDecision;
 
 /** Logs each decision about a request with its inputs and outcome, and updates the counters. */
@@ -146,6 +147,10 @@
                 head.status(),
                 "retryAfter",
                 head.requestedPause().map(RequestedPause::text).orElse(""),
+                "running",
+                head.load().map(UpstreamLoad::running).orElse(-1),
+                "waiting",
+                head.load().map(UpstreamLoad::waiting).orElse(-1),
                 "send",
                 pending.sends);
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -12,6 +12,7 @@
 import org.fuchsiatrail.forwarding.ForwardedCall;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
 import org.fuchsiatrail.forwarding.RequestKind;
+import org.fuchsiatrail.internal.admission.SendDecision;
 import org.fuchsiatrail.internal.limits.CustomerLimits;
 
 /**
@@ -30,6 +31,7 @@
     private final CallLog log;
     private final StartupCallQueue startupQueue;
     private final CallTiming timing = new CallTiming();
+    private final CallAdmission admission;
     private final RetryBudgets retryBudgets;
     private final CrashProtection crashProtection;
     private final PeerGossip gossip;
@@ -68,7 +70,8 @@
         this.calls = new CallTable(context);
         this.timers = new CallTimers(context);
         streamVersions.lookup().onResolution(pending -> timers.schedule(pending, context.now()));
-        this.selector = new UpstreamSelector(context, storeReplica, upstreams, timing, requestLimits);
+        this.admission = new CallAdmission(context, storeReplica);
+        this.selector = new UpstreamSelector(context, storeReplica, upstreams, timing, requestLimits, admission);
         this.log = new CallLog(context, storeReplica);
         this.intake = new CallIntake(context, storeReplica, customerLimits, log);
         this.sender = new AttemptSender(context, calls, timers, timing, selector.availability(), crashProtection, log);
@@ -125,33 +128,25 @@
             return;
         }
         bindings.assign(pending);
-        Optional<UpstreamPlacement.Placement> placement =
-                bindings.mustWait(pending) ? Optional.empty() : selector.select(pending);
-        if (placement.isEmpty()) {
+        boolean mustWait = bindings.mustWait(pending);
+        Optional<UpstreamPlacement.Placement> placement = mustWait ? Optional.empty() : selector.select(pending);
+        if (placement.isEmpty() && (mustWait || !selector.isFull(pending))) {
             waitOrRefuse(pending);
             return;
         }
-        boolean firstAttempt = pending.sends == pending.unsentAttempts;
-        if (firstAttempt
-                && placement.get().predictedMillis() > timing.maximumPredictedMillis(pending, remainingMillis)) {
-            double predictedMillis = placement.get().predictedMillis();
-            long advisedRetryMillis = timing.overloadRetryMillis(pending.route, predictedMillis);
-            refuseOrAbort(
-                    pending, ResultCode.OVERLOADED, advisedRetryMillis, "predicted " + Math.round(predictedMillis));
-            return;
-        }
-        if (!firstAttempt && !retryBudgets.tryRetry(pending.service)) {
-            context.count("retries.over-budget");
-            if (pending.streamBegun && context.now() < pending.placementDeadlineMillis) {
-                awaitPlacement(pending);
-                return;
+        boolean budgetLeft = retryBudgets.mayRetry(pending.service);
+        switch (admission.decide(pending, selector.eligible(pending), placement, budgetLeft)) {
+            case SendDecision.Send send -> {
+                if (pending.sends != pending.unsentAttempts) {
+                    retryBudgets.tryRetry(pending.service);
+                }
+                pending.relayed = false;
+                sender.send(pending, placement.orElseThrow(), remainingMillis);
             }
-            refuseOrAbort(
-                    pending, ResultCode.NO_UPSTREAM, CallTiming.EXHAUSTED_BUDGET_RETRY_MILLIS, "retry budget is spent");
-            return;
+            case SendDecision.Wait wait -> awaitPlacement(pending, wait.untilMillis());
+            case SendDecision.Refuse refuse ->
+                refuseOrAbort(pending, refuse.code(), refuse.retryAfterMillis(), refuse.reason());
         }
-        pending.relayed = false;
-        sender.send(pending, placement.get(), remainingMillis);
     }
 
     /**
@@ -176,6 +171,7 @@
             return false;
         }
         context.count("attempts.relayed");
+        admission.endWait(pending);
         pending.relayed = true;
         sender.send(pending, UpstreamPlacement.onRouter(router.get()), remainingMillis);
         return true;
@@ -208,14 +204,6 @@
     }
 
     private void waitOrRefuse(PendingCall pending) {
-        if (pending.streamVersion.isPresent() && !selector.isVersionServed(pending)) {
-            refuseOrAbort(
-                    pending,
-                    ResultCode.STREAM_NOT_RESUMABLE,
-                    CallTiming.NOT_RESUMABLE_RETRY_MILLIS,
-                    "no upstream has software version " + pending.streamVersion.orElse(""));
-            return;
-        }
         Optional<UpstreamAvailability.Unavailable> unavailable = selector.unavailable(pending);
         if (unavailable.isPresent()) {
             refuseOrAbort(
@@ -226,16 +214,16 @@
             return;
         }
         if (context.now() < pending.placementDeadlineMillis) {
-            awaitPlacement(pending);
+            long nextLookMillis = context.now() + CallTiming.PLACEMENT_RETRY_MILLIS;
+            awaitPlacement(pending, Math.min(pending.placementDeadlineMillis, nextLookMillis));
             return;
         }
         refuseOrAbort(pending, ResultCode.NO_UPSTREAM, CallTiming.NO_UPSTREAM_RETRY_MILLIS, "no upstream is usable");
     }
 
-    private void awaitPlacement(PendingCall pending) {
+    private void awaitPlacement(PendingCall pending, long untilMillis) {
         pending.state = PendingCall.State.WAITING;
-        timers.schedule(
-                pending, Math.min(pending.placementDeadlineMillis, context.now() + CallTiming.PLACEMENT_RETRY_MILLIS));
+        timers.schedule(pending, untilMillis);
     }
 
     /** Handles an event of an attempt. */
@@ -261,6 +249,7 @@
             case AttemptEvent.Started started -> handleStreamStart(pending, started);
             case AttemptEvent.Progressed progressed -> handleProgress(pending, progressed.lastEventId());
             case AttemptEvent.Finished finished -> {
+                admission.recordCompletion(pending);
                 upstreams.recordSuccess(pending.upstream);
                 crashProtection.recordCompletion(pending);
                 finish(pending, "Stream completed.", 200);
@@ -287,9 +276,12 @@
             handleLoss(pending, new AttemptEvent.Lost(true, true, "", "answer lacks a valid upstream signature"));
             return;
         }
+        boolean failed = head.status() >= 500;
+        if (!failed) {
+            admission.recordCompletion(pending);
+        }
         releaseAttempt(pending);
         pending.possibleExecutions++;
-        boolean failed = head.status() >= 500;
         boolean unusable = failed || pending.streamBegun;
         pending.excludedUpstreams.add(pending.upstream.id());
         boolean retry = unusable && pending.mayRetry() && retryBudgets.mayRetry(pending.service);
@@ -389,14 +381,14 @@
     }
 
     private void handleNotExecuted(PendingCall pending, AttemptEvent.Head head) {
+        admission.recordRefusal(pending, head);
         releaseAttempt(pending);
         log.notExecuted(pending, head);
         context.emit(new ForwardingOutput.Cancel(pending.attempt));
         if (head.status() == CallTiming.MISDIRECTED_STATUS) {
             answerHeads.recordMisdirected(pending, head);
-        } else {
+        } else if (pending.streamBegun || pending.mayHaveRun()) {
             pending.excludedUpstreams.add(pending.upstream.id());
-            pending.upstream.overloadedUntilMillis = context.now() + CallTiming.OVERLOADED_MILLIS;
         }
         if (pending.sends >= CallTiming.MAXIMUM_SENDS) {
             refuseOrAbort(
@@ -583,6 +575,7 @@
     private void close(PendingCall pending) {
         pending.state = PendingCall.State.FINISHED;
         calls.remove(pending);
+        admission.endWait(pending);
         heldAttempts.close(pending);
         if (pending.attempt != null) {
             releaseAttempt(pending);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTiming.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTiming.java
@@ -33,9 +33,6 @@
     /** How long a relayed attempt may show no progress, as a multiple of the latency target. */
     private static final long RELAY_TIMEOUT_FACTOR = 2;
 
-    /** Retry time when the retry budget is exhausted, in milliseconds. */
-    static final long EXHAUSTED_BUDGET_RETRY_MILLIS = 500;
-
     /** The least remaining time for which an attempt is worth sending, in milliseconds. */
     static final long MINIMUM_ATTEMPT_MILLIS = 30;
 
@@ -60,12 +57,6 @@
     /** The same as a multiple of the latency target of a call, if that is shorter. */
     private static final long UNRESPONSIVE_FACTOR = 2;
 
-    /**
-     * How long an upstream is treated as overloaded after it rejected a request, in milliseconds; half the time of a
-     * short call.
-     */
-    static final long OVERLOADED_MILLIS = 40;
-
     /**
      * The fraction of the grace period of replaced weights during which requests are sent to them. The rest covers the
      * delay until routers receive the new target version and the time requests spend in engine queues.
@@ -114,12 +105,6 @@
      */
     private static final double PLACEMENT_TIMEOUT_FRACTION = 0.12;
 
-    /** Predicted time to an answer beyond which a request is refused at once, as a fraction of its latency target. */
-    private static final double MAXIMUM_PREDICTED_FRACTION = 1.5;
-
-    /** The same for short prompts, which take little capacity from other requests even when they are answered late. */
-    private static final double MAXIMUM_PREDICTED_SHORT_PROMPT_FRACTION = 4;
-
     /** The fraction of the latency target after which an idempotent call is retried. */
     private static final double CALL_TIMEOUT_FRACTION = 0.6;
 
@@ -152,20 +137,6 @@
         return (long) (route.latencyTargetMillis() * PLACEMENT_TIMEOUT_FRACTION);
     }
 
-    /** Returns the longest predicted time to an answer with which a request is accepted. */
-    long maximumPredictedMillis(PendingCall pending, long remainingMillis) {
-        double fraction = UpstreamPlacement.isShort(pending.call.inputTokens())
-                ? MAXIMUM_PREDICTED_SHORT_PROMPT_FRACTION
-                : MAXIMUM_PREDICTED_FRACTION;
-        return Math.min(remainingMillis, (long) (pending.route.latencyTargetMillis() * fraction));
-    }
-
-    /** Returns the retry time to advise when upstreams are predicted to take too long. */
-    long overloadRetryMillis(Route route, double predictedMillis) {
-        long excessMillis = Math.round(predictedMillis - route.latencyTargetMillis() / 2.0);
-        return Math.clamp(excessMillis, MINIMUM_OVERLOAD_RETRY_MILLIS, MAXIMUM_OVERLOAD_RETRY_MILLIS);
-    }
-
     /** Returns the retry time to advise when all upstreams are at their limits and this router may send later. */
     long limitRetryMillis(long millisUntilPermitted) {
         return Math.clamp(millisUntilPermitted, MINIMUM_OVERLOAD_RETRY_MILLIS, MAXIMUM_OVERLOAD_RETRY_MILLIS);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
@@ -240,6 +240,13 @@
         context.wakeAt(nextDownwardAtMillis);
     }
 
+    /** Returns how old the news of another router's work may be, in milliseconds: three hops if relays pass it on. */
+    static long newsAgeMillis(int members) {
+        return GossipTopology.usesRelays(members)
+                ? 3 * RELAYED_HEARTBEAT_INTERVAL_MILLIS
+                : Math.max(MINIMUM_HEARTBEAT_INTERVAL_MILLIS, HEARTBEAT_INTERVAL_PER_PEER_MILLIS * members);
+    }
+
     private void scheduleHeartbeat(long intervalMillis) {
         nextHeartbeatAtMillis = context.now() + intervalMillis;
         context.wakeAt(nextHeartbeatAtMillis);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.fuchsiatrail.ResultCode;
 import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.RoutingTable;
 import org.fuchsiatrail.forwarding.ServiceDefinition;
@@ -21,13 +22,16 @@
     private final UpstreamAvailability availability;
     private final UpstreamPlacement placement;
     private final PathLoss pathLoss;
+    private final CallAdmission admission;
 
     UpstreamSelector(
             ForwardingContext context,
             StoreReplica storeReplica,
             UpstreamTable upstreams,
             CallTiming timing,
-            RequestLimits requestLimits) {
+            RequestLimits requestLimits,
+            CallAdmission admission) {
+        this.admission = admission;
         this.context = context;
         this.storeReplica = storeReplica;
         this.upstreams = upstreams;
@@ -128,7 +132,7 @@
     }
 
     /** Returns whether any registered upstream has the software version that began the request's stream. */
-    boolean isVersionServed(PendingCall pending) {
+    private boolean isVersionServed(PendingCall pending) {
         return upstreams.activeUpstreams(pending.service).stream()
                 .anyMatch(upstream -> mayContinueAt(pending, upstream));
     }
@@ -139,25 +143,36 @@
                 .orElse(true);
     }
 
+    private List<UpstreamState> candidates(PendingCall pending) {
+        return admission.withPlace(pending, eligible(pending));
+    }
+
+    /** Returns whether all upstreams that may receive the request are believed full. */
+    boolean isFull(PendingCall pending) {
+        List<UpstreamState> eligible = eligible(pending);
+        return !reachesNobody(pending)
+                && !eligible.isEmpty()
+                && admission.withPlace(pending, eligible).isEmpty();
+    }
+
     /**
-     * Returns the eligible upstreams; only when there is no other those that pause at other routers, and then suspected
-     * ones.
+     * Returns the eligible upstreams, whether or not they have a place; only when there is no other those that pause at
+     * other routers, and then suspected ones.
      */
-    private List<UpstreamState> candidates(PendingCall pending) {
-        List<UpstreamState> active = candidates(pending, upstreams.activeUpstreams(pending.service));
+    List<UpstreamState> eligible(PendingCall pending) {
+        List<UpstreamState> active = eligible(pending, upstreams.activeUpstreams(pending.service));
         // Version shares follow upstreams that drain after a moment; until then others may not begin these streams.
         return active.isEmpty() && pending.assignedVersion.isPresent() && pending.streamVersion.isEmpty()
-                ? candidates(pending, upstreams.recentlyDraining(pending.service))
+                ? eligible(pending, upstreams.recentlyDraining(pending.service))
                 : active;
     }
 
-    private List<UpstreamState> candidates(PendingCall pending, List<UpstreamState> registered) {
+    private List<UpstreamState> eligible(PendingCall pending, List<UpstreamState> registered) {
         List<UpstreamState> usable = new ArrayList<>();
         List<UpstreamState> lastResort = new ArrayList<>();
         List<UpstreamState> suspected = new ArrayList<>();
         for (UpstreamState upstream : registered) {
-            boolean expectedToRefuse = context.now() < upstream.overloadedUntilMillis
-                    || (pending.route.describesPrompt() && upstream.isSwitchingWeights(context.now()));
+            boolean expectedToRefuse = pending.route.describesPrompt() && upstream.isSwitchingWeights(context.now());
             RequestedPauses.Permission permission = availability.permission(upstream);
             if (expectedToRefuse
                     || permission == RequestedPauses.Permission.DENIED
@@ -176,6 +191,12 @@
 
     /** Returns why no upstream may receive the request in time, if what they all said of themselves excludes it. */
     Optional<UpstreamAvailability.Unavailable> unavailable(PendingCall pending) {
+        if (pending.streamVersion.isPresent() && !isVersionServed(pending)) {
+            return Optional.of(new UpstreamAvailability.Unavailable(
+                    ResultCode.STREAM_NOT_RESUMABLE,
+                    CallTiming.NOT_RESUMABLE_RETRY_MILLIS,
+                    "no upstream has software version " + pending.streamVersion.orElse("")));
+        }
         if (reachesNobody(pending)) {
             // A stream that goes on is looked at anew.
             pending.upstreamsLost = false;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
@@ -51,8 +51,6 @@
     boolean endReported;
     /** Until when it is expected to refuse requests because it loads new weights. */
     long switchingUntilMillis = Long.MIN_VALUE;
-    /** Until when it is expected to refuse requests because it is overloaded. */
-    long overloadedUntilMillis = Long.MIN_VALUE;
     /** The end of its backoff, in which it receives no new requests after a failure or a timeout. */
     long suspectUntilMillis = Long.MIN_VALUE;
 
@@ -176,7 +174,6 @@
             weightVersions.clear();
             cache.clear();
             load = null;
-            overloadedUntilMillis = Long.MIN_VALUE;
             suspectUntilMillis = Long.MIN_VALUE;
             awaitsProbe = false;
             consecutiveFailures = 0;
--- /dev/null
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/admission/FullUpstreamsReplayTest.java
@@ -0,0 +1,48 @@
+package org.fuchsiatrail.internal.admission;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Replays callers who at once ask more than idle upstreams complete, at fleets of 3 to 340 routers. */
+class FullUpstreamsReplayTest {
+
+    private static final double MAXIMUM_TURNED_AWAY_FRACTION = 0.02;
+    private static final double MINIMUM_GOODPUT_FRACTION = 0.95;
+
+    @ParameterizedTest
+    @CsvSource({"3,6", "7,10", "68,98", "340,150"})
+    void should_send_full_upstreams_little_and_complete_as_much_beyond_their_capacity(int routers, int upstreams) {
+        double completedAtCapacity = 0;
+        for (double load : new double[] {1.0, 1.5, 2.5}) {
+            ReplayedFleet fleet = new ReplayedFleet(routers, upstreams, true, 1).play(load);
+            assertThat(fleet.turnedAwayFraction())
+                    .as("turned away at load %s", load)
+                    .isLessThanOrEqualTo(MAXIMUM_TURNED_AWAY_FRACTION);
+            completedAtCapacity = Math.max(completedAtCapacity, load == 1.0 ? fleet.completedPerSecond() : 0);
+            assertThat(fleet.completedPerSecond())
+                    .as("completed a second at load %s", load)
+                    .isGreaterThanOrEqualTo(MINIMUM_GOODPUT_FRACTION * completedAtCapacity);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"3,6", "7,10", "68,98", "340,150"})
+    void should_serve_the_more_urgent_first_and_starve_neither_a_kind_nor_a_router(int routers, int upstreams) {
+        ReplayedFleet fleet = new ReplayedFleet(routers, upstreams, true, 2).play(2.5);
+        double capacity = 1 / 2.5;
+        assertThat(fleet.urgent.servedFraction()).isGreaterThan(fleet.patient.servedFraction());
+        assertThat(fleet.patient.servedFraction()).isGreaterThan(capacity / 4);
+        for (ReplayedFleet.Outcome router : fleet.byRouter) {
+            assertThat(router.servedFraction()).isGreaterThan(capacity / 2);
+        }
+    }
+
+    @Test
+    void should_be_turned_away_mostly_when_the_upstreams_alone_decide() {
+        ReplayedFleet fleet = new ReplayedFleet(68, 98, false, 1).play(2.5);
+        assertThat(fleet.turnedAwayFraction()).isGreaterThan(0.5);
+    }
+}
--- /dev/null
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Replays of the loads that the admission decisions answer. */
+package org.fuchsiatrail.internal.admission;
