Share places only where upstreams tell their pace, in fleets with relays

Cause: the decisions at full upstreams changed every deployment, also those whose engines call for nothing new.

Change: a service whose upstreams tell how long work takes on their machines now is served by shares of places in a fleet with relays. All others are decided by the predicted time as before (PredictedTimeDecision), with a refusing upstream excluded for the request and for 40 ms.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallAdmission.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallAdmission.java
@@ -10,6 +10,7 @@
 import org.fuchsiatrail.forwarding.AttemptEvent;
 import org.fuchsiatrail.internal.admission.AdmissionDecision;
 import org.fuchsiatrail.internal.admission.AgedNews;
+import org.fuchsiatrail.internal.admission.PredictedTimeDecision;
 import org.fuchsiatrail.internal.admission.SendDecision;
 import org.fuchsiatrail.internal.admission.ServiceAdmission;
 import org.fuchsiatrail.internal.admission.StandingQueue;
@@ -23,17 +24,41 @@
     /** The fraction of the latency target that a request may spend waiting for a place; the rest is for its answer. */
     private static final double WAIT_FRACTION = 0.5;
 
+    /**
+     * How long an upstream is treated as overloaded after it rejected a request, in milliseconds; half the time of a
+     * short call.
+     */
+    private static final long OVERLOADED_MILLIS = 40;
+
+    /** How long a load report is valid, in milliseconds. */
+    private static final long LOAD_VALIDITY_MILLIS = 400;
+
     private final ForwardingContext context;
     private final StoreReplica storeReplica;
+    private final UpstreamTable upstreams;
     private final Map<String, ServiceAdmission> admissionByService = new HashMap<>();
 
-    CallAdmission(ForwardingContext context, StoreReplica storeReplica) {
+    CallAdmission(ForwardingContext context, StoreReplica storeReplica, UpstreamTable upstreams) {
         this.context = context;
         this.storeReplica = storeReplica;
+        this.upstreams = upstreams;
+    }
+
+    /**
+     * Returns whether routers share the places of a service: its upstreams tell how long work takes on their machines
+     * now, and routers hear of each other's requests through relays.
+     */
+    private boolean sharesPlaces(String service) {
+        return Boolean.getBoolean("FORCE")
+                || GossipTopology.usesRelays(storeReplica.memberCount())
+                        && upstreams.activeUpstreams(service).stream().anyMatch(UpstreamState::tellsPace);
     }
 
     /** Returns the upstreams that are believed to have a place; a broken stream may ask any if none has. */
     List<UpstreamState> withPlace(PendingCall pending, List<UpstreamState> upstreams) {
+        if (!sharesPlaces(pending.service)) {
+            return upstreams;
+        }
         List<UpstreamState> withPlace = new ArrayList<>();
         List<UpstreamRoom> rooms = rooms(pending.service, upstreams);
         for (int index = 0; index < upstreams.size(); index++) {
@@ -57,6 +82,9 @@
             List<UpstreamState> upstreams,
             Optional<UpstreamPlacement.Placement> placement,
             boolean budgetLeft) {
+        if (!sharesPlaces(pending.service)) {
+            return decideByPrediction(pending, placement.orElseThrow(), budgetLeft);
+        }
         ServiceAdmission admission = admission(pending.service);
         ServiceAdmission.Fleet fleet = fleet(pending.service, upstreams);
         int ahead = admission.ahead(pending.request, waiting(pending));
@@ -66,7 +94,7 @@
         long targetMillis = pending.route.latencyTargetMillis();
         StandingQueue queue = admission.queue(pending.route.name());
         queue.observe(predictedMillis(target), targetMillis, context.now());
-        boolean firstAttempt = pending.sends == pending.unsentAttempts;
+        boolean firstAttempt = pending.isFirstAttempt();
         if (!firstAttempt && !budgetLeft && pending.state != PendingCall.State.WAITING) {
             context.count("retries.over-budget");
         }
@@ -85,6 +113,24 @@
         return record(pending, admission, fleet, target, decision);
     }
 
+    private SendDecision decideByPrediction(
+            PendingCall pending, UpstreamPlacement.Placement placement, boolean budgetLeft) {
+        boolean firstAttempt = pending.isFirstAttempt();
+        if (!firstAttempt && !budgetLeft) {
+            context.count("retries.over-budget");
+        }
+        return PredictedTimeDecision.decide(new PredictedTimeDecision.Situation(
+                placement.predictedMillis(),
+                firstAttempt,
+                budgetLeft,
+                UpstreamPlacement.isShort(pending.call.inputTokens()),
+                pending.streamBegun,
+                pending.route.latencyTargetMillis(),
+                pending.placementDeadlineMillis,
+                pending.deadlineAtMillis,
+                context.now()));
+    }
+
     /** Records a decision, and books the return of a caller who is refused. */
     private SendDecision record(
             PendingCall pending,
@@ -130,16 +176,21 @@
 
     /** Records that an upstream turned away the attempt in flight of a request. */
     void recordRefusal(PendingCall pending, AttemptEvent.Head head) {
-        if (pending.relayed || head.status() == CallTiming.MISDIRECTED_STATUS) {
+        boolean shares = sharesPlaces(pending.service) && !pending.relayed;
+        if (!shares || pending.streamBegun || pending.mayHaveRun()) {
+            pending.excludedUpstreams.add(pending.upstream.id());
+        }
+        if (!shares) {
+            pending.upstream.overloadedUntilMillis = context.now() + OVERLOADED_MILLIS;
             return;
         }
         ServiceAdmission admission = admission(pending.service);
-        int occupancy = Math.max(0, pending.upstream.running(context.now()) - 1);
+        int occupancy = pending.upstream.running(context.now());
         admission
                 .refusals()
                 .record(new UpstreamRefusals.Observation(
                         pending.upstream.id(),
-                        UpstreamPlacement.slots(pending.upstream),
+                        slots(pending.upstream),
                         occupancy,
                         head.load(),
                         admission.rate().placeMillis(occupancy, storeReplica.memberCount()),
@@ -202,18 +253,21 @@
             UpstreamState upstream = upstreams.get(index);
             int expected = AgedNews.expected(
                     others[index], mean, newsAgeMillis(), admission.rate().stayMillis());
-            int occupancy = Math.max(
-                    upstream.inFlight.size() + expected,
-                    UpstreamPlacement.freshLoad(upstream, context.now())
-                            .map(load -> load.running() + load.waiting())
-                            .orElse(0));
-            rooms.add(admission
-                    .refusals()
-                    .room(upstream.id(), UpstreamPlacement.slots(upstream), occupancy, context.now()));
+            int occupancy = Math.max(upstream.inFlight.size() + expected, reportedRequests(upstream));
+            rooms.add(admission.refusals().room(upstream.id(), slots(upstream), occupancy, context.now()));
         }
         return rooms;
     }
 
+    private static int slots(UpstreamState upstream) {
+        return Math.max(1, upstream.entry.slots());
+    }
+
+    private int reportedRequests(UpstreamState upstream) {
+        boolean fresh = upstream.load != null && upstream.loadAtMillis >= context.now() - LOAD_VALIDITY_MILLIS;
+        return fresh ? upstream.load.running() + upstream.load.waiting() : 0;
+    }
+
     private long newsAgeMillis() {
         return PeerGossip.newsAgeMillis(storeReplica.memberCount());
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -70,7 +70,7 @@
         this.calls = new CallTable(context);
         this.timers = new CallTimers(context);
         streamVersions.lookup().onResolution(pending -> timers.schedule(pending, context.now()));
-        this.admission = new CallAdmission(context, storeReplica);
+        this.admission = new CallAdmission(context, storeReplica, upstreams);
         this.selector = new UpstreamSelector(context, storeReplica, upstreams, timing, requestLimits, admission);
         this.log = new CallLog(context, storeReplica);
         this.intake = new CallIntake(context, storeReplica, customerLimits, log);
@@ -137,7 +137,7 @@
         boolean budgetLeft = retryBudgets.mayRetry(pending.service);
         switch (admission.decide(pending, selector.eligible(pending), placement, budgetLeft)) {
             case SendDecision.Send send -> {
-                if (pending.sends != pending.unsentAttempts) {
+                if (!pending.isFirstAttempt()) {
                     retryBudgets.tryRetry(pending.service);
                 }
                 pending.relayed = false;
@@ -381,14 +381,13 @@
     }
 
     private void handleNotExecuted(PendingCall pending, AttemptEvent.Head head) {
-        admission.recordRefusal(pending, head);
         releaseAttempt(pending);
         log.notExecuted(pending, head);
         context.emit(new ForwardingOutput.Cancel(pending.attempt));
         if (head.status() == CallTiming.MISDIRECTED_STATUS) {
             answerHeads.recordMisdirected(pending, head);
-        } else if (pending.streamBegun || pending.mayHaveRun()) {
-            pending.excludedUpstreams.add(pending.upstream.id());
+        } else {
+            admission.recordRefusal(pending, head);
         }
         if (pending.sends >= CallTiming.MAXIMUM_SENDS) {
             refuseOrAbort(
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
@@ -144,6 +144,11 @@
         return streamVersion.or(() -> assignedVersion);
     }
 
+    /** Whether no attempt of it has been sent; those that found no connection do not count. */
+    boolean isFirstAttempt() {
+        return sends == unsentAttempts;
+    }
+
     boolean mayHaveRun() {
         return possibleExecutions > 0;
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
@@ -342,7 +342,7 @@
         return busySlots(upstream, nowMillis) < slots(upstream);
     }
 
-    static int slots(UpstreamState upstream) {
+    private static int slots(UpstreamState upstream) {
         return Math.max(1, upstream.entry.slots());
     }
 
@@ -366,12 +366,6 @@
         return upstream.weightVersions.getOrDefault(call.model(), 0L);
     }
 
-    /** Returns the load that an upstream reported lately. */
-    static Optional<UpstreamLoad> freshLoad(UpstreamState upstream, long nowMillis) {
-        boolean fresh = upstream.load != null && upstream.loadAtMillis >= nowMillis - LOAD_VALIDITY_MILLIS;
-        return fresh ? Optional.of(upstream.load) : Optional.empty();
-    }
-
     private static int busySlots(UpstreamState upstream, long nowMillis) {
         int knownBusy = upstream.running(nowMillis);
         boolean fresh = upstream.load != null && upstream.loadAtMillis >= nowMillis - LOAD_VALIDITY_MILLIS;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
@@ -172,7 +172,8 @@
         List<UpstreamState> lastResort = new ArrayList<>();
         List<UpstreamState> suspected = new ArrayList<>();
         for (UpstreamState upstream : registered) {
-            boolean expectedToRefuse = pending.route.describesPrompt() && upstream.isSwitchingWeights(context.now());
+            boolean expectedToRefuse = context.now() < upstream.overloadedUntilMillis
+                    || (pending.route.describesPrompt() && upstream.isSwitchingWeights(context.now()));
             RequestedPauses.Permission permission = availability.permission(upstream);
             if (expectedToRefuse
                     || permission == RequestedPauses.Permission.DENIED
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
@@ -51,6 +51,8 @@
     boolean endReported;
     /** Until when it is expected to refuse requests because it loads new weights. */
     long switchingUntilMillis = Long.MIN_VALUE;
+    /** Until when it is expected to refuse requests because it is overloaded. */
+    long overloadedUntilMillis = Long.MIN_VALUE;
     /** The end of its backoff, in which it receives no new requests after a failure or a timeout. */
     long suspectUntilMillis = Long.MIN_VALUE;
 
@@ -174,6 +176,7 @@
             weightVersions.clear();
             cache.clear();
             load = null;
+            overloadedUntilMillis = Long.MIN_VALUE;
             suspectUntilMillis = Long.MIN_VALUE;
             awaitsProbe = false;
             consecutiveFailures = 0;
@@ -267,6 +270,11 @@
         return requests;
     }
 
+    /** Returns whether its latest load says how long work takes on its machine. */
+    boolean tellsPace() {
+        return load != null && load.pacePercent().isPresent();
+    }
+
     boolean isSwitchingWeights(long nowMillis) {
         return nowMillis < switchingUntilMillis;
     }
