Let a more urgent request use places that less urgent ones do not delay

Cause: once less urgent requests had filled a router's share, a more urgent one waited and was refused while the former were admitted, although upstreams run the more urgent first.

Change: requests that are less urgent do not count against the share of a more urgent one, which may use places beyond the useful queue; what the upstreams were seen to accept bounds both.

Measured: FullUpstreamsReplayTest and RandomDeploymentTest pass.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/admission/PlaceShare.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/admission/PlaceShare.java
@@ -10,15 +10,29 @@
  * but not so much that a burst overfills the upstreams before the news of it arrives, and at least the slots of one
  * upstream.
  *
+ * <p>Load pattern: less urgent requests fill the share of a router before a more urgent one arrives. Upstreams run the
+ * more urgent first, so those that it overtakes take nothing of its share; it may use places beyond the useful queue.
+ *
  * @param upstreams the upstreams that may be sent to
  * @param slots the slots of these upstreams
  * @param places the places of these upstreams: their slots and a useful queue
  * @param occupancy the requests that run or wait there, from all routers, as far as known
- * @param own those of this router
+ * @param urgentPlaces the same with a longer queue, for requests that go before most of those that wait there
+ * @param own the requests of this router that run or wait there
+ * @param ownBefore those of them that are at least as urgent as the one that asks for a place
  * @param routers the routers that share the places
  * @param borrowed the places that this router has borrowed within the age of the news
  */
-public record PlaceShare(int upstreams, long slots, long places, long occupancy, int own, int routers, int borrowed) {
+public record PlaceShare(
+        int upstreams,
+        long slots,
+        long places,
+        long urgentPlaces,
+        long occupancy,
+        int own,
+        int ownBefore,
+        int routers,
+        int borrowed) {
 
     /** How many shares a router may use while most slots are idle; upstreams accept more than the useful places. */
     private static final double CALM_SHARES = 1.25;
@@ -41,7 +55,7 @@
      * @return whether its own requests leave some of it
      */
     public boolean ownsPlace(int ahead) {
-        return (own + (long) ahead) * routers < places;
+        return (ownBefore + (long) ahead) * routers < places && (own + (long) ahead) * routers < urgentPlaces;
     }
 
     /**
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/admission/ServiceAdmission.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/admission/ServiceAdmission.java
@@ -22,15 +22,20 @@
      *
      * @param rooms their places
      * @param own the requests of this router that they have
+     * @param ownBefore those of them that are at least as urgent as the request that asks for a place
      * @param routers the number of routers
      * @param newsAgeMillis how old the news of other routers' requests may be, in milliseconds
      */
-    public record Fleet(List<UpstreamRoom> rooms, int own, int routers, long newsAgeMillis) {
+    public record Fleet(List<UpstreamRoom> rooms, int own, int ownBefore, int routers, long newsAgeMillis) {
 
         private long places() {
             return rooms.stream().mapToLong(UpstreamRoom::places).sum();
         }
 
+        private long urgentPlaces() {
+            return rooms.stream().mapToLong(UpstreamRoom::urgentPlaces).sum();
+        }
+
         private long slots() {
             return rooms.stream().mapToLong(UpstreamRoom::slots).sum();
         }
@@ -142,8 +147,10 @@
                 fleet.rooms().size(),
                 fleet.slots(),
                 fleet.places(),
+                fleet.urgentPlaces(),
                 fleet.occupancy(),
                 fleet.own(),
+                fleet.ownBefore(),
                 Math.max(1, fleet.routers()),
                 borrowedAtMillis.size());
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/admission/UpstreamRoom.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/admission/UpstreamRoom.java
@@ -21,6 +21,9 @@
      */
     private static final int USEFUL_QUEUE_PER_SLOT = 1;
 
+    /** The same for requests that the upstream runs before those of the useful queue. */
+    private static final int URGENT_QUEUE_PER_SLOT = 2;
+
     /**
      * Returns how many requests routers should have there together.
      *
@@ -30,6 +33,15 @@
         return Math.min(slots * (1 + USEFUL_QUEUE_PER_SLOT), acceptedRequests());
     }
 
+    /**
+     * Returns how many requests routers should have there together if they send one more that goes before most others.
+     *
+     * @return the places
+     */
+    public int urgentPlaces() {
+        return Math.min(slots * (1 + URGENT_QUEUE_PER_SLOT), acceptedRequests());
+    }
+
     /**
      * Returns whether it is believed to accept a request. That is more than the useful places, which are counted over
      * all upstreams: with news that are old, routers that avoid each upstream above the mean crowd at the others.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallAdmission.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallAdmission.java
@@ -86,7 +86,7 @@
             return decideByPrediction(pending, placement.orElseThrow(), budgetLeft);
         }
         ServiceAdmission admission = admission(pending.service);
-        ServiceAdmission.Fleet fleet = fleet(pending.service, upstreams);
+        ServiceAdmission.Fleet fleet = fleet(pending, upstreams);
         int ahead = admission.ahead(pending.request, waiting(pending));
         boolean mayUsePlace = pending.streamBegun || admission.mayUsePlace(fleet, ahead, context.now());
         AdmissionDecision.Target target =
@@ -235,11 +235,18 @@
                 pending.priority(), pending.receivedAtMillis + pending.route.latencyTargetMillis());
     }
 
-    private ServiceAdmission.Fleet fleet(String service, List<UpstreamState> upstreams) {
-        int own = upstreams.stream()
-                .mapToInt(upstream -> upstream.inFlight.size())
-                .sum();
-        return new ServiceAdmission.Fleet(rooms(service, upstreams), own, storeReplica.memberCount(), newsAgeMillis());
+    private ServiceAdmission.Fleet fleet(PendingCall pending, List<UpstreamState> upstreams) {
+        int priority = pending.priority();
+        int own = 0;
+        int ownBefore = 0;
+        for (UpstreamState upstream : upstreams) {
+            own += upstream.inFlight.size();
+            ownBefore += (int) upstream.inFlight.values().stream()
+                    .filter(attempt -> attempt.priority <= priority)
+                    .count();
+        }
+        return new ServiceAdmission.Fleet(
+                rooms(pending.service, upstreams), own, ownBefore, storeReplica.memberCount(), newsAgeMillis());
     }
 
     private List<UpstreamRoom> rooms(String service, List<UpstreamState> upstreams) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
@@ -92,6 +92,9 @@
         /** Whether the request cannot continue on another upstream. */
         boolean nonResumable;
 
+        /** The priority of its request; 0 is the most urgent. */
+        final int priority;
+
         final boolean shortPrompt;
 
         /** The predicted time to its first event, in milliseconds. */
@@ -107,6 +110,7 @@
             UpstreamPlacement.Placement placement = pending.placement;
             sentAtMillis = nowMillis;
             nonResumable = isNonResumable(pending);
+            priority = pending.priority();
             shortPrompt = UpstreamPlacement.isShort(pending.call.inputTokens());
             promptTokens = placement.uncachedTokens();
             predictedMillis = placement.predictedMillis();
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/admission/ReplayedFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/admission/ReplayedFleet.java
@@ -122,6 +122,7 @@
         final ServiceAdmission admission = new ServiceAdmission();
         final int number;
         final int[] own = new int[upstreams.size()];
+        int ownUrgent;
         final PriorityQueue<Look> looks = new PriorityQueue<>(Comparator.comparingLong(Look::atMillis));
         int[] others = new int[upstreams.size()];
         int[] othersOnTheWay = others;
@@ -163,7 +164,8 @@
             for (int count : own) {
                 inFlight += count;
             }
-            ServiceAdmission.Fleet fleet = new ServiceAdmission.Fleet(rooms, inFlight, routers.size(), newsAgeMillis);
+            ServiceAdmission.Fleet fleet = new ServiceAdmission.Fleet(
+                    rooms, inFlight, request.urgent ? ownUrgent : inFlight, routers.size(), newsAgeMillis);
             int ahead = admission.ahead(request, request.waiting());
             int chosen = choose(rooms);
             boolean full = decides && (chosen < 0 || !admission.mayUsePlace(fleet, ahead, now));
@@ -222,6 +224,7 @@
             request.sentAtMillis = now;
             if (upstream.offer(request)) {
                 own[index]++;
+                ownUrgent += request.urgent ? 1 : 0;
                 return;
             }
             turnedAway++;
@@ -244,6 +247,7 @@
 
         void complete(Request request, int index, ReplayedUpstream upstream) {
             own[index]--;
+            ownUrgent -= request.urgent ? 1 : 0;
             admission.rate().record(now - request.sentAtMillis);
             admission.refusals().placeCameFree(upstream.id);
             if (now >= MEASURED_FROM_MILLIS) {
