Refuse a request that may have run when the retry budget is spent

Cause: a request whose attempt was lost waited with a spent retry budget and was repeated later, as one does that was turned away.

Change: only a request that has certainly not run, or a stream that goes on, waits for the retry budget; one that may have run is refused at once, and waits for a place no longer than before.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/admission/AdmissionDecision.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/admission/AdmissionDecision.java
@@ -41,6 +41,7 @@
      * @param target where it would go
      * @param firstAttempt whether it was sent to no upstream yet
      * @param budgetLeft whether the retry budget allows another send
+     * @param mayWaitForBudget whether it may wait for the retry budget: it has certainly not run, or its stream goes on
      * @param shortPrompt whether its prompt is short
      * @param queueStands whether none of its kind could expect an answer in time for a while
      * @param ahead the waiting requests of this router that come before it
@@ -54,6 +55,7 @@
             Target target,
             boolean firstAttempt,
             boolean budgetLeft,
+            boolean mayWaitForBudget,
             boolean shortPrompt,
             boolean queueStands,
             int ahead,
@@ -114,7 +116,7 @@
         if (situation.firstAttempt() || situation.budgetLeft()) {
             return new SendDecision.Send();
         }
-        return situation.nowMillis() < situation.waitUntilMillis()
+        return situation.mayWaitForBudget() && situation.nowMillis() < situation.waitUntilMillis()
                 ? situation.waitUntilNextLook()
                 : new SendDecision.Refuse(
                         ResultCode.NO_UPSTREAM, situation.placeExpectedMillis(), "retry budget is spent");
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallAdmission.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallAdmission.java
@@ -102,6 +102,7 @@
                 target,
                 firstAttempt,
                 budgetLeft,
+                pending.streamBegun || !pending.mayHaveRun(),
                 UpstreamPlacement.isShort(pending.call.inputTokens()),
                 queue.stands(targetMillis, context.now()),
                 ahead,
@@ -225,7 +226,7 @@
     private static long waitUntilMillis(PendingCall pending) {
         long withinTargetMillis =
                 pending.receivedAtMillis + Math.round(pending.route.latencyTargetMillis() * WAIT_FRACTION);
-        return pending.streamBegun
+        return pending.streamBegun || pending.mayHaveRun()
                 ? pending.placementDeadlineMillis
                 : Math.max(pending.placementDeadlineMillis, withinTargetMillis);
     }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/admission/AdmissionDecisionTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/admission/AdmissionDecisionTest.java
@@ -20,10 +20,21 @@
 
     private static SendDecision decide(
             AdmissionDecision.Target target, boolean first, boolean budget, boolean queueStands, double placeMillis) {
+        return decide(target, first, budget, true, queueStands, placeMillis);
+    }
+
+    private static SendDecision decide(
+            AdmissionDecision.Target target,
+            boolean first,
+            boolean budget,
+            boolean mayWaitForBudget,
+            boolean queueStands,
+            double placeMillis) {
         return AdmissionDecision.decide(new AdmissionDecision.Situation(
                 target,
                 first,
                 budget,
+                mayWaitForBudget,
                 false,
                 queueStands,
                 1,
@@ -53,6 +64,13 @@
         assertThat(decide(upstream, false, true, false, 0)).isInstanceOf(SendDecision.Send.class);
     }
 
+    @Test
+    void should_refuse_a_request_that_may_have_run_at_once_when_the_retry_budget_is_spent() {
+        AdmissionDecision.AtUpstream upstream = new AdmissionDecision.AtUpstream(100, false);
+        assertThat(decide(upstream, false, false, false, false, 0)).isInstanceOf(SendDecision.Refuse.class);
+        assertThat(decide(upstream, false, true, false, false, 0)).isInstanceOf(SendDecision.Send.class);
+    }
+
     @Test
     void should_accept_late_answers_during_a_burst_but_not_while_the_queue_stands() {
         assertThat(decideAt(1_000, false, false)).isInstanceOf(SendDecision.Send.class);
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/admission/ReplayedFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/admission/ReplayedFleet.java
@@ -188,6 +188,7 @@
                     full ? new AdmissionDecision.AllFull() : new AdmissionDecision.AtUpstream(0, true),
                     request.sends == 0,
                     true,
+                    true,
                     request.urgent,
                     false,
                     ahead,
