Replay a burst, hot customers and dark upstreams at full upstreams

The replays played one steady load. The line for a request that an upstream turned away also tells the pace.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
@@ -151,6 +151,8 @@
                 head.load().map(UpstreamLoad::running).orElse(-1),
                 "waiting",
                 head.load().map(UpstreamLoad::waiting).orElse(-1),
+                "pacePercent",
+                head.load().map(load -> load.pacePercent().orElse(-1)).orElse(-1),
                 "send",
                 pending.sends);
     }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/admission/ReplayedFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/admission/ReplayedFleet.java
@@ -27,6 +27,13 @@
     private static final long DURATION_MILLIS = 5_000;
     private static final long MEASURED_FROM_MILLIS = 1_000;
     private static final int MAXIMUM_SENDS = 4;
+    private static final int CUSTOMERS = 8;
+    private static final int HOT_CUSTOMERS = 2;
+    private static final double URGENT_FRACTION = 1 / 3.0;
+    private static final long TROUBLE_FROM_MILLIS = 1_500;
+    private static final long TROUBLE_UNTIL_MILLIS = 3_500;
+    /** When all routers know which upstreams are dark, in milliseconds. */
+    private static final long DARK_KNOWN_MILLIS = TROUBLE_FROM_MILLIS + 1_200;
 
     private final SplittableRandom random;
     private final boolean decides;
@@ -34,6 +41,34 @@
     private final List<ReplayedUpstream> upstreams = new ArrayList<>();
     private final long newsAgeMillis;
     private long now;
+    private Pattern pattern = Pattern.steady(1);
+
+    /**
+     * What callers ask for, and which upstreams answer.
+     *
+     * @param load a multiple of what the upstreams complete
+     * @param patientFactor how many times as many of the less urgent requests come in the time of trouble
+     * @param hotFactor how many times as much the hot customers ask for in the time of trouble
+     * @param darkUpstreams how many upstreams take requests and complete none from the time of trouble on
+     */
+    record Pattern(double load, double patientFactor, double hotFactor, int darkUpstreams) {
+
+        static Pattern steady(double load) {
+            return new Pattern(load, 1, 1, 0);
+        }
+
+        static Pattern burstOnOneKind(double factor) {
+            return new Pattern(1, factor, 1, 0);
+        }
+
+        static Pattern twoHotCustomers(double factor) {
+            return new Pattern(1, 1, factor, 0);
+        }
+
+        static Pattern darkUpstreams(int darkUpstreams) {
+            return new Pattern(1, 1, 1, darkUpstreams);
+        }
+    }
 
     /** What callers got. */
     static final class Outcome {
@@ -50,19 +85,22 @@
     final Outcome urgent = new Outcome();
     final Outcome patient = new Outcome();
     final Outcome[] byRouter;
+    final Outcome[] byCustomer = new Outcome[CUSTOMERS];
     int arrivals;
     int turnedAway;
     int completed;
 
     private static final class Request {
         final boolean urgent;
+        final int customer;
         final long receivedAtMillis;
         final ReplayedRouter router;
         long sentAtMillis;
         int sends;
 
-        Request(boolean urgent, long receivedAtMillis, ReplayedRouter router) {
+        Request(boolean urgent, int customer, long receivedAtMillis, ReplayedRouter router) {
             this.urgent = urgent;
+            this.customer = customer;
             this.receivedAtMillis = receivedAtMillis;
             this.router = router;
         }
@@ -108,6 +146,9 @@
         }
 
         void advance(int number) {
+            if (isDark(number)) {
+                return;
+            }
             while (!running.isEmpty() && running.peek().endsAtMillis() <= now) {
                 Running ended = running.poll();
                 ended.request().router.complete(ended.request(), number, this);
@@ -160,12 +201,16 @@
 
         void look(Request request) {
             List<UpstreamRoom> rooms = rooms();
+            List<UpstreamRoom> sound = new ArrayList<>();
             int inFlight = 0;
-            for (int count : own) {
-                inFlight += count;
+            for (int index = 0; index < own.length; index++) {
+                if (!isKnownDark(index)) {
+                    sound.add(rooms.get(index));
+                    inFlight += own[index];
+                }
             }
             ServiceAdmission.Fleet fleet = new ServiceAdmission.Fleet(
-                    rooms, inFlight, request.urgent ? ownUrgent : inFlight, routers.size(), newsAgeMillis);
+                    sound, inFlight, request.urgent ? ownUrgent : inFlight, routers.size(), newsAgeMillis);
             int ahead = admission.ahead(request, request.waiting());
             int chosen = choose(rooms);
             boolean full = decides && (chosen < 0 || !admission.mayUsePlace(fleet, ahead, now));
@@ -206,7 +251,7 @@
             int first = random.nextInt(rooms.size());
             for (int step = 0; step < rooms.size() && found < 2; step++) {
                 int index = (first + step * 7 + (step * 7 / rooms.size())) % rooms.size();
-                if (decides && !rooms.get(index).hasPlace()) {
+                if (isKnownDark(index) || (decides && !rooms.get(index).hasPlace())) {
                     continue;
                 }
                 found++;
@@ -256,6 +301,7 @@
             }
             outcome(request).served++;
             byRouter[number].served++;
+            byCustomer[request.customer].served++;
             outcome(request).waitedMillis += now - request.receivedAtMillis;
         }
 
@@ -279,15 +325,25 @@
             routers.add(new ReplayedRouter(number));
             byRouter[number] = new Outcome();
         }
+        Arrays.setAll(byCustomer, customer -> new Outcome());
     }
 
     private Outcome outcome(Request request) {
         return request.urgent ? urgent : patient;
     }
 
+    private boolean isDark(int number) {
+        return number < pattern.darkUpstreams() && now >= TROUBLE_FROM_MILLIS;
+    }
+
+    private boolean isKnownDark(int number) {
+        return number < pattern.darkUpstreams() && now >= DARK_KNOWN_MILLIS;
+    }
+
     /** Plays callers who ask for a multiple of what the upstreams complete; a third of the requests are urgent. */
-    ReplayedFleet play(double load) {
-        double askedPerStep = load * upstreams.size() * SLOTS * STEP_MILLIS / SERVICE_MILLIS;
+    ReplayedFleet play(Pattern played) {
+        pattern = played;
+        double calmPerStep = pattern.load() * upstreams.size() * SLOTS * STEP_MILLIS / SERVICE_MILLIS;
         double due = 0;
         for (now = 0; now < DURATION_MILLIS; now += STEP_MILLIS) {
             for (int number = 0; number < upstreams.size(); number++) {
@@ -299,18 +355,26 @@
                     router.look(router.looks.poll().request());
                 }
             }
+            boolean trouble = now >= TROUBLE_FROM_MILLIS && now < TROUBLE_UNTIL_MILLIS;
+            double patientWeight = (1 - URGENT_FRACTION) * (trouble ? pattern.patientFactor() : 1);
+            double hotWeight = HOT_CUSTOMERS * (trouble ? pattern.hotFactor() : 1);
+            double customerWeight = CUSTOMERS - HOT_CUSTOMERS + hotWeight;
+            double askedPerStep = calmPerStep * (URGENT_FRACTION + patientWeight) * customerWeight / CUSTOMERS;
             for (due += askedPerStep * random.nextDouble(2); due >= 1; due--) {
-                ask();
+                boolean urgent = random.nextDouble(URGENT_FRACTION + patientWeight) < URGENT_FRACTION;
+                boolean hot = random.nextDouble(customerWeight) < hotWeight;
+                ask(urgent, hot ? random.nextInt(HOT_CUSTOMERS) : random.nextInt(HOT_CUSTOMERS, CUSTOMERS));
             }
         }
         return this;
     }
 
-    private void ask() {
+    private void ask(boolean urgent, int customer) {
         ReplayedRouter router = routers.get(random.nextInt(routers.size()));
-        Request request = new Request(random.nextInt(3) == 0, now, router);
+        Request request = new Request(urgent, customer, now, router);
         outcome(request).asked++;
         byRouter[router.number].asked++;
+        byCustomer[customer].asked++;
         router.look(request);
     }
 
