--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetEngine.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetEngine.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 import org.fuchsiatrail.forwarding.AttemptEvent;
@@ -20,6 +21,8 @@
     boolean ended;
     long weightsVersion;
     OptionalDouble limit = OptionalDouble.empty();
+    /** How long work takes on its machine, in percent of the usual time, if it tells that. */
+    OptionalInt pacePercent = OptionalInt.empty();
     /** The pause for which it asks while it turns all requests away, in milliseconds; 0 while it accepts them. */
     long pauseMillis;
 
@@ -41,7 +44,7 @@
     AttemptEvent.Head head() {
         return AttemptEvent.Head.builder(200)
                 .verified(true)
-                .load(Optional.of(new UpstreamLoad(1, 0, SLOTS)))
+                .load(Optional.of(new UpstreamLoad(1, 0, SLOTS, pacePercent)))
                 .requestLimit(limit)
                 .leaving(leaving)
                 .build();
@@ -85,7 +88,7 @@
     AttemptEvent.Head overloadedHead() {
         return AttemptEvent.Head.builder(503)
                 .notExecuted(true)
-                .load(Optional.of(new UpstreamLoad(SLOTS, SLOTS, SLOTS)))
+                .load(Optional.of(new UpstreamLoad(SLOTS, SLOTS, SLOTS, pacePercent)))
                 .leaving(leaving)
                 .build();
     }
