--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallAdmission.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallAdmission.java
@@ -49,9 +49,8 @@
      * now, and routers hear of each other's requests through relays.
      */
     private boolean sharesPlaces(String service) {
-        return Boolean.getBoolean("FORCE")
-                || GossipTopology.usesRelays(storeReplica.memberCount())
-                        && upstreams.activeUpstreams(service).stream().anyMatch(UpstreamState::tellsPace);
+        return GossipTopology.usesRelays(storeReplica.memberCount())
+                && upstreams.activeUpstreams(service).stream().anyMatch(UpstreamState::tellsPace);
     }
 
     /** Returns the upstreams that are believed to have a place; a broken stream may ask any if none has. */
