Borrow places in proportion to a router's own requests

Cause: balancers spread callers unevenly.

Change: a router's part of the free places is at least in proportion to the requests that it had when the news of the others' were sent.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/admission/PlaceShare.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/admission/PlaceShare.java
@@ -6,7 +6,9 @@
  * <p>Load pattern: hundreds of routers see the same few free places in news that is several hundred milliseconds old.
  * If each of them takes one, most are turned away. Each router owns an equal share of all places, which it may use
  * whatever others do. It borrows beyond that only its part of the places that are known to be free, so that together
- * the routers take them once before they hear of each other. While most slots are idle it may use more than its share,
+ * the routers hardly take them twice before they hear of each other. As balancers spread callers unevenly, that part is
+ * an equal one or, at a router that has more requests than the mean, in proportion to them. While most slots are idle
+ * it may use more than its share,
  * but not so much that a burst overfills the upstreams before the news of it arrives, and at least the slots of one
  * upstream.
  *
@@ -20,6 +22,7 @@
  * @param urgentPlaces the same with a longer queue, for requests that go before most of those that wait there
  * @param own the requests of this router that run or wait there
  * @param ownBefore those of them that are at least as urgent as the one that asks for a place
+ * @param ownInNews those that this router had when the news of the others' requests were sent
  * @param routers the routers that share the places
  * @param borrowed the places that this router has borrowed within the age of the news
  */
@@ -31,6 +34,7 @@
         long occupancy,
         int own,
         int ownBefore,
+        int ownInNews,
         int routers,
         int borrowed) {
 
@@ -66,6 +70,7 @@
      */
     public boolean mayBorrow(int ahead) {
         long free = Math.max(0, places - occupancy);
-        return (borrowed + 1L + ahead) * routers <= free;
+        double ownPart = Math.max(1.0 / routers, (double) ownInNews / Math.max(1, Math.max(ownInNews, occupancy)));
+        return borrowed + 1L + ahead <= free * ownPart;
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/admission/ServiceAdmission.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/admission/ServiceAdmission.java
@@ -16,6 +16,10 @@
     private final Map<String, StandingQueue> queueByRoute = new HashMap<>();
     private final Map<Object, WaitingOrder.Waiting> waiting = new HashMap<>();
     private final ArrayDeque<Long> borrowedAtMillis = new ArrayDeque<>();
+    private final ArrayDeque<OwnRequests> ownRequests = new ArrayDeque<>();
+
+    /** The requests of this router that upstreams had at a time. */
+    private record OwnRequests(long atMillis, int count) {}
 
     /**
      * The work of the upstreams that may receive requests.
@@ -122,6 +126,7 @@
      * @return whether its share, or its part of the free places, allows it
      */
     public boolean mayUsePlace(Fleet fleet, int ahead, long nowMillis) {
+        ownRequests.add(new OwnRequests(nowMillis, fleet.own()));
         PlaceShare share = share(fleet, nowMillis);
         return share.isCalm(ahead) || share.ownsPlace(ahead) || share.mayBorrow(ahead);
     }
@@ -151,10 +156,22 @@
                 fleet.occupancy(),
                 fleet.own(),
                 fleet.ownBefore(),
+                ownInNews(nowMillis - fleet.newsAgeMillis()),
                 Math.max(1, fleet.routers()),
                 borrowedAtMillis.size());
     }
 
+    private int ownInNews(long sentAtMillis) {
+        int count = 0;
+        while (!ownRequests.isEmpty() && ownRequests.peek().atMillis() <= sentAtMillis) {
+            count = ownRequests.poll().count();
+        }
+        if (count > 0) {
+            ownRequests.addFirst(new OwnRequests(sentAtMillis, count));
+        }
+        return count;
+    }
+
     /**
      * Returns how long a place of this router takes to come free.
      *
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/admission/FullUpstreamsReplayTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/admission/FullUpstreamsReplayTest.java
@@ -76,6 +76,17 @@
                         assertThat(customer.servedFraction()).isGreaterThan(fleet.patient.servedFraction()));
     }
 
+    @ParameterizedTest
+    @CsvSource({"7,10", "68,98"})
+    void should_not_refuse_at_busy_routers_while_upstreams_have_places(int routers, int upstreams) {
+        ReplayedFleet fleet =
+                new ReplayedFleet(routers, upstreams, true, 4).play(ReplayedFleet.Pattern.unevenRouters(0.9));
+        int refused = fleet.urgent.refused + fleet.patient.refused;
+        int asked = fleet.urgent.asked + fleet.patient.asked;
+        assertThat((double) refused / asked).isLessThan(MAXIMUM_TURNED_AWAY_FRACTION);
+        assertThat(fleet.turnedAwayFraction()).isLessThan(MAXIMUM_TURNED_AWAY_FRACTION);
+    }
+
     @Test
     void should_be_turned_away_mostly_when_the_upstreams_alone_decide() {
         ReplayedFleet fleet = new ReplayedFleet(68, 98, false, 1).play(ReplayedFleet.Pattern.steady(2.5));
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/admission/ReplayedFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/admission/ReplayedFleet.java
@@ -27,6 +27,7 @@
     private static final long DURATION_MILLIS = 5_000;
     private static final long MEASURED_FROM_MILLIS = 1_000;
     private static final int MAXIMUM_SENDS = 4;
+    private static final double UNEVENNESS = 1.5;
     private static final int CUSTOMERS = 8;
     private static final int HOT_CUSTOMERS = 2;
     private static final double URGENT_FRACTION = 1 / 3.0;
@@ -50,23 +51,28 @@
      * @param patientFactor how many times as many of the less urgent requests come in the time of trouble
      * @param hotFactor how many times as much the hot customers ask for in the time of trouble
      * @param darkUpstreams how many upstreams take requests and complete none from the time of trouble on
+     * @param uneven whether the routers get unequal parts of the requests, the first about four times the mean
      */
-    record Pattern(double load, double patientFactor, double hotFactor, int darkUpstreams) {
+    record Pattern(double load, double patientFactor, double hotFactor, int darkUpstreams, boolean uneven) {
 
         static Pattern steady(double load) {
-            return new Pattern(load, 1, 1, 0);
+            return new Pattern(load, 1, 1, 0, false);
+        }
+
+        static Pattern unevenRouters(double load) {
+            return new Pattern(load, 1, 1, 0, true);
         }
 
         static Pattern burstOnOneKind(double factor) {
-            return new Pattern(1, factor, 1, 0);
+            return new Pattern(1, factor, 1, 0, false);
         }
 
         static Pattern twoHotCustomers(double factor) {
-            return new Pattern(1, 1, factor, 0);
+            return new Pattern(1, 1, factor, 0, false);
         }
 
         static Pattern darkUpstreams(int darkUpstreams) {
-            return new Pattern(1, 1, 1, darkUpstreams);
+            return new Pattern(1, 1, 1, darkUpstreams, false);
         }
     }
 
@@ -370,7 +376,8 @@
     }
 
     private void ask(boolean urgent, int customer) {
-        ReplayedRouter router = routers.get(random.nextInt(routers.size()));
+        double part = Math.pow(random.nextDouble(), pattern.uneven() ? UNEVENNESS : 1);
+        ReplayedRouter router = routers.get((int) (part * routers.size()));
         Request request = new Request(urgent, customer, now, router);
         outcome(request).asked++;
         byRouter[router.number].asked++;
