Guard the places of urgent requests and of busy routers

Two single decisions of PlaceShare: a more urgent request gets a place when less urgent ones fill the share, but not beyond what upstreams accept; a busy router borrows in proportion to the requests that it had by the news.

--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/admission/AdmissionDecisionTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/admission/AdmissionDecisionTest.java
@@ -130,6 +130,26 @@
         assertThat(times.subList(6, 20).stream().distinct().count()).isGreaterThan(10);
     }
 
+    private static PlaceShare share(int own, int ownBefore) {
+        return new PlaceShare(98, 1_176, 2_352, 3_528, 2_352, own, ownBefore, own, 68, 100);
+    }
+
+    @Test
+    void should_give_a_more_urgent_request_a_place_when_less_urgent_ones_fill_the_share() {
+        assertThat(share(35, 35).ownsPlace(0)).as("as urgent as the others").isFalse();
+        assertThat(share(35, 5).ownsPlace(0)).as("more urgent").isTrue();
+        assertThat(share(35, 5).ownsPlace(30)).as("behind others").isFalse();
+        assertThat(share(52, 5).ownsPlace(0)).as("beyond what upstreams accept").isFalse();
+    }
+
+    @Test
+    void should_let_a_busy_router_borrow_in_proportion_to_its_requests() {
+        assertThat(new PlaceShare(98, 1_176, 2_352, 3_528, 1_176, 60, 60, 10, 68, 17).mayBorrow(0))
+                .isFalse();
+        assertThat(new PlaceShare(98, 1_176, 2_352, 3_528, 1_176, 60, 60, 50, 68, 17).mayBorrow(0))
+                .isTrue();
+    }
+
     @Test
     void should_put_the_more_urgent_request_first_and_then_the_one_that_is_due_first() {
         List<WaitingOrder.Waiting> waiting = List.of(
