Learn how fast upstreams are where they tell how long work takes

In fleets with relays whose upstreams tell how long work takes on their machine, the speed is learned from the attempts of the router. Elsewhere all terms have the values that they had.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,7 @@
 import org.fuchsiatrail.forwarding.StoreItem;
 import org.fuchsiatrail.forwarding.StoreItemContent;
 import org.fuchsiatrail.forwarding.UpstreamEntry;
+import org.fuchsiatrail.internal.load.ServiceModel;
 
 /** The known upstreams, maintained from their own entries in the platform's store. */
 final class UpstreamTable {
@@ -50,6 +52,7 @@
     private final RequestedPauses pauses;
     private final LeavingUpstreams leaving;
     private final Map<UpstreamId, UpstreamState> upstreams = new LinkedHashMap<>();
+    private final Map<String, ServiceModel> models = new HashMap<>();
     private final Map<UpstreamId, PromptCacheView> kvCacheStores = new LinkedHashMap<>();
     private Consumer<UpstreamId> endListener = incarnation -> {};
 
@@ -94,7 +97,8 @@
         softwareVersions.added(entry);
         if (upstream == null) {
             reportEndedPredecessor(entry);
-            upstreams.put(entry.id(), new UpstreamState(entry));
+            ServiceModel model = models.computeIfAbsent(entry.service(), service -> new ServiceModel());
+            upstreams.put(entry.id(), new UpstreamState(entry, model));
             logEntry("Upstream registered.", entry);
             return;
         }
