--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/load/ServiceModel.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/load/ServiceModel.java
@@ -13,7 +13,7 @@
 public final class ServiceModel {
 
     /** From how many observations on they replace what was assumed. */
-    private static final int MINIMUM_SAMPLES = 8;
+    private static final int MINIMUM_SAMPLES = 4;
 
     private static final int MAXIMUM_SAMPLES = 48;
 
