Take the holders by first part out again, and learn the speed from all prompts

The tokens that no request shares are certain for prompts of which the cache is not known, so these tell of the service too.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PromptChain.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PromptChain.java
@@ -53,10 +53,4 @@
         List<Link> shared = shared();
         return shared.isEmpty() ? "" : Long.toHexString(shared.getLast().key());
     }
-
-    /** Identifies the first shared part; empty when the prompt has no shared parts. */
-    String firstPartKey() {
-        List<Link> shared = shared();
-        return shared.isEmpty() ? "" : Long.toHexString(shared.getFirst().key());
-    }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StreamStarts.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/StreamStarts.java
@@ -58,14 +58,15 @@
         context.emit(new ForwardingOutput.Measure(
                 "first-event.prediction-error", Math.abs(millis - Math.round(attempt.predictedMillis))));
         double unknownTokens = placement.unknownSharedTokens();
-        if (unknownTokens * KNOWN_PART <= placement.ownTokens()) {
-            EngineModel model = pending.upstream.model;
-            double readTokens = placement.ownTokens() + unknownTokens / 2;
-            if (attempt.foundLittleWork) {
-                model.observeFirstEvent(context.now(), readTokens, millis);
-            } else {
-                model.observeQueuedFirstEvent(context.now(), attempt.tokensAhead + readTokens, millis);
-            }
+        EngineModel model = pending.upstream.model;
+        boolean known = unknownTokens * KNOWN_PART <= placement.ownTokens();
+        double readTokens = placement.ownTokens() + unknownTokens / 2;
+        if (known && attempt.foundLittleWork) {
+            model.observeFirstEvent(context.now(), readTokens, millis);
+        } else if (known) {
+            model.observeQueuedFirstEvent(context.now(), attempt.tokensAhead + readTokens, millis);
+        } else if (attempt.foundLittleWork) {
+            model.observeUnknownPrompt(context.now(), placement.ownTokens(), millis);
         }
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
@@ -8,7 +8,6 @@
 
 import org.fuchsiatrail.forwarding.ForwardedCall;
 import org.fuchsiatrail.internal.load.EngineSpeed;
-import org.fuchsiatrail.internal.load.PartHolders;
 import org.fuchsiatrail.internal.locality.DomainChoice;
 import org.fuchsiatrail.internal.membership.Rendezvous;
 
@@ -46,12 +45,6 @@
     /** The fraction of a session's shared tokens that its home engine is expected to have cached without a report. */
     private static final double HOME_CACHED_FRACTION = 0.8;
 
-    /** The cost of tokens copied from their holder, as a fraction of that of another prefill; they take its memory. */
-    private static final double COPY_COST_FRACTION = 0.2;
-
-    /** The fraction of the latency target that shared parts may cost: no caller is late only because of them. */
-    private static final double MAXIMUM_PARTS_FRACTION = 0.5;
-
     /** The fraction of an engine's KV memory that running requests may use before new ones wait; the rest is cache. */
     private static final double RUNNING_MEMORY_FRACTION = 0.6;
 
@@ -80,7 +73,6 @@
     private static final double RANDOM_COST_MILLIS = 2;
 
     private final SplittableRandom random;
-    private final PartHolders partHolders = new PartHolders();
 
     /**
      * The upstream selected for a request, with the expected cost.
@@ -115,19 +107,6 @@
             return Math.max(0, newMemoryTokens - chain.tokens() + chain.sharedTokens());
         }
 
-        /** The same with a number of shared tokens fewer that need prefill. */
-        private Placement withFewerUncached(long tokens, double savedMillis) {
-            return new Placement(
-                    upstream,
-                    chain,
-                    predictedMillis - savedMillis,
-                    uncachedTokens - tokens,
-                    uncachedSharedTokens - tokens,
-                    newMemoryTokens,
-                    fetchFrom,
-                    saveTo);
-        }
-
         private Placement withFetchFrom(Optional<String> source) {
             return new Placement(
                     upstream,
@@ -150,7 +129,6 @@
      * Inputs of a placement in addition to the upstreams.
      *
      * @param nowMillis the time
-     * @param latencyTargetMillis the time to the first event that callers expect
      * @param weightsCost the cost of a version of the weights, in milliseconds
      * @param fetchTokensPerMillisecond how fast engines fetch cached parts, or 0 when they do not
      * @param engineMemoryTokens KV memory of an engine, in tokens
@@ -160,7 +138,6 @@
      */
     record Conditions(
             long nowMillis,
-            double latencyTargetMillis,
             LongToDoubleFunction weightsCost,
             double fetchTokensPerMillisecond,
             long engineMemoryTokens,
@@ -228,9 +205,6 @@
                 .mapToLong(upstream -> weightVersion(upstream, call))
                 .max()
                 .orElse(0);
-        if (conditions.learnsSpeed()) {
-            return placeAmongHolders(call, candidates, chains, newestVersion, conditions, choice);
-        }
         Optional<UpstreamState> home = homeEngine(call, candidates, chains, newestVersion);
         for (UpstreamState upstream : candidates) {
             Placement placement = evaluate(call, upstream, candidates, chains, conditions);
@@ -259,72 +233,6 @@
                         : placement);
     }
 
-    /** Selects an engine where the holders of shared parts follow from the measured load of the parts. */
-    private Optional<Placement> placeAmongHolders(
-            ForwardedCall call,
-            List<UpstreamState> candidates,
-            PromptChains chains,
-            long newestVersion,
-            Conditions conditions,
-            DomainChoice<Placement> choice) {
-        PromptChain chain = chains.forWeights(newestVersion);
-        PartHolders.Holders<UpstreamState> holders = new PartHolders.Holders<>(List.of(), List.of());
-        if (!chain.shared().isEmpty()) {
-            PartHolders.Prompt prompt =
-                    new PartHolders.Prompt(chain.firstPartKey(), chain.sessionKey(), chain.sharedTokens());
-            holders = partHolders.holders(prompt, ofVersion(candidates, call, newestVersion), UpstreamPlacement::name);
-            partHolders.record(prompt);
-        }
-        for (UpstreamState upstream : candidates) {
-            EngineSpeed speed = conditions.speed(upstream);
-            Placement reported = evaluate(call, upstream, candidates, chains, conditions);
-            Optional<String> source = holderSource(reported, holders.ofSession(), call, conditions);
-            boolean holds = holders.ofSession().contains(upstream);
-            boolean copies = !holds && source.isPresent();
-            long firstPartTokens = holders.ofFirstPart().contains(upstream)
-                    ? chain.shared().getFirst().tokens()
-                    : 0;
-            long heldTokens = holds || copies ? chain.sharedTokens() : firstPartTokens;
-            long readTokens = Math.max(0, chain.sharedTokens() - Math.round(HOME_CACHED_FRACTION * heldTokens));
-            long savedTokens = Math.max(0, reported.uncachedSharedTokens() - readTokens);
-            Placement placement =
-                    reported.withFetchFrom(source).withFewerUncached(savedTokens, speed.prefillMillis(savedTokens));
-            double missingTokens = holds ? 0 : Math.max(0, reported.unknownSharedTokens() - firstPartTokens);
-            double repeatedMillis = Math.min(
-                    REPEATED_PREFILL_COST_MILLIS_PER_TOKEN * missingTokens * (copies ? COPY_COST_FRACTION : 1),
-                    MAXIMUM_PARTS_FRACTION * conditions.latencyTargetMillis());
-            double cost = placement.predictedMillis()
-                    + repeatedMillis
-                    + FAILURE_COST_MILLIS * upstream.failureRate
-                    + conditions.weightsCost().applyAsDouble(weightVersion(upstream, call))
-                    + speed.prefillMillis(BUSY_SLOTS_TOKENS)
-                            * busySlots(upstream, conditions.nowMillis())
-                            / slots(upstream)
-                    + random.nextDouble(RANDOM_COST_MILLIS);
-            double partsMillis = repeatedMillis + speed.prefillMillis(placement.uncachedSharedTokens());
-            choice.add(upstream.domain(), placement, cost, placement.predictedMillis(), partsMillis);
-        }
-        return choice.select();
-    }
-
-    /** Returns where to fetch missing shared parts from: the holder, unless reports show all of them elsewhere. */
-    private static Optional<String> holderSource(
-            Placement placement, List<UpstreamState> holders, ForwardedCall call, Conditions conditions) {
-        Optional<UpstreamState> holder = holders.stream()
-                .filter(engine -> engine != placement.upstream()
-                        && weightVersion(engine, call) == weightVersion(placement.upstream(), call))
-                .findFirst();
-        if (placement.uncachedSharedTokens() <= MINIMUM_FETCHED_TOKENS
-                || conditions.fetchTokensPerMillisecond() <= 0
-                || holders.contains(placement.upstream())
-                        && placement.fetchFrom().isPresent()) {
-            return placement.fetchFrom();
-        }
-        return holder.map(engine -> engine.entry.address())
-                .or(placement::fetchFrom)
-                .or(() -> holders.isEmpty() ? Optional.empty() : placement.saveTo());
-    }
-
     /**
      * Returns where to fetch missing shared parts from. If no report names a holder, this is the session's home engine,
      * or the KV cache store if the request is placed on the home engine. A fetch in vain costs a millisecond.
@@ -459,22 +367,14 @@
         if (chain.sessionKey().isEmpty()) {
             return Optional.empty();
         }
-        return Rendezvous.first(
-                chain.sessionKey(), ofVersion(candidates, call, newestVersion), UpstreamPlacement::name);
-    }
-
-    private static List<UpstreamState> ofVersion(List<UpstreamState> engines, ForwardedCall call, long version) {
-        List<UpstreamState> selected = new ArrayList<>(engines.size());
-        for (UpstreamState engine : engines) {
-            if (weightVersion(engine, call) == version) {
-                selected.add(engine);
+        List<UpstreamState> newestEngines = new ArrayList<>();
+        for (UpstreamState upstream : candidates) {
+            if (weightVersion(upstream, call) == newestVersion) {
+                newestEngines.add(upstream);
             }
         }
-        return selected;
-    }
-
-    private static String name(UpstreamState upstream) {
-        return upstream.id().value();
+        return Rendezvous.first(
+                chain.sessionKey(), newestEngines, upstream -> upstream.id().value());
     }
 
     private static long weightVersion(UpstreamState upstream, ForwardedCall call) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
@@ -94,7 +94,6 @@
         boolean usesRelays = GossipTopology.usesRelays(storeReplica.memberCount());
         return new UpstreamPlacement.Conditions(
                 context.now(),
-                pending.route.latencyTargetMillis(),
                 version -> version < targetVersion
                         ? timing.replacedWeightsCostMillis(
                                 storeReplica.targetHistory().millisSinceReplaced(pending.call.model(), version))
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/load/EngineModel.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/load/EngineModel.java
@@ -111,6 +111,19 @@
         compare();
     }
 
+    /**
+     * Records the time to the first event of a request that found little work ahead of it, while more of its prompt may
+     * have been read than is known. It tells of the service, whose model follows the shortest times, not of this
+     * upstream.
+     *
+     * @param nowMillis the time
+     * @param leastTokens the prompt tokens that were read in any case
+     * @param millis the time to the first event
+     */
+    public void observeUnknownPrompt(long nowMillis, double leastTokens, long millis) {
+        service.observeFirstEvent(nowMillis, leastTokens, usualMillis(nowMillis, millis));
+    }
+
     private double usualMillis(long nowMillis, long millis) {
         return Math.max(1, millis) / paceFactor(nowMillis);
     }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/load/EngineModelTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/load/EngineModelTest.java
@@ -60,6 +60,17 @@
         }
     }
 
+    @Test
+    void should_learn_from_prompts_of_which_half_have_shared_parts_read_again() {
+        for (int request = 0; request < 48; request++) {
+            long own = random.nextLong(200, 6_000);
+            long read = own + (random.nextInt(2) == 0 ? 6_300 : 0);
+            double millis = expected(read, 1) + random.nextDouble(20);
+            engine.observeUnknownPrompt(now += 40, own, Math.round(millis));
+        }
+        assertThat(predicted(9_000)).isCloseTo(expected(9_000, 1), within(expected(9_000, 0.35)));
+    }
+
     @Test
     void should_predict_an_unused_engine_by_the_others_of_its_service() {
         observe(new EngineModel(service), 2_000, 60, 1);
