--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AnswerHeads.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AnswerHeads.java
@@ -5,8 +5,6 @@
 /** Records what upstreams report of themselves in the heads of their answers. */
 final class AnswerHeads {
 
-    private static final int FIRST_FAILURE_STATUS = 500;
-
     private final ForwardingContext context;
     private final RequestLimits requestLimits;
     private final UpstreamTable upstreams;
@@ -27,10 +25,10 @@
             return;
         }
         context.domainTraffic().answered(pending, head);
-        head.load().ifPresent(load -> pending.upstream.recordLoad(load, context.now()));
-        if (!pending.route.describesPrompt() && isUsual(head)) {
-            observeCall(pending);
-        }
+        head.load().ifPresent(load -> {
+            pending.upstream.load = load;
+            pending.upstream.loadAtMillis = context.now();
+        });
         if (pending.route.describesPrompt() && head.weightsVersion().isPresent()) {
             pending.upstream.recordWeightVersion(
                     pending.call.model(), head.weightsVersion().getAsLong());
@@ -47,18 +45,6 @@
         }
     }
 
-    /** Returns whether an upstream answered after it ran the request, rather than refused it or failed. */
-    private static boolean isUsual(AttemptEvent.Head head) {
-        return head.verified() && !head.notExecuted() && head.status() < FIRST_FAILURE_STATUS;
-    }
-
-    private void observeCall(PendingCall pending) {
-        UpstreamState.InFlightAttempt inFlight = pending.upstream.inFlight.get(pending.attempt);
-        if (inFlight != null && inFlight.foundLittleWork && pending.upstream.model.tellsPace()) {
-            pending.upstream.model.observeCall(context.now(), context.now() - inFlight.sentAtMillis);
-        }
-    }
-
     /**
      * Records that an upstream is not the expected incarnation or has other weights. Engines are probed then, since
      * others may have changed too.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallTable.java
@@ -61,9 +61,6 @@
         pending.attemptTimeoutAtMillis = Long.MAX_VALUE;
         callsByAttempt.remove(pending.attempt);
         UpstreamState.InFlightAttempt released = pending.upstream.inFlight.remove(pending.attempt);
-        if (released != null && released.streamBegun && pending.upstream.model.tellsPace()) {
-            pending.upstream.model.observePlace(context.now() - released.sentAtMillis);
-        }
         return released != null && released.nonResumable && pending.upstream.ownNonResumableRequests() == 0;
     }
 
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
@@ -7,7 +7,6 @@
 import java.util.function.LongToDoubleFunction;
 
 import org.fuchsiatrail.forwarding.ForwardedCall;
-import org.fuchsiatrail.internal.load.EngineSpeed;
 import org.fuchsiatrail.internal.locality.DomainChoice;
 import org.fuchsiatrail.internal.membership.Rendezvous;
 
@@ -24,6 +23,9 @@
  */
 final class UpstreamPlacement {
 
+    /** Prefill speed of an engine in tokens per millisecond, from the platform's data sheets. */
+    static final double PREFILL_TOKENS_PER_MILLISECOND = 38;
+
     /**
      * The fraction of the link bandwidth that one fetch gets, given concurrent fetches and links between failure
      * domains.
@@ -45,11 +47,14 @@
     /** The fraction of a session's shared tokens that its home engine is expected to have cached without a report. */
     private static final double HOME_CACHED_FRACTION = 0.8;
 
+    /** Cost of an engine whose slots or memory are taken, in milliseconds; the time of a short generation. */
+    private static final double FULL_ENGINE_COST_MILLIS = 300;
+
     /** The fraction of an engine's KV memory that running requests may use before new ones wait; the rest is cache. */
     private static final double RUNNING_MEMORY_FRACTION = 0.6;
 
-    /** Prompt tokens of a request in an engine's own queue, of which only the number is known; a short prompt. */
-    private static final double QUEUED_REQUEST_TOKENS = 1_140;
+    /** Cost of each request in an engine's own queue, in milliseconds; the prefill time of a short prompt. */
+    private static final double QUEUED_REQUEST_COST_MILLIS = 30;
 
     /** The longest prompt that counts as short, in tokens; engines prefill about that many between decode steps. */
     private static final long SHORT_PROMPT_TOKENS = 4_000;
@@ -57,11 +62,14 @@
     /** Cost of a failure rate of 1, in milliseconds; a failed attempt costs about the time of a call. */
     private static final double FAILURE_COST_MILLIS = 150;
 
-    /** Cost when all slots are busy, in prompt tokens read; it grows in proportion to the busy slots. */
-    private static final double BUSY_SLOTS_TOKENS = 760;
+    /**
+     * Cost when all slots are busy, in milliseconds, a fraction of the processing time of one call; it grows in
+     * proportion to the busy slots.
+     */
+    private static final double BUSY_SLOTS_COST_MILLIS = 20;
 
-    /** The same for calls, as a fraction of the time of a call. */
-    private static final double BUSY_SLOTS_CALL_FRACTION = 0.25;
+    /** Expected processing time of a call to a plain service, in milliseconds, from the platform's data sheets. */
+    private static final double EXPECTED_CALL_MILLIS = 80;
 
     /** How long a load report is valid, in milliseconds. */
     private static final long LOAD_VALIDITY_MILLIS = 400;
@@ -97,16 +105,6 @@
             Optional<String> fetchFrom,
             Optional<String> saveTo) {
 
-        /** The prompt tokens that no other request shares, which are read in any case. */
-        long ownTokens() {
-            return uncachedTokens - uncachedSharedTokens;
-        }
-
-        /** The shared tokens of which it is not known whether they are cached. */
-        long unknownSharedTokens() {
-            return Math.max(0, newMemoryTokens - chain.tokens() + chain.sharedTokens());
-        }
-
         private Placement withFetchFrom(Optional<String> source) {
             return new Placement(
                     upstream,
@@ -133,7 +131,6 @@
      * @param fetchTokensPerMillisecond how fast engines fetch cached parts, or 0 when they do not
      * @param engineMemoryTokens KV memory of an engine, in tokens
      * @param kvCacheStores the KV cache stores
-     * @param learnsSpeed whether the speed of the upstreams is learned rather than assumed
      * @param partialReports whether routers hear of a part of the cached parts only, as in a fleet with relays
      */
     record Conditions(
@@ -142,13 +139,7 @@
             double fetchTokensPerMillisecond,
             long engineMemoryTokens,
             List<KvCacheStore> kvCacheStores,
-            boolean learnsSpeed,
-            boolean partialReports) {
-
-        private EngineSpeed speed(UpstreamState upstream) {
-            return learnsSpeed ? upstream.model.speed(nowMillis) : EngineSpeed.ASSUMED;
-        }
-    }
+            boolean partialReports) {}
 
     /**
      * A KV cache store.
@@ -173,20 +164,16 @@
     }
 
     /** Selects an upstream for a call to a plain service; empty without candidates. */
-    Optional<Placement> placeCall(
-            List<UpstreamState> candidates, Conditions conditions, DomainChoice<Placement> choice) {
+    Optional<Placement> placeCall(List<UpstreamState> candidates, long nowMillis, DomainChoice<Placement> choice) {
         for (UpstreamState upstream : candidates) {
             int slots = slots(upstream);
-            int busySlots = busySlots(upstream, conditions.nowMillis());
-            double callMillis = conditions.speed(upstream).callMillis();
-            double queueMillis = Math.max(0, busySlots + 1 - slots) * callMillis / slots;
-            double speedMillis = callMillis - EngineSpeed.ASSUMED.callMillis();
+            int busySlots = busySlots(upstream, nowMillis);
+            double queueMillis = Math.max(0, busySlots + 1 - slots) * EXPECTED_CALL_MILLIS / slots;
             double cost = queueMillis
-                    + speedMillis
-                    + BUSY_SLOTS_CALL_FRACTION * callMillis * busySlots / slots
+                    + BUSY_SLOTS_COST_MILLIS * busySlots / slots
                     + FAILURE_COST_MILLIS * upstream.failureRate
                     + random.nextDouble(RANDOM_COST_MILLIS);
-            double predictedMillis = queueMillis + callMillis;
+            double predictedMillis = queueMillis + EXPECTED_CALL_MILLIS;
             Placement place = new Placement(
                     upstream, new PromptChain(List.of()), predictedMillis, 0, 0, 0, Optional.empty(), Optional.empty());
             choice.add(upstream.domain(), place, cost, predictedMillis, 0);
@@ -208,23 +195,22 @@
         Optional<UpstreamState> home = homeEngine(call, candidates, chains, newestVersion);
         for (UpstreamState upstream : candidates) {
             Placement placement = evaluate(call, upstream, candidates, chains, conditions);
-            EngineSpeed speed = conditions.speed(upstream);
             boolean isHome = home.isPresent() && home.get() == upstream;
             double repeatedPrefillTokens = placement.uncachedSharedTokens() * (isHome ? 1 - HOME_CACHED_FRACTION : 1);
-            double homeSavingMillis =
-                    isHome ? speed.prefillMillis(HOME_CACHED_FRACTION * placement.uncachedSharedTokens()) : 0;
+            double homeSavingMillis = isHome
+                    ? HOME_CACHED_FRACTION * placement.uncachedSharedTokens() / PREFILL_TOKENS_PER_MILLISECOND
+                    : 0;
             double repeatedPrefillMillis = REPEATED_PREFILL_COST_MILLIS_PER_TOKEN * repeatedPrefillTokens;
             double cost = placement.predictedMillis()
                     - homeSavingMillis
                     + repeatedPrefillMillis
                     + FAILURE_COST_MILLIS * upstream.failureRate
                     + conditions.weightsCost().applyAsDouble(weightVersion(upstream, call))
-                    + speed.prefillMillis(BUSY_SLOTS_TOKENS)
-                            * busySlots(upstream, conditions.nowMillis())
-                            / slots(upstream)
+                    + BUSY_SLOTS_COST_MILLIS * busySlots(upstream, conditions.nowMillis()) / slots(upstream)
                     + random.nextDouble(RANDOM_COST_MILLIS);
-            double partsMillis =
-                    repeatedPrefillMillis + speed.prefillMillis(placement.uncachedSharedTokens()) - homeSavingMillis;
+            double partsMillis = repeatedPrefillMillis
+                    + placement.uncachedSharedTokens() / PREFILL_TOKENS_PER_MILLISECOND
+                    - homeSavingMillis;
             choice.add(upstream.domain(), placement, cost, placement.predictedMillis(), partsMillis);
         }
         return choice.select()
@@ -268,20 +254,19 @@
         long fetchedTokens = transfers.fetchedTokens();
         long uncachedTokens = Math.max(0, Math.max(chain.tokens(), call.inputTokens()) - cachedTokens - fetchedTokens);
         boolean isShort = isShort(call.inputTokens());
-        EngineSpeed speed = conditions.speed(upstream);
-        double waitMillis = speed.prefillMillis(upstream.pendingPromptTokens(conditions.nowMillis(), isShort));
+        double waitMillis =
+                upstream.pendingPromptTokens(conditions.nowMillis(), isShort) / PREFILL_TOKENS_PER_MILLISECOND;
         long newMemoryTokens =
                 Math.max(0, chain.tokens() - chain.sharedTokens()) + Math.max(0, chain.sharedTokens() - cachedTokens);
         boolean slotsTaken = busySlots(upstream, conditions.nowMillis()) >= slots(upstream);
         double usedMemoryTokens = upstream.memoryTokens(conditions.nowMillis()) + newMemoryTokens;
         boolean memoryTaken = usedMemoryTokens > conditions.engineMemoryTokens() * RUNNING_MEMORY_FRACTION;
-        double predictedMillis = speed.fixedMillis()
-                + waitMillis
+        double predictedMillis = waitMillis
                 + upstream.stallMillis(conditions.nowMillis(), isShort)
-                + speed.prefillMillis(queuedRequests(upstream, conditions.nowMillis()) * QUEUED_REQUEST_TOKENS)
-                + (slotsTaken || memoryTaken ? speed.placeMillis() : 0)
+                + queueCostMillis(upstream, conditions.nowMillis())
+                + (slotsTaken || memoryTaken ? FULL_ENGINE_COST_MILLIS : 0)
                 + transfers.fetchMillis()
-                + speed.prefillMillis(uncachedTokens);
+                + uncachedTokens / PREFILL_TOKENS_PER_MILLISECOND;
         long uncachedSharedTokens = Math.max(0, chain.sharedTokens() - cachedTokens - fetchedTokens);
         return new Placement(
                 upstream,
@@ -342,9 +327,9 @@
                 .map(KvCacheStore::address);
     }
 
-    private static int queuedRequests(UpstreamState upstream, long nowMillis) {
+    private static double queueCostMillis(UpstreamState upstream, long nowMillis) {
         boolean fresh = upstream.load != null && upstream.loadAtMillis >= nowMillis - LOAD_VALIDITY_MILLIS;
-        return fresh ? upstream.load.waiting() : 0;
+        return fresh ? upstream.load.waiting() * QUEUED_REQUEST_COST_MILLIS : 0;
     }
 
     /** Returns whether a prompt is short enough for engines to prefill it in one piece. */
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
@@ -47,12 +47,11 @@
             return Optional.empty();
         }
         List<UpstreamState> candidates = candidates(pending);
-        UpstreamPlacement.Conditions conditions = conditions(pending, candidates);
         DomainChoice<UpstreamPlacement.Placement> choice =
                 context.domainTraffic().choose(pending, !GossipTopology.usesRelays(storeReplica.memberCount()));
         return pending.route.describesPrompt()
-                ? placement.placePrompt(pending.call, candidates, promptChains(pending), conditions, choice)
-                : placement.placeCall(candidates, conditions, choice);
+                ? placement.placePrompt(pending.call, candidates, promptChains(pending), conditions(pending), choice)
+                : placement.placeCall(candidates, context.now(), choice);
     }
 
     /** Returns whether any upstream is eligible for the request. */
@@ -82,7 +81,7 @@
                         && UpstreamPlacement.hasPlace(upstream, context.now()));
     }
 
-    private UpstreamPlacement.Conditions conditions(PendingCall pending, List<UpstreamState> candidates) {
+    private UpstreamPlacement.Conditions conditions(PendingCall pending) {
         long targetVersion = storeReplica
                 .targetWeights(pending.call.model())
                 .map(weights -> weights.version())
@@ -91,7 +90,6 @@
                 .engineTraits(pending.service)
                 .map(traits -> traits.fetchTokensPerMillisecond())
                 .orElse(0.0);
-        boolean usesRelays = GossipTopology.usesRelays(storeReplica.memberCount());
         return new UpstreamPlacement.Conditions(
                 context.now(),
                 version -> version < targetVersion
@@ -101,8 +99,7 @@
                 fetchRate,
                 storeReplica.memoryTokens(pending.service),
                 kvCacheStores(),
-                usesRelays && candidates.stream().anyMatch(upstream -> upstream.model.tellsPace()),
-                usesRelays);
+                GossipTopology.usesRelays(storeReplica.memberCount()));
     }
 
     private List<UpstreamPlacement.KvCacheStore> kvCacheStores() {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
@@ -14,8 +14,6 @@
 import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.UpstreamEntry;
 import org.fuchsiatrail.forwarding.UpstreamLoad;
-import org.fuchsiatrail.internal.load.EngineModel;
-import org.fuchsiatrail.internal.load.ServiceModel;
 
 /**
  * The state of one upstream: its store entry, the load and cache that it reports, the requests in flight on it, and the
@@ -82,9 +80,6 @@
     final Map<AttemptId, InFlightAttempt> inFlight = new LinkedHashMap<>();
     final Map<String, Long> weightVersions = new HashMap<>();
     final PromptCacheView cache = new PromptCacheView();
-    /** How fast it is. */
-    final EngineModel model;
-
     UpstreamLoad load;
     long loadAtMillis = Long.MIN_VALUE;
     private final Map<WorkSource, PeerWork> peerWork = new HashMap<>();
@@ -108,21 +103,12 @@
         /** Whether events of its stream have arrived. */
         boolean streamBegun;
 
-        /** Prompt tokens that were to be read before it, as far as known. */
-        final long tokensAhead;
-
-        /** Whether little work was ahead of it, so that its time to the first event tells how fast the upstream is. */
-        final boolean foundLittleWork;
-
         InFlightAttempt(PendingCall pending, long nowMillis) {
             UpstreamPlacement.Placement placement = pending.placement;
             sentAtMillis = nowMillis;
             nonResumable = isNonResumable(pending);
             shortPrompt = UpstreamPlacement.isShort(pending.call.inputTokens());
             promptTokens = placement.uncachedTokens();
-            tokensAhead = pending.upstream.pendingPromptTokens(nowMillis, shortPrompt);
-            foundLittleWork = UpstreamPlacement.hasPlace(pending.upstream, nowMillis)
-                    && pending.upstream.pendingPromptTokens(nowMillis, false) <= placement.ownTokens();
             predictedMillis = placement.predictedMillis();
             memoryTokens = placement.newMemoryTokens() + pending.call.maximumOutputTokens();
         }
@@ -150,12 +136,7 @@
     }
 
     UpstreamState(UpstreamEntry entry) {
-        this(entry, new ServiceModel());
-    }
-
-    UpstreamState(UpstreamEntry entry, ServiceModel service) {
         this.entry = entry;
-        this.model = new EngineModel(service);
         this.key = Hashing.xxh3_64().hashCharsToInt(entry.id().value());
         weightVersions.putAll(entry.weights());
     }
@@ -194,7 +175,6 @@
         if (restarted) {
             weightVersions.clear();
             cache.clear();
-            model.reset();
             load = null;
             overloadedUntilMillis = Long.MIN_VALUE;
             suspectUntilMillis = Long.MIN_VALUE;
@@ -411,13 +391,6 @@
         failureRate += FAILURE_RATE_SMOOTHING * ((failed ? 1 : 0) - failureRate);
     }
 
-    /** Records the load that it reports. */
-    void recordLoad(UpstreamLoad reported, long nowMillis) {
-        load = reported;
-        loadAtMillis = nowMillis;
-        model.observePace(nowMillis, reported.pacePercent());
-    }
-
     void recordContact(long nowMillis) {
         long silentMillis = millisWithoutResponse(nowMillis);
         if (silentMillis > RESPONSE_TIMEOUT_MILLIS) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +12,6 @@
 import org.fuchsiatrail.forwarding.StoreItem;
 import org.fuchsiatrail.forwarding.StoreItemContent;
 import org.fuchsiatrail.forwarding.UpstreamEntry;
-import org.fuchsiatrail.internal.load.ServiceModel;
 
 /** The known upstreams, maintained from their own entries in the platform's store. */
 final class UpstreamTable {
@@ -52,7 +50,6 @@
     private final RequestedPauses pauses;
     private final LeavingUpstreams leaving;
     private final Map<UpstreamId, UpstreamState> upstreams = new LinkedHashMap<>();
-    private final Map<String, ServiceModel> models = new HashMap<>();
     private final Map<UpstreamId, PromptCacheView> kvCacheStores = new LinkedHashMap<>();
     private Consumer<UpstreamId> endListener = incarnation -> {};
 
@@ -97,8 +94,7 @@
         softwareVersions.added(entry);
         if (upstream == null) {
             reportEndedPredecessor(entry);
-            ServiceModel model = models.computeIfAbsent(entry.service(), service -> new ServiceModel());
-            upstreams.put(entry.id(), new UpstreamState(entry, model));
+            upstreams.put(entry.id(), new UpstreamState(entry));
             logEntry("Upstream registered.", entry);
             return;
         }
