Lose only answers that may lack their end

Change: the system's buffers as before, the writing of one byte after 20 ms from 1,400 bytes on, failed reads remembered, such heads believed.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/TransferredBytes.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/TransferredBytes.java
@@ -21,8 +21,8 @@
     /** How long a reset is awaited after the end of an upstream's output, in milliseconds. */
     private static final long RESET_TIMEOUT_MILLIS = 20;
 
-    /** The size of requests that upstreams read at once, in bytes. */
-    private static final long SHORT_REQUEST_BYTES = 8 * 1024;
+    /** The size of requests that arrive in one piece, in bytes; the payload of a segment. */
+    private static final long SHORT_REQUEST_BYTES = 1_400;
 
     @Override
     public void write(ChannelHandlerContext context, Object bytes, ChannelPromise promise) {
@@ -50,6 +50,12 @@
         }
     }
 
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        UpstreamConnection.of(context.channel()).setReadFailed();
+        context.fireExceptionCaught(cause);
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event instanceof ChannelInputShutdownEvent) {
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAttempt.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamAttempt.java
@@ -231,8 +231,8 @@
         if (finished) {
             return null;
         }
-        if (endedBeforeRequestWasWritten()) {
-            finish(lostEvent("the connection ended before the request was written"));
+        if (mayBeBrokenOff()) {
+            finish(lostEvent("the connection ended before the request was written, or failed"));
             return null;
         }
         responseComplete = true;
@@ -253,14 +253,13 @@
 
     /**
      * Returns whether only the end of the connection ended the response, although the upstream has not read its request
-     * whole: such a response cannot be told from one that was broken off.
+     * whole, or the connection failed. The head alone tells that a request was not executed.
      */
-    private boolean endedBeforeRequestWasWritten() {
-        if (connection == null || connection.isActive()) {
-            return false;
-        }
-        UpstreamConnection ended = UpstreamConnection.of(connection);
-        return ended.endsWithConnection() && ended.isRequestUnwritten();
+    private boolean mayBeBrokenOff() {
+        return connection != null
+                && !connection.isActive()
+                && UpstreamConnection.of(connection).mayBeBrokenOff()
+                && !head().notExecuted();
     }
 
     private void finish(AttemptEvent event) {
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamClients.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamClients.java
@@ -30,12 +30,6 @@
 
     private static final Duration NO_TIMEOUT = Duration.ofMillis(-1);
 
-    /**
-     * The size of the system's send buffers, in bytes. What is larger than that stays with the process while an
-     * upstream does not read it.
-     */
-    private static final int SEND_BUFFER_BYTES = 256 * 1024;
-
     private UpstreamClients() {}
 
     /**
@@ -77,7 +71,6 @@
                 .setTcpNoDelay(true)
                 .setUserAgent(null)
                 .addChannelOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
-                .addChannelOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                 .addChannelOption(ChannelOption.SO_KEEPALIVE, true)
                 .addChannelOption(KeepAliveProbes.IDLE_OPTION, KeepAliveProbes.IDLE_SECONDS)
                 .addChannelOption(KeepAliveProbes.INTERVAL_OPTION, KeepAliveProbes.INTERVAL_SECONDS)
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamConnection.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamConnection.java
@@ -31,6 +31,7 @@
     private int unwrittenMessages;
     private long requestBytes;
     private boolean endsWithConnection;
+    private boolean readFailed;
 
     private UpstreamConnection() {}
 
@@ -106,8 +107,11 @@
 
     /** Records the head of the response to the current request. */
     void setResponse(HttpResponse head) {
-        endsWithConnection =
-                !head.headers().contains(HttpHeaderNames.CONTENT_LENGTH) && !HttpUtil.isTransferEncodingChunked(head);
+        int status = head.status().code();
+        boolean withoutBody = status < 200 || status == 204 || status == 304;
+        endsWithConnection = !withoutBody
+                && !head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                && !HttpUtil.isTransferEncodingChunked(head);
     }
 
     /** Returns whether only the end of the connection ends the response, unless it has no body. */
@@ -131,11 +135,21 @@
         unwrittenMessages--;
     }
 
-    /** Returns whether the upstream cannot have read its request whole, since a part of it has not been written. */
+    /** Records that the connection failed while it was read. */
+    void setReadFailed() {
+        readFailed = true;
+    }
+
+    /** Returns whether a part of the request has not been written, so that the upstream cannot have read it whole. */
     boolean isRequestUnwritten() {
         return unwrittenMessages > 0;
     }
 
+    /** Returns whether a response that ends with the connection may lack its end. */
+    boolean mayBeBrokenOff() {
+        return endsWithConnection && (readFailed || isRequestUnwritten());
+    }
+
     /**
      * Reads at once what has arrived on the connection, unless received bytes are being handled: a response or the end
      * of the connection that came while the event loop was busy is not known otherwise.
