--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DarkSights.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DarkSights.java
@@ -121,10 +121,11 @@
         for (UpstreamState other : upstreams.activeUpstreams(upstream.entry.service())) {
             if (other != upstream) {
                 others++;
-                boolean lost = !hasAnsweredSince(other) && !upstreams.isDarkElsewhere(other);
-                long otherSentAtMillis = other.connections.timedOutSentAtMillis();
+                // One that answered since shows that the cause was common, as when a path fails for a moment.
+                boolean together =
+                        other.connections.timedOutSentAtMillis() >= sentAtMillis - DarkUpstreamDecision.TOGETHER_MILLIS;
                 reached += other.connections.reachedSentAtMillis() >= usableSinceMillis ? 1 : 0;
-                timedOut += lost && otherSentAtMillis >= sentAtMillis - DarkUpstreamDecision.TOGETHER_MILLIS ? 1 : 0;
+                timedOut += together && !upstreams.isDarkElsewhere(other) ? 1 : 0;
             }
         }
         return new DarkUpstreamDecision.View(
@@ -149,9 +150,17 @@
     /** Probes the upstream of a silent attempt, and records since when probes are unanswered. */
     void probe(UpstreamState upstream) {
         probedAtMillis.keySet().removeIf(id -> upstreams.find(id).isEmpty());
-        probedAtMillis.merge(
-                upstream.id(), context.now(), (earlier, now) -> upstream.lastAnswerAtMillis >= earlier ? now : earlier);
-        upstreams.probeSilent(upstream);
+        if (upstreams.probeSilent(upstream)) {
+            probedAtMillis.merge(
+                    upstream.id(),
+                    context.now(),
+                    (earlier, now) -> upstream.lastAnswerAtMillis >= earlier ? now : earlier);
+        }
+    }
+
+    /** Records that a probe was answered, or its connection reset: no probe before is without an answer. */
+    void probeEnded(UpstreamState upstream) {
+        probedAtMillis.remove(upstream.id());
     }
 
     /** Returns what is known of a silent attempt that no other one may replace. */
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DefaultForwardingCore.java
@@ -198,10 +198,12 @@
             calls.upstreamEnded(engine.incarnationId());
             if (!notConnected.refused()) {
                 darkSights.connectionTimedOut(engine);
+                return;
             }
         } else if (!(reply instanceof OrderReply.Failed)) {
             crashProtection.recordReached(engine, sentAtMillis);
         }
+        darkSights.probeEnded(engine);
     }
 
     private void beginShutdown() {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PeerGossip.java
@@ -362,7 +362,7 @@
             }
         }
         for (PeerMessage.DarkUpstream dark : update.darkUpstreams()) {
-            if (passesOn && upstreams.dark().receive(dark, context.now())) {
+            if (passesOn && !upstreams.answeredAfter(dark) && upstreams.dark().receive(dark, context.now())) {
                 passOn(destination, updates -> updates.dark.add(dark));
             }
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import org.fuchsiatrail.PeerMessage;
 import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.StoreItem;
 import org.fuchsiatrail.forwarding.StoreItemContent;
@@ -94,6 +95,13 @@
         return !dark.isEmpty() && dark.isDark(upstream.incarnationId(), upstream.lastAnswerAtMillis, context.now());
     }
 
+    /** Returns whether the upstream of a report has answered this router since, so that only a path is lost. */
+    boolean answeredAfter(PeerMessage.DarkUpstream report) {
+        return upstreams.values().stream()
+                .filter(upstream -> upstream.incarnationId().equals(report.upstream()))
+                .anyMatch(upstream -> upstream.lastAnswerAtMillis > context.now() - report.ageMillis());
+    }
+
     /** Returns the same by what other routers reported. */
     boolean isDarkElsewhere(UpstreamState upstream) {
         return !dark.isEmpty()
@@ -293,13 +301,14 @@
         upstream.awaitsProbe = false;
     }
 
-    /** Probes an engine whose requests show no progress, unless it was probed lately. */
-    void probeSilent(UpstreamState upstream) {
+    /** Probes an engine whose requests show no progress, unless it was probed lately; returns whether it was now. */
+    boolean probeSilent(UpstreamState upstream) {
         boolean engine = !upstream.weightVersions.isEmpty();
         if (engine && pauses.millisLeft(upstream) == 0 && context.now() >= upstream.nextProbeAtMillis) {
             upstream.nextProbeAtMillis = context.now() + SILENT_PROBE_INTERVAL_MILLIS;
-            probes.send(upstream);
+            return probes.send(upstream);
         }
+        return false;
     }
 
     /** Allows new requests to an engine that answered a probe. */
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/paths/DarkUpstreamDecision.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/paths/DarkUpstreamDecision.java
@@ -47,7 +47,7 @@
      * @param others the other upstreams of its service
      * @param othersReached the other upstreams that answered what was sent later
      * @param othersTimedOut the other upstreams to which connections that began at about the same time, or later, timed
-     *     out without an answer since
+     *     out, also if they have answered since
      */
     public record View(
             long nowMillis,
