Tell of dark engines only where the settings say so

Change: paths.darkUpstreams (told, untold; untold by default) switches sights, early ends, the proportion at relayed requests and the earlier verdicts.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingSettings.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardingSettings.java
@@ -18,6 +18,7 @@
     private final long stopGraceMillis;
     private final boolean leavesDomainByGain;
     private final double leavesDomainPerSecond;
+    private final boolean tellsDarkUpstreams;
     private final LimitTolerance limitTolerance;
 
     private ForwardingSettings(Builder builder) {
@@ -32,6 +33,7 @@
         stopGraceMillis = builder.stopGraceMillis;
         leavesDomainByGain = builder.leavesDomainByGain;
         leavesDomainPerSecond = builder.leavesDomainPerSecond;
+        tellsDarkUpstreams = builder.tellsDarkUpstreams;
         limitTolerance = builder.limitTolerance;
     }
 
@@ -143,6 +145,15 @@
         return leavesDomainPerSecond;
     }
 
+    /**
+     * Returns whether routers tell each other of dark upstreams, in fleets with relays.
+     *
+     * @return whether they do
+     */
+    public boolean tellsDarkUpstreams() {
+        return tellsDarkUpstreams;
+    }
+
     /**
      * Returns how exactly limits of customers hold over all routers.
      *
@@ -165,6 +176,7 @@
         private long stopGraceMillis = 7_600;
         private boolean leavesDomainByGain = true;
         private double leavesDomainPerSecond = Double.POSITIVE_INFINITY;
+        private boolean tellsDarkUpstreams;
         private LimitTolerance limitTolerance = LimitTolerance.DEFAULTS;
 
         private Builder() {}
@@ -263,6 +275,17 @@
             return this;
         }
 
+        /**
+         * Sets whether routers tell each other of dark upstreams and end attempts there, in fleets with relays.
+         *
+         * @param told whether they do; not by default
+         * @return this
+         */
+        public Builder darkUpstreams(boolean told) {
+            tellsDarkUpstreams = told;
+            return this;
+        }
+
         /**
          * Sets how exactly limits of customers hold over all routers.
          *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashProtection.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CrashProtection.java
@@ -32,7 +32,7 @@
 
     CrashProtection(ForwardingContext context, StoreCallTable store, StoreReplica replica) {
         this.context = context;
-        promptParts = new PromptPartTracker(context, () -> GossipTopology.usesRelays(replica.memberCount()));
+        promptParts = new PromptPartTracker(context, () -> DarkSights.areTold(context, replica));
         tracker = new CrashTracker(context, promptParts);
         detector = new CrashDetector(context, tracker);
         suspectedEnds = new SuspectedEnds(context, replica, tracker, detector);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DarkSights.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DarkSights.java
@@ -44,7 +44,11 @@
 
     /** Returns whether routers tell each other of dark upstreams, and end attempts there. */
     boolean areTold() {
-        return GossipTopology.usesRelays(replica.memberCount());
+        return areTold(context, replica);
+    }
+
+    static boolean areTold(ForwardingContext context, StoreReplica replica) {
+        return context.settings().tellsDarkUpstreams() && GossipTopology.usesRelays(replica.memberCount());
     }
 
     /** Judges an upstream to which a connection of an attempt or a probe timed out. */
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PathLoss.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PathLoss.java
@@ -85,7 +85,7 @@
                     new LostPathsDecision.Destination(wasTriedLately(upstream), failed, upstreams.isDark(upstream)));
         }
         int failedWhenLost = repeatable ? FAILED_WHEN_LOST : FAILED_WHEN_LOST_UNREPEATABLE;
-        boolean inProportion = pending.call.relayed() && GossipTopology.usesRelays(replica.memberCount());
+        boolean inProportion = pending.call.relayed() && DarkSights.areTold(context, replica);
         boolean failuresShowLoss =
                 LostPathsDecision.decide(destinations, failedWhenLost, inProportion) instanceof LostPathsDecision.Lost;
         // Streams that go on over old connections don't show that a new request finds one.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
@@ -123,7 +123,7 @@
     /** Returns after how many attempts without a connection a request is relayed, or refused to another router. */
     int unsentBeforeRelay(PendingCall pending) {
         boolean refusedLater = pending.call.relayed()
-                && GossipTopology.usesRelays(storeReplica.memberCount())
+                && DarkSights.areTold(context, storeReplica)
                 && !LostPathsDecision.areFew(
                         upstreams.activeUpstreams(pending.service).size());
         return refusedLater ? CallTiming.MAXIMUM_SENDS : CallTiming.UNSENT_BEFORE_RELAY;
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/DarkEnginesAtManyRoutersTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/DarkEnginesAtManyRoutersTest.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -38,7 +39,7 @@
     })
     void should_tell_each_other_of_dark_engines_and_keep_their_paths(
             int routers, int engines, double requestsPerSecond, int darkEngines, String path) {
-        EngineFleet fleet = new EngineFleet(5, routers, engines);
+        EngineFleet fleet = new EngineFleet(5, routers, engines, FleetNames.SHORT, true);
         fleet.path = path;
         FleetTraffic traffic = new FleetTraffic(fleet);
         traffic.sendFor(CALM_MILLIS, requestsPerSecond);
@@ -75,7 +76,7 @@
     @CsvSource({"3,12,60,3,/mark/", "7,28,120,14,/mark/", "12,28,120,7,/ask/"})
     void should_tell_nothing_and_end_no_stream_early_without_relays(
             int routers, int engines, double requestsPerSecond, int darkEngines, String path) {
-        EngineFleet fleet = new EngineFleet(5, routers, engines);
+        EngineFleet fleet = new EngineFleet(5, routers, engines, FleetNames.SHORT, true);
         fleet.path = path;
         FleetTraffic traffic = new FleetTraffic(fleet);
         traffic.sendFor(CALM_MILLIS, requestsPerSecond);
@@ -85,6 +86,18 @@
         assertThat(fleet.log.events(FleetLog.ATTEMPT_ENDED)).isEmpty();
     }
 
+    @Test
+    void should_tell_nothing_and_end_no_stream_early_unless_the_settings_say_so() {
+        EngineFleet fleet = new EngineFleet(5, 16, 28);
+        fleet.path = "/mark/";
+        FleetTraffic traffic = new FleetTraffic(fleet);
+        traffic.sendFor(CALM_MILLIS, 120);
+        fleet.firstEngines(14).forEach(engine -> engine.dark = true);
+        traffic.sendFor(DARK_MILLIS, 120);
+        assertThat(fleet.log.events(FleetLog.UPSTREAM_DARK)).isEmpty();
+        assertThat(fleet.log.events(FleetLog.ATTEMPT_ENDED)).isEmpty();
+    }
+
     private static Map<String, Integer> sendsByRouterAndEngine(EngineFleet fleet, Set<String> dark, long fromMillis) {
         Map<String, Integer> sends = new HashMap<>();
         for (EngineFleet.Arrival send : fleet.log.unconnected) {
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -78,14 +78,14 @@
     record Answer(long atMillis, EntryVmId router, String engine, AttemptEvent.Head head) {}
 
     EngineFleet(long seed, int routerCount, int engineCount) {
-        this(seed, routerCount, engineCount, FleetNames.SHORT);
+        this(seed, routerCount, engineCount, FleetNames.SHORT, false);
     }
 
-    EngineFleet(long seed, int routerCount, int engineCount, FleetNames names) {
+    EngineFleet(long seed, int routerCount, int engineCount, FleetNames names, boolean tellsDarkUpstreams) {
         random = new SplittableRandom(seed);
         paths = new FleetPaths(random, this::now);
         for (int number = 1; number <= routerCount; number++) {
-            routers.add(new ForwardingFixture(names.router(number), names.failureDomain(number)));
+            routers.add(new ForwardingFixture(names.router(number), names.failureDomain(number), tellsDarkUpstreams));
         }
         routers.forEach(ForwardingFixture::configured);
         store = new FleetStore(routers, this::after);
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -92,9 +92,16 @@
     }
 
     ForwardingFixture(String name, String failureDomain) {
+        this(name, failureDomain, false);
+    }
+
+    ForwardingFixture(String name, String failureDomain, boolean tellsDarkUpstreams) {
         self = new EntryVm(new EntryVmId(name), new FailureDomain(failureDomain), "10.0.0.1:7000", false);
-        core = new DefaultForwardingCore(
-                ForwardingSettings.builder().self(self).seed(7).build());
+        core = new DefaultForwardingCore(ForwardingSettings.builder()
+                .self(self)
+                .seed(7)
+                .darkUpstreams(tellsDarkUpstreams)
+                .build());
     }
 
     EntryVm self() {
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RelayTrafficFillsLinkTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RelayTrafficFillsLinkTest.java
@@ -47,7 +47,7 @@
         private final long startMillis;
 
         SiteDay(int routers) {
-            fleet = new EngineFleet(21, routers, ENGINES, FleetNames.OF_PLATFORM);
+            fleet = new EngineFleet(21, routers, ENGINES, FleetNames.OF_PLATFORM, false);
             network = fleet.limitLinks(LINK_BYTES_PER_SECOND);
             traffic = new SiteTraffic(fleet);
             FleetCaches caches = fleet.publishCacheEvents();
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamCutBesideConfigurationTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamCutBesideConfigurationTest.java
@@ -74,7 +74,7 @@
 
         Day(long seed, List<Trouble> troubles) {
             this.troubles = troubles;
-            fleet = new EngineFleet(seed, ROUTERS, ENGINES, FleetNames.OF_PLATFORM);
+            fleet = new EngineFleet(seed, ROUTERS, ENGINES, FleetNames.OF_PLATFORM, false);
             fleet.streamEvents(EVENTS, EVENT_INTERVAL_MILLIS);
             traffic = new SiteTraffic(fleet);
         }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/UnrepeatableStreamAtDarkEngineTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/UnrepeatableStreamAtDarkEngineTest.java
@@ -27,7 +27,7 @@
     /** The least number of routers with relays among them. */
     private static final int ROUTERS = 13;
 
-    private final ForwardingFixture router = new ForwardingFixture().configured();
+    private final ForwardingFixture router = new ForwardingFixture("vm-1", "lima-a", true).configured();
     private final List<RequestId> requests = new ArrayList<>();
     private final String silent;
     private int probesAnswered;
