--- /dev/null
+++ b/fuchsiatrail-standins/src/main/java/org/fuchsiatrail/standins/process/package-info.java
@@ -0,0 +1,2 @@
+/** What tests observe of other processes. */
+package org.fuchsiatrail.standins.process;
