Bound what a connection at the peers' port may send before its handshake

Callers saw: the peers' port, which anyone reaches, took frames of 4 MB from connections that had not shown the secret, without a deadline or a bound on their number; each kept what it had received.

Cause: one frame limit for the whole connection, no timeout on the accepting side, and no count of connections without a handshake.

Change: frames of 1 kB before the handshake and 4 MB after it; the handshake has 3 s, as on the connecting side; at most 512 connections, or an eighth of the descriptors, may be without one, more than a fleet has routers, and the oldest of more is closed. The backlog is that of the other listeners.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/OutboundConnection.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/OutboundConnection.java
@@ -174,7 +174,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel newChannel) {
-                        PeerTransport.addFraming(newChannel);
+                        PeerTransport.addFraming(newChannel, PeerTransport.MAXIMUM_HANDSHAKE_FRAME_BYTES);
                         newChannel.pipeline().addLast(new OutboundHandler());
                     }
                 })
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerTransport.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerTransport.java
@@ -1,9 +1,11 @@
 package org.fuchsiatrail.wire.peer;
 
 import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -17,8 +19,9 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.util.concurrent.ScheduledFuture;
 import org.fuchsiatrail.Clock;
 import org.fuchsiatrail.EntryVmId;
 import org.fuchsiatrail.PeerMessage;
@@ -37,6 +40,18 @@
     static final int MAXIMUM_FRAME_BYTES = 4 * 1024 * 1024;
     static final int LENGTH_FIELD_BYTES = 4;
 
+    /** The largest frame before the handshake is complete, which is enough for a router's name. */
+    static final int MAXIMUM_HANDSHAKE_FRAME_BYTES = 1_024;
+
+    /** The default number of connections whose handshake may be incomplete at once: more than a fleet has routers. */
+    private static final int DEFAULT_HANDSHAKES = 512;
+
+    /** The part of a process's descriptors that connections with an incomplete handshake may take. */
+    private static final int HANDSHAKE_DESCRIPTOR_PART = 8;
+
+    /** The number of connections that may wait to be accepted. */
+    private static final int BACKLOG = 1_024;
+
     /** Interval at which updates for peers that cannot be reached any more are discarded, in milliseconds. */
     private static final long EXPIRY_INTERVAL_MILLIS = 10_000;
 
@@ -45,13 +60,18 @@
     private final Channel server;
     private final Map<String, OutboundConnection> outboundConnections = new ConcurrentHashMap<>();
     private final Set<EntryVmId> blockedPeers = ConcurrentHashMap.newKeySet();
+    /** The accepted connections whose handshake is not complete, the oldest first. */
+    private final Set<Channel> handshakes = new LinkedHashSet<>();
+
+    private final int maximumHandshakes;
+
     private final PeerTraffic traffic;
     private final UpdateEncoder encoder = new UpdateEncoder();
     private final OutboundConnection.Dependencies connectionDependencies;
     private volatile long nextExpiryAtMillis;
 
     /**
-     * Creates a transport and starts to listen for connections of peers.
+     * Creates a transport for a process whose descriptors do not matter.
      *
      * @param group the event loops that serve the connections
      * @param self this router's id, which it sends in the handshake
@@ -67,6 +87,30 @@
             String secret,
             PeerListener listener,
             Clock clock) {
+        this(group, self, address, secret, listener, clock, Integer.MAX_VALUE);
+    }
+
+    /**
+     * Creates a transport and starts to listen for connections of peers.
+     *
+     * @param group the event loops that serve the connections
+     * @param self this router's id, which it sends in the handshake
+     * @param address the address to listen on
+     * @param secret the secret that all routers share
+     * @param listener receives the messages of peers
+     * @param clock the clock by which waiting messages are corrected and measured
+     * @param descriptors the descriptors that the process may have open; an eighth of them, at most 512, may be taken
+     *     by connections whose handshake is not complete, and the oldest of more is closed
+     */
+    public PeerTransport(
+            EventLoopGroup group,
+            EntryVmId self,
+            InetSocketAddress address,
+            String secret,
+            PeerListener listener,
+            Clock clock,
+            int descriptors) {
+        this.maximumHandshakes = Math.clamp(descriptors / HANDSHAKE_DESCRIPTOR_PART, 1, DEFAULT_HANDSHAKES);
         this.handshake = new Handshake(secret);
         this.listener = listener;
         this.traffic = new PeerTraffic(clock);
@@ -74,12 +118,13 @@
         this.server = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        addFraming(channel);
-                        channel.pipeline().addLast(new InboundHandler());
+                        PeerFrameDecoder decoder = addFraming(channel, MAXIMUM_HANDSHAKE_FRAME_BYTES);
+                        channel.pipeline().addLast(new InboundHandler(decoder));
                     }
                 })
                 .bind(address)
@@ -87,11 +132,11 @@
                 .channel();
     }
 
-    static void addFraming(SocketChannel channel) {
-        channel.pipeline()
-                .addLast(new LengthFieldBasedFrameDecoder(
-                        MAXIMUM_FRAME_BYTES, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES))
-                .addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES));
+    /** Adds the handlers that divide a connection into frames of at most this size. */
+    static PeerFrameDecoder addFraming(SocketChannel channel, int maximumFrameBytes) {
+        PeerFrameDecoder decoder = new PeerFrameDecoder(maximumFrameBytes);
+        channel.pipeline().addLast(decoder).addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES));
+        return decoder;
     }
 
     /**
@@ -233,6 +278,22 @@
         outboundConnections.values().forEach(OutboundConnection::close);
     }
 
+    /** Counts a connection whose handshake begins; anyone can open such connections, and do nothing more. */
+    private void beginHandshake(Channel channel) {
+        Channel oldest = null;
+        synchronized (handshakes) {
+            handshakes.add(channel);
+            if (handshakes.size() > maximumHandshakes) {
+                oldest = handshakes.iterator().next();
+                handshakes.remove(oldest);
+            }
+        }
+        if (oldest != null) {
+            traffic.recordRefused();
+            oldest.close();
+        }
+    }
+
     private void refuse(ChannelHandlerContext context) {
         traffic.recordRefused();
         context.close();
@@ -240,15 +301,37 @@
 
     /** The accepting side of a connection: performs the handshake, then only receives messages. */
     private final class InboundHandler extends SimpleChannelInboundHandler<ByteBuf> {
+        private final PeerFrameDecoder decoder;
         private byte[] challenge;
         private EntryVmId peer;
+        private ScheduledFuture<?> handshakeTimeout;
+
+        InboundHandler(PeerFrameDecoder decoder) {
+            this.decoder = decoder;
+        }
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
+            beginHandshake(context.channel());
+            handshakeTimeout = context.executor()
+                    .schedule(
+                            () -> refuse(context), OutboundConnection.HANDSHAKE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
             challenge = handshake.challenge(handshake.nonce());
             context.writeAndFlush(Unpooled.wrappedBuffer(challenge));
         }
 
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            endHandshake(context.channel());
+        }
+
+        private void endHandshake(Channel channel) {
+            handshakeTimeout.cancel(false);
+            synchronized (handshakes) {
+                handshakes.remove(channel);
+            }
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
             byte[] bytes = ByteBufUtil.getBytes(frame);
@@ -273,12 +356,18 @@
                 return;
             }
             peer = new EntryVmId(name);
+            endHandshake(context.channel());
+            decoder.setMaximumFrameBytes(MAXIMUM_FRAME_BYTES);
             context.writeAndFlush(Unpooled.wrappedBuffer(handshake.welcome(hello)));
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            context.close();
+            if (cause instanceof DecoderException) {
+                refuse(context);
+            } else {
+                context.close();
+            }
         }
     }
 }
