Give up the header fields of refused requests at once

Callers saw: on the smallest VM, 80 callers that send short fields behind the last chunk ended the event loop with OutOfMemoryError; the process lived on and answered nobody, at a route, without one and at readiness.

Cause: a refusal states that nothing is kept, but the decoder of the superclass keeps the fields of a message until it is complete, and what follows is dropped before it reaches the superclass. One read brings 16,000 fields, some 3 MB a connection, which the budget did not see any more. A line behind the body without an end was not counted against the limit either.

Change: a refusal resets the superclass and drops what is buffered, in a task, as the caller may send nothing more; the limit counts the line that is read.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/CallerRequestDecoder.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/CallerRequestDecoder.java
@@ -1,5 +1,6 @@
 package org.fuchsiatrail.wire.http;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -155,14 +156,28 @@
 
     private void refuse(ChannelHandlerContext context, HttpResponseStatus status) {
         discardInput();
+        context.executor().execute(() -> dropGathered(context));
         context.fireUserEventTriggered(new CallerInput.Refused(status.code()));
     }
 
+    /** Drops what was gathered of a refused request at once, as its caller may send nothing more. */
+    private void dropGathered(ChannelHandlerContext context) {
+        if (internalBuffer().isReadable()) {
+            resumeNow(context);
+        } else if (!context.isRemoved()) {
+            try {
+                discard(context, Unpooled.EMPTY_BUFFER, new ArrayList<>());
+            } catch (Exception e) {
+                context.fireExceptionCaught(e);
+            }
+        }
+    }
+
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
         recordActivity();
         if (discarding) {
-            buffer.skipBytes(buffer.readableBytes());
+            discard(context, buffer, out);
             return;
         }
         if (!inHead && !inBody) {
@@ -191,12 +206,23 @@
         if (discarding) {
             decoded.forEach(ReferenceCountUtil::release);
             decoded.clear();
-            buffer.skipBytes(buffer.readableBytes());
+            discard(context, buffer, out);
             return;
         }
         updateHeaderTimeout(context);
     }
 
+    /** Drops what has arrived, also the header fields that the superclass has gathered for an incomplete message. */
+    private void discard(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+        buffer.skipBytes(buffer.readableBytes());
+        if (inHead || inBody) {
+            inHead = false;
+            inBody = false;
+            reset();
+            super.decode(context, Unpooled.EMPTY_BUFFER, out);
+        }
+    }
+
     /** States what the request keeps so far; it may be refused for it. */
     private void stateRequest(ByteBuf buffer, int indexBefore, List<Object> decoded) {
         boolean onlyBody = !decoded.isEmpty() && !(decoded.get(0) instanceof HttpRequest);
@@ -237,7 +263,9 @@
             return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
         }
         bytesBehindBody = inBody && decoded.isEmpty() ? bytesBehindBody + consumedBytes : 0;
-        if (bytesBehindBody > limits.headerBytes() + MAXIMUM_REQUEST_LINE_BYTES) {
+        if (inBody
+                && decoded.isEmpty()
+                && bytesBehindBody + buffer.readableBytes() > limits.headerBytes() + MAXIMUM_REQUEST_LINE_BYTES) {
             return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
         }
         for (Object message : decoded) {
