End a process that cannot recover, with a log line

Cause: an error ends the thread of the loop, the other threads keep the process alive, and a graceful stop gives its work to the loop, which rejects it. An error ended the daemon's ticker in the same way.

Change: ProcessGuard looks at each event loop every 5 s and ends the process with status 70 and a line in the log when a loop has ended or makes no progress in six looks; a suspended process makes none. An error that ends any thread, and a loop that rejects a stop, end it at once. The daemon's HTTP client runs on loops that are watched too.

--- a/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/RouterProcess.java
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/RouterProcess.java
@@ -28,6 +28,7 @@
 import org.fuchsiatrail.wire.http.HttpListener;
 import org.fuchsiatrail.wire.memory.MemoryBudget;
 import org.fuchsiatrail.wire.observe.LogLines;
+import org.fuchsiatrail.wire.observe.ProcessGuard;
 import org.fuchsiatrail.wire.observe.RouterMetrics;
 import org.fuchsiatrail.wire.peer.Addresses;
 import org.fuchsiatrail.wire.peer.PeerTransport;
@@ -49,7 +50,8 @@
     /** One loop, on which the memory budget is kept. */
     private final EventLoopGroup listenerLoop = new NioEventLoopGroup(1);
 
-    private final AsyncHttpClient http = HttpClients.create(NETWORK_THREADS);
+    private final EventLoopGroup clientLoops = new NioEventLoopGroup(NETWORK_THREADS);
+    private final AsyncHttpClient http = HttpClients.create(clientLoops);
     private final Traces traces;
     private final RouterCore core;
     private final PeerTransport peers;
@@ -59,6 +61,7 @@
     private final List<HttpListener> listeners = new ArrayList<>();
     private final Thread ticker;
     private volatile boolean ready;
+    private volatile ProcessGuard guard;
 
     /**
      * Starts a router.
@@ -143,6 +146,11 @@
         }
     }
 
+    /** Ends the whole process, until this router is closed, if the router cannot recover. */
+    public void guardProcess() {
+        guard = ProcessGuard.start(List.of(peerLoop, listenerLoop, clientLoops));
+    }
+
     /** Shuts down gracefully: accepts no new requests, waits for running ones up to the stop timeout, and closes. */
     public void stop() {
         inputs.add(new Input.StopAsked());
@@ -162,11 +170,14 @@
     @Override
     public void close() {
         stopped.countDown();
+        if (guard != null) {
+            guard.close();
+        }
         listeners.forEach(HttpListener::close);
         peers.close();
         closeQuietly(http);
         traces.close();
-        for (EventLoopGroup loop : List.of(peerLoop, listenerLoop)) {
+        for (EventLoopGroup loop : List.of(peerLoop, listenerLoop, clientLoops)) {
             loop.shutdownGracefully(100, 1_000, TimeUnit.MILLISECONDS).syncUninterruptibly();
         }
         LogLines.info("router", "Router stopped.", Map.of());
--- a/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/command/RouterCommand.java
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/command/RouterCommand.java
@@ -38,6 +38,7 @@
     private static int run(Settings settings) throws Exception {
         LogLines.install(settings.text(SettingKey.LOG_LEVEL));
         RouterProcess router = new RouterProcess(settings);
+        router.guardProcess();
         CountDownLatch stopped = new CountDownLatch(1);
         Thread stopper = new Thread(
                 () -> {
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/client/HttpClients.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/client/HttpClients.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 
+import io.netty.channel.EventLoopGroup;
 import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.asynchttpclient.Dsl;
 
 /** Creates the HTTP client that all components of a process share. */
@@ -21,7 +23,21 @@
      * @return a client, to be closed by the caller
      */
     public static AsyncHttpClient create(int ioThreads) {
-        return Dsl.asyncHttpClient(Dsl.config()
+        return Dsl.asyncHttpClient(config().setIoThreadsCount(ioThreads).build());
+    }
+
+    /**
+     * Creates a client like the other one, on event loops of its caller.
+     *
+     * @param loops the event loops, which are shut down after the client is closed
+     * @return a client, to be closed by the caller
+     */
+    public static AsyncHttpClient create(EventLoopGroup loops) {
+        return Dsl.asyncHttpClient(config().setEventLoopGroup(loops).build());
+    }
+
+    private static DefaultAsyncHttpClientConfig.Builder config() {
+        return Dsl.config()
                 .setMaxRequestRetry(0)
                 .setFollowRedirect(false)
                 .setCookieStore(null)
@@ -29,9 +45,7 @@
                 .setPooledConnectionIdleTimeout(IDLE_CONNECTION_TIMEOUT)
                 .setReadTimeout(REQUEST_TIMEOUT)
                 .setRequestTimeout(REQUEST_TIMEOUT)
-                .setIoThreadsCount(ioThreads)
                 .setTcpNoDelay(true)
-                .setUserAgent("fuchsiatrail")
-                .build());
+                .setUserAgent("fuchsiatrail");
     }
 }
