Bound the queues of sockets, which count as memory of a VM

Callers saw: routers beside crowds took more memory than their VM has, in queues that no budget counted: 19 to 77 MB of 88 beside 80 callers that send bodies, 34 MB beside callers that read no metrics, 42 MB beside unread streams, mostly of answers of engines that were not read on.

Cause: the system grows the queues of a connection to megabytes. A connection that is closed with unread responses keeps them for minutes.

Change: a 512th of the budget, 16 to 64 kB, for each direction of a caller's connection, and for what upstreams send; 64 kB at the peers' port. A full queue, one that is not read because requests wait, and one behind a response of more than 16 kB whose caller has not come back count in the budget. Connections that are closed for it, or idle with unread responses, or left by their caller with more than that unread, are reset, so that the system drops the queue. A last response of more than 16 kB has the idle timeout to be read, not a second, as the reset would cut it; a stop of the process resets nothing.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamClients.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamClients.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.asynchttpclient.Dsl;
 import org.asynchttpclient.channel.ChannelPool;
 import org.asynchttpclient.netty.channel.DefaultChannelPool;
@@ -40,15 +41,21 @@
      * @param loop the event loop
      * @param dialect tells which request a response answers
      * @param metrics counts responses that answer no request
+     * @param receiveBufferBytes what the system may queue of each response that is not read, in bytes, or 0 to leave it
+     *     to the system
      * @return a client, to be closed by the caller
      */
     public static AsyncHttpClient create(
-            EventLoopGroup group, EventLoop loop, CallDialect dialect, RouterMetrics metrics) {
+            EventLoopGroup group,
+            EventLoop loop,
+            CallDialect dialect,
+            RouterMetrics metrics,
+            int receiveBufferBytes) {
         EventLoopTimer timer = new EventLoopTimer(loop);
         ChannelPool idleConnections = new DefaultChannelPool(
                 IDLE_CONNECTION_TIMEOUT, UNLIMITED_CONNECTION_LIFETIME, timer, IDLE_CONNECTION_CHECK_INTERVAL);
         ReadRateLimiter.LimitedConnections limitedConnections = new ReadRateLimiter.LimitedConnections();
-        return Dsl.asyncHttpClient(Dsl.config()
+        DefaultAsyncHttpClientConfig.Builder config = Dsl.config()
                 .setEventLoopGroup(group)
                 .setNettyTimer(timer)
                 .setHttpAdditionalChannelInitializer(connection -> {
@@ -74,7 +81,10 @@
                 .addChannelOption(ChannelOption.SO_KEEPALIVE, true)
                 .addChannelOption(KeepAliveProbes.IDLE_OPTION, KeepAliveProbes.IDLE_SECONDS)
                 .addChannelOption(KeepAliveProbes.INTERVAL_OPTION, KeepAliveProbes.INTERVAL_SECONDS)
-                .addChannelOption(KeepAliveProbes.PROBE_COUNT_OPTION, KeepAliveProbes.PROBE_COUNT)
-                .build());
+                .addChannelOption(KeepAliveProbes.PROBE_COUNT_OPTION, KeepAliveProbes.PROBE_COUNT);
+        if (receiveBufferBytes > 0) {
+            config.addChannelOption(ChannelOption.SO_RCVBUF, receiveBufferBytes);
+        }
+        return Dsl.asyncHttpClient(config.build());
     }
 }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/CallerRequestDecoder.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/CallerRequestDecoder.java
@@ -139,6 +139,11 @@
         }
     }
 
+    /** Returns how long a caller may be idle, in milliseconds. */
+    long idleTimeoutMillis() {
+        return limitsInForce.get().idleTimeoutMillis();
+    }
+
     /** Returns what the request keeps that was decoded last. */
     long requestBytes() {
         return requestBytes;
@@ -146,6 +151,7 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+        memory.readCompleted();
         if (paused) {
             // The superclass would read on.
             context.fireChannelReadComplete();
@@ -185,6 +191,7 @@
                 memory.setReading(buffer.capacity());
                 return;
             }
+            memory.requestBegins();
             adoptLimitsInForce(context);
             headBytes = 0;
             requestBytes = 0;
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/ConnectionExchange.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/ConnectionExchange.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 
+import io.netty.buffer.ByteBufHolder;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
@@ -188,10 +189,11 @@
 
     /** Writes a message; closes the connection if that fails, since the caller cannot make out a response then. */
     private ChannelFuture write(Object message) {
+        long bytes = message instanceof ByteBufHolder holder ? holder.content().readableBytes() : 0;
         ChannelFuture future = context.writeAndFlush(message);
-        connection.memory().outputChanged(false);
+        connection.memory().outputAdded(bytes);
         return future.addListener((ChannelFutureListener) written -> {
-            connection.memory().outputChanged(true);
+            connection.memory().outputWritten();
             if (written.isSuccess()) {
                 return;
             }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/ConnectionMemory.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/ConnectionMemory.java
@@ -1,6 +1,9 @@
 package org.fuchsiatrail.wire.http;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import org.fuchsiatrail.wire.memory.MemoryBudget;
 import org.fuchsiatrail.wire.memory.MemoryBudget.State;
@@ -8,6 +11,8 @@
 /** What one caller's connection keeps, as it is stated to the memory budget. */
 final class ConnectionMemory {
 
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     /** What an idle connection keeps, in bytes. */
     private static final long CONNECTION_BYTES = 8 * 1024;
 
@@ -17,18 +22,36 @@
     /** The bytes of unanswered requests above which no second one is read. */
     private static final long MAXIMUM_PIPELINED_BYTES = 64 * 1024;
 
+    /** The bytes of responses that a caller may leave in the queue of the system without counting. */
+    private static final long UNREAD_BYTES = 16 * 1024;
+
+    private static final int RESETS = 0;
+    private static final int LINGERS = -1;
+
     private final MemoryBudget.Holding holding;
     private final Channel channel;
+    /** What each direction may keep in the queues of the system, or 0 for any amount. */
+    private final int socketBufferBytes;
+
     private Runnable refuseReading = () -> {};
     private Runnable goOn = () -> {};
     private long readingBytes;
     private long waitingBytes;
     private long unsentBytes;
+    /** The bytes of responses that the caller may not have read, with the unsent ones. */
+    private long outputBytes;
+
+    private long reads;
+    private long readsAtOutput;
+    private boolean readingPaused;
+    private boolean resetsAtClose;
+    private boolean deliversAtClose;
     private long writtenMessages;
     private long lastProgress = -1;
 
     ConnectionMemory(MemoryBudget budget, Channel channel) {
         this.channel = channel;
+        this.socketBufferBytes = budget.socketBufferBytes();
         this.holding = budget.open(this::stop);
         state();
     }
@@ -48,14 +71,78 @@
             readingBytes = 0;
             refuseReading.run();
         } else {
-            channel.close();
+            closeNow();
+        }
+    }
+
+    /** Closes the connection and drops what its caller has not read; the system would keep that for minutes. */
+    void closeNow() {
+        resetAtClose(true);
+        channel.close();
+    }
+
+    /** Lets the system deliver what the caller has not read when the connection is closed, as the process ends. */
+    void deliverAtClose() {
+        resetAtClose(false);
+        deliversAtClose = true;
+    }
+
+    private void resetAtClose(boolean resets) {
+        if (resets == resetsAtClose || deliversAtClose || !channel.isOpen()) {
+            return;
+        }
+        resetsAtClose = resets;
+        try {
+            channel.config().setOption(ChannelOption.SO_LINGER, resets ? RESETS : LINGERS);
+        } catch (ChannelException e) {
+            LOGGER.atFine().log("Connection could not be prepared to be reset, it is closed: %s", e);
         }
     }
 
     private void state() {
-        State state =
-                readingBytes > 0 || unsentBytes > 0 ? State.UNFINISHED : waitingBytes > 0 ? State.IN_WORK : State.IDLE;
-        holding.keep(CONNECTION_BYTES + readingBytes + waitingBytes + unsentBytes, state);
+        long queuedBytes = queuedOutputBytes();
+        resetAtClose(queuedBytes > 0);
+        State state = readingBytes > 0 || unsentBytes > 0 || queuedBytes > 0
+                ? State.UNFINISHED
+                : waitingBytes > 0 ? State.IN_WORK : State.IDLE;
+        long pausedBytes = readingPaused ? socketBufferBytes : 0;
+        holding.keep(CONNECTION_BYTES + readingBytes + pausedBytes + waitingBytes + unsentBytes + queuedBytes, state);
+    }
+
+    /**
+     * Returns what of the responses stands in the queue of the system, which does not tell. The queue is full if bytes
+     * are unsent; a caller that waits for the next events of a stream has read the earlier ones.
+     */
+    private long queuedOutputBytes() {
+        if (unsentBytes > 0) {
+            return socketBufferBytes;
+        }
+        return waitingBytes > 0 || outputBytes <= UNREAD_BYTES ? 0 : Math.min(outputBytes, socketBufferBytes);
+    }
+
+    /** Returns whether responses may stand in the queue of the system that the caller has not read. */
+    boolean isOutputQueued() {
+        return queuedOutputBytes() > 0;
+    }
+
+    /** States that what had arrived on the connection was read. */
+    void readCompleted() {
+        reads++;
+    }
+
+    /** States that a request begins; a caller that sent it after the last response has read that. */
+    void requestBegins() {
+        if (unsentBytes == 0 && readsAtOutput < reads) {
+            outputBytes = 0;
+        }
+    }
+
+    /** States whether bytes that arrive are left in the queue of the system. */
+    void setReadingPaused(boolean paused) {
+        if (paused != readingPaused) {
+            readingPaused = paused;
+            state();
+        }
     }
 
     /** States what was read of a request that is not complete. */
@@ -89,9 +176,20 @@
         return unsentBytes > MAXIMUM_PIPELINED_BYTES;
     }
 
-    /** States what of the responses the caller has not read, after a message was handed over or written. */
-    void outputChanged(boolean written) {
-        writtenMessages += written ? 1 : 0;
+    /** States that a part of a response was handed over. */
+    void outputAdded(long bytes) {
+        outputBytes += bytes;
+        readsAtOutput = reads;
+        outputChanged();
+    }
+
+    /** States that a part of a response was written, or cannot be. */
+    void outputWritten() {
+        writtenMessages++;
+        outputChanged();
+    }
+
+    private void outputChanged() {
         boolean wasFull = isOutputFull();
         ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
         unsentBytes = buffer == null ? 0 : buffer.totalPendingWriteBytes();
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
@@ -206,7 +206,18 @@
         }
         channel.config().setAutoRead(true);
         channel.shutdownOutput();
-        closeTimeout = context.executor().schedule(() -> context.close(), CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        closeTimeout =
+                context.executor().schedule(() -> endDelivery(channel), CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Closes the connection of a caller that has not done so itself, once it had time to read its last response. */
+    private void endDelivery(DuplexChannel channel) {
+        if (memory.isOutputQueued()) {
+            closeTimeout =
+                    channel.eventLoop().schedule(memory::closeNow, decoder.idleTimeoutMillis(), TimeUnit.MILLISECONDS);
+        } else {
+            channel.close();
+        }
     }
 
     /**
@@ -215,6 +226,7 @@
      * delivered.
      */
     void shutDown() {
+        memory.deliverAtClose();
         readingLast = true;
         if (!inputEnded) {
             context.channel().config().setAutoRead(true);
@@ -295,6 +307,7 @@
 
     private void pauseReading(ChannelHandlerContext context) {
         context.channel().config().setAutoRead(false);
+        memory.setReadingPaused(true);
         if (!readingStopped && !inputEnded) {
             decoder.pause();
         }
@@ -337,6 +350,7 @@
     private void readOn() {
         if (context.channel().isActive() && !readingHasStopped() && !memory.isFull(pendingRequests.size())) {
             context.channel().config().setAutoRead(true);
+            memory.setReadingPaused(false);
             decoder.resume(context.pipeline().context(decoder));
         }
     }
@@ -386,7 +400,9 @@
             }
             case CallerInput.Idle idle -> {
                 boolean unread = memory.hasUnsent();
-                if (memory.isOutputIdle() && (unread || pendingRequests.isEmpty())) {
+                if (memory.isOutputIdle() && unread) {
+                    memory.closeNow();
+                } else if (memory.isOutputIdle() && pendingRequests.isEmpty()) {
                     context.close();
                 }
             }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpListener.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpListener.java
@@ -119,6 +119,9 @@
                             connection.pipeline().addLast(tls.get().newHandler(connection.alloc()));
                         }
                         budget.connectionOpened();
+                        if (budget.socketBufferBytes() > 0) {
+                            connection.config().setSendBufferSize(budget.socketBufferBytes());
+                        }
                         ConnectionMemory memory = new ConnectionMemory(budget, connection);
                         connection.closeFuture().addListener(closed -> {
                             memory.close();
@@ -134,6 +137,10 @@
                         connections.add(connection);
                     }
                 });
+        if (budget.socketBufferBytes() > 0) {
+            // Connections take the size over from the listening socket, as it has to be set before they are opened.
+            bootstrap.option(ChannelOption.SO_RCVBUF, budget.socketBufferBytes());
+        }
         return new HttpListener(bootstrap.bind(address).syncUninterruptibly().channel(), connections);
     }
 
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/memory/MemoryBudget.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/memory/MemoryBudget.java
@@ -25,6 +25,12 @@
 
     private static final long LOG_INTERVAL_MILLIS = 1_000;
 
+    /** The part of the budget that each direction of a socket may queue in the kernel. */
+    private static final int SOCKET_BUFFER_PART = 512;
+
+    private static final int SMALLEST_SOCKET_BUFFER = 16 * 1024;
+    private static final int LARGEST_SOCKET_BUFFER = 64 * 1024;
+
     private final long budgetBytes;
     private final int maximumConnections;
     private final Clock clock;
@@ -178,6 +184,17 @@
                 });
     }
 
+    /**
+     * Returns the size of the queues of the system for each connection, which count as memory too.
+     *
+     * @return the size for each direction in bytes, or 0 to leave it to the system
+     */
+    public int socketBufferBytes() {
+        return isUnlimited()
+                ? 0
+                : (int) Math.clamp(budgetBytes / SOCKET_BUFFER_PART, SMALLEST_SOCKET_BUFFER, LARGEST_SOCKET_BUFFER);
+    }
+
     /** Counts a connection that has closed. */
     public void connectionClosed() {
         if (!isUnlimited()) {
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerTransport.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerTransport.java
@@ -52,6 +52,9 @@
     /** The number of connections that may wait to be accepted. */
     private static final int BACKLOG = 1_024;
 
+    /** What the system may queue of each connection that is not read. */
+    private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
+
     /** Interval at which updates for peers that cannot be reached any more are discarded, in milliseconds. */
     private static final long EXPIRY_INTERVAL_MILLIS = 10_000;
 
@@ -119,6 +122,7 @@
                 .group(group)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/forwarding/LoopOnLoopback.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/forwarding/LoopOnLoopback.java
@@ -100,7 +100,7 @@
             String rawUpstream) {
         EventLoop eventLoop = (EventLoop) group.next();
         Dialect dialect = new Dialect();
-        http = UpstreamClients.create(group, eventLoop, dialect, metrics);
+        http = UpstreamClients.create(group, eventLoop, dialect, metrics, 0);
         EntryVm self = new EntryVm(new EntryVmId("vm-1"), new FailureDomain("lima-a"), "127.0.0.1:1", false);
         ForwardingCore core = coreDecorator.apply(Fuchsiatrail.forwarding(
                 ForwardingSettings.builder().self(self).seed(7).build()));
