Keep descriptors for engines beside callers that keep theirs

Cause: callers' connections could take three quarters of the descriptors, while each request in work needs another one to its engine. Where requests were in work on all connections, nothing could be closed and the next one was taken all the same. A connection that was to be closed for another one was answered 503 first and stayed for a second; an attempt could be given up in its place.

The oldest that is idle or incomplete is closed at once, never an attempt; where all are in work, the new one is closed.

--- a/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/ConnectionBudget.java
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/ConnectionBudget.java
@@ -15,6 +15,9 @@
     /** The part of the heap that connections may keep. */
     private static final int HEAP_PART = 5;
 
+    /** The descriptors that are kept for files, the store, peers and state queries. */
+    private static final int OTHER_DESCRIPTORS = 150;
+
     private static final int MEGABYTE = 1024 * 1024;
 
     private ConnectionBudget() {}
@@ -34,10 +37,13 @@
 
     private static int connections(Settings settings) {
         long connections = settings.integer(SettingKey.MEMORY_CONNECTIONS);
-        if (connections == 0
-                && ManagementFactory.getOperatingSystemMXBean() instanceof UnixOperatingSystemMXBean system) {
-            connections = system.getMaxFileDescriptorCount() / 4 * 3;
-        }
-        return connections == 0 ? Integer.MAX_VALUE : (int) Math.min(connections, Integer.MAX_VALUE);
+        return (int) (connections > 0 ? connections : Math.max(1, (descriptors() - OTHER_DESCRIPTORS) / 2));
+    }
+
+    /** Returns how many descriptors the process may have open. */
+    static int descriptors() {
+        return ManagementFactory.getOperatingSystemMXBean() instanceof UnixOperatingSystemMXBean system
+                ? (int) Math.min(system.getMaxFileDescriptorCount(), Integer.MAX_VALUE)
+                : Integer.MAX_VALUE;
     }
 }
--- a/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/RouterProcess.java
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/RouterProcess.java
@@ -82,7 +82,8 @@
                     outputHandler().recordPeerSpan(message);
                     inputs.add(new Input.PeerSpoke(from, message));
                 },
-                clock);
+                clock,
+                ConnectionBudget.descriptors());
         callers = new CallerServer(settings, incarnation, clock, inputs::add, () -> ready, metrics, traces);
         operators = new OperatorServer(settings, inputs::add, () -> ready, metrics);
         outputHandler = new OutputHandler(
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/ConnectionMemory.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/ConnectionMemory.java
@@ -52,7 +52,7 @@
     ConnectionMemory(MemoryBudget budget, Channel channel) {
         this.channel = channel;
         this.socketBufferBytes = budget.socketBufferBytes();
-        this.holding = budget.open(this::stop);
+        this.holding = budget.openConnection(this::stop, this::closeNow);
         state();
     }
 
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpListener.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpListener.java
@@ -118,15 +118,17 @@
                         if (tls != null) {
                             connection.pipeline().addLast(tls.get().newHandler(connection.alloc()));
                         }
-                        budget.connectionOpened();
+                        boolean admitted = budget.connectionOpened();
+                        connection.closeFuture().addListener(closed -> budget.connectionClosed());
+                        if (!admitted) {
+                            connection.close();
+                            return;
+                        }
                         if (budget.socketBufferBytes() > 0) {
                             connection.config().setSendBufferSize(budget.socketBufferBytes());
                         }
                         ConnectionMemory memory = new ConnectionMemory(budget, connection);
-                        connection.closeFuture().addListener(closed -> {
-                            memory.close();
-                            budget.connectionClosed();
-                        });
+                        connection.closeFuture().addListener(closed -> memory.close());
                         CallerRequestDecoder decoder = new CallerRequestDecoder(limits, memory);
                         connection
                                 .pipeline()
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/memory/MemoryBudget.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/memory/MemoryBudget.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.fuchsiatrail.Clock;
 import org.fuchsiatrail.wire.observe.LogLines;
@@ -105,13 +106,17 @@
     /** What one connection or attempt keeps. */
     public final class Holding {
         private final Runnable stop;
+        /** Closes a connection at once; null for an attempt. */
+        private final Runnable close;
+
         private int index = -1;
         private long bytes;
         private State state = State.IN_WORK;
         private long sinceMillis;
 
-        private Holding(Runnable stop) {
+        private Holding(Runnable stop, Runnable close) {
             this.stop = stop;
+            this.close = close;
         }
 
         /**
@@ -152,13 +157,27 @@
     }
 
     /**
-     * Begins a holding that keeps nothing yet.
+     * Begins the holding of an attempt, which keeps nothing yet.
      *
      * @param stop stops what is kept and gives it up
      * @return the holding
      */
     public Holding open(Runnable stop) {
-        Holding holding = new Holding(stop);
+        return register(new Holding(stop, null));
+    }
+
+    /**
+     * Begins the holding of a connection, which keeps nothing yet.
+     *
+     * @param stop stops what is kept and gives it up; the connection may stay open for an answer
+     * @param close closes the connection at once
+     * @return the holding
+     */
+    public Holding openConnection(Runnable stop, Runnable close) {
+        return register(new Holding(stop, close));
+    }
+
+    private Holding register(Holding holding) {
         if (!isUnlimited()) {
             holding.index = holdings.size();
             holdings.add(holding);
@@ -166,22 +185,28 @@
         return holding;
     }
 
-    /** Counts a connection that opens. If there are too many, the one that has done nothing for longest is closed. */
-    public void connectionOpened() {
+    /**
+     * Counts a connection that opens. If there are too many, the one that has done nothing for longest is closed.
+     *
+     * @return whether the connection is admitted; false if there are too many, and requests are in work on all of them
+     */
+    public boolean connectionOpened() {
         if (isUnlimited()) {
-            return;
+            return true;
         }
         connections++;
         if (connections <= maximumConnections) {
-            return;
+            return true;
         }
-        holdings.stream()
-                .filter(holding -> holding.state != State.IN_WORK)
-                .min(Comparator.comparingLong(holding -> holding.sinceMillis))
-                .ifPresent(holding -> {
-                    stop(holding);
-                    report("connections", 1);
-                });
+        Optional<Holding> oldest = holdings.stream()
+                .filter(holding -> holding.close != null && holding.state != State.IN_WORK)
+                .min(Comparator.comparingLong(holding -> holding.sinceMillis));
+        oldest.ifPresent(holding -> {
+            release(holding);
+            holding.close.run();
+        });
+        report("connections", 1);
+        return oldest.isPresent();
     }
 
     /**
@@ -243,10 +268,14 @@
     }
 
     private void stop(Holding holding) {
+        release(holding);
+        holding.stop.run();
+    }
+
+    private void release(Holding holding) {
         heldBytes -= holding.bytes;
         holding.bytes = 0;
         holding.state = State.IN_WORK;
-        holding.stop.run();
     }
 
     private void report(String kind, int count) {
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/memory/HoldingDecisionTest.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/memory/HoldingDecisionTest.java
@@ -74,9 +74,22 @@
         List<String> stopped = new ArrayList<>();
         for (String name : List.of("working", "idle", "new")) {
             budget.connectionOpened();
-            budget.open(() -> stopped.add(name)).keep(8_192, name.equals("working") ? State.IN_WORK : State.IDLE);
+            budget.openConnection(() -> {}, () -> stopped.add(name))
+                    .keep(8_192, name.equals("working") ? State.IN_WORK : State.IDLE);
             now.addAndGet(1_000);
         }
         assertThat(stopped).containsExactly("idle");
     }
+
+    @Test
+    void should_admit_no_connection_beside_too_many_that_are_in_work() {
+        MemoryBudget budget = MemoryBudget.ofMachine(6 * BUDGET, 1, () -> 0, new RouterMetrics());
+        List<String> stopped = new ArrayList<>();
+        assertThat(budget.connectionOpened()).isTrue();
+        budget.openConnection(() -> {}, () -> stopped.add("caller")).keep(8_192, State.IN_WORK);
+        budget.open(() -> stopped.add("attempt")).keep(8_192, State.UNFINISHED);
+
+        assertThat(budget.connectionOpened()).isFalse();
+        assertThat(stopped).isEmpty();
+    }
 }
