Give other connections their turn beside costly requests

Callers saw: ordinary requests waited beside crowds whose bodies come in chunks of one byte or whose heads have thousands of fields: a connection had the one event loop for all that had arrived on it, up to 170,000 chunks a megabyte.

Cause: the loop goes on with a connection while it has bytes. Above the budget, each further byte looked at all connections again, also where none could be stopped.

Change: after 256 messages (a chunk, or 64 bytes of a head) reading pauses and goes on in a task behind those of other connections. A decision that stops nothing is repeated only when a 128th of the budget more is held, or when a connection's state changes.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/CallerInput.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/CallerInput.java
@@ -15,4 +15,7 @@
 
     /** No byte was received or sent on the connection for longer than the idle timeout. */
     record Idle() implements CallerInput {}
+
+    /** Other connections have their turn; what has arrived on this one is left until reading goes on. */
+    record TurnEnded() implements CallerInput {}
 }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/CallerRequestDecoder.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/CallerRequestDecoder.java
@@ -35,6 +35,12 @@
     private static final int MAXIMUM_CHUNK_BYTES = 64 * 1024;
     private static final Clock CLOCK = SteadyClock.ofThisMachine();
 
+    /** The messages, such as chunks, after which other connections have their turn. */
+    private static final int MESSAGES_IN_TURN = 256;
+
+    /** The bytes of a head that take as long to decode as a message. */
+    private static final int HEAD_BYTES_OF_MESSAGE = 64;
+
     /** What a header field keeps beside its bytes. */
     private static final long FIELD_BYTES = 160;
 
@@ -47,6 +53,9 @@
     private boolean inBody;
     private boolean discarding;
     private boolean paused;
+    private boolean turnOver;
+    private boolean decodesWhole;
+    private int messagesInTurn;
     private long headBytes;
     private long bodyBytes;
     /** The bytes that were received since the last part of a body, which are header fields behind it. */
@@ -115,10 +124,16 @@
         paused = true;
     }
 
+    /** Allows the next messages to be decoded once decoding is resumed. */
+    void beginTurn() {
+        messagesInTurn = 0;
+    }
+
     /** Goes on with the requests that have arrived; outside of a call of this handler. */
     void resume(ChannelHandlerContext context) {
-        if (paused) {
+        if (paused || turnOver) {
             paused = false;
+            turnOver = false;
             context.executor().execute(() -> decodeRest(context));
         }
     }
@@ -126,6 +141,8 @@
     /** Decodes at once what has arrived, however many requests they are; outside of a call of this handler. */
     void resumeNow(ChannelHandlerContext context) {
         paused = false;
+        turnOver = false;
+        decodesWhole = true;
         decodeRest(context);
     }
 
@@ -152,7 +169,7 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext context) throws Exception {
         memory.readCompleted();
-        if (paused) {
+        if (paused || turnOver) {
             // The superclass would read on.
             context.fireChannelReadComplete();
         } else {
@@ -186,6 +203,10 @@
             discard(context, buffer, out);
             return;
         }
+        if (messagesInTurn >= MESSAGES_IN_TURN && !decodesWhole) {
+            endTurn(context);
+            return;
+        }
         if (!inHead && !inBody) {
             if (paused) {
                 memory.setReading(buffer.capacity());
@@ -199,11 +220,14 @@
         int sizeBefore = out.size();
         int indexBefore = buffer.readerIndex();
         boolean inHeadBefore = inHead;
+        boolean inBodyBefore = inBody;
         super.decode(context, buffer, out);
         boolean nothingDecoded = out.size() == sizeBefore;
         headBytes += inBody ? 0 : buffer.readerIndex() - indexBefore;
         inHead = !inBody && nothingDecoded && (inHeadBefore || beginsRequest(buffer, indexBefore));
         List<Object> decoded = out.subList(sizeBefore, out.size());
+        messagesInTurn += decoded.size();
+        messagesInTurn += inBodyBefore ? 0 : (buffer.readerIndex() - indexBefore) / HEAD_BYTES_OF_MESSAGE;
         HttpResponseStatus refusal = check(context, buffer, buffer.readerIndex() - indexBefore, decoded);
         if (refusal == null) {
             stateRequest(buffer, indexBefore, decoded);
@@ -219,6 +243,13 @@
         updateHeaderTimeout(context);
     }
 
+    private void endTurn(ChannelHandlerContext context) {
+        if (!turnOver) {
+            turnOver = true;
+            context.fireUserEventTriggered(new CallerInput.TurnEnded());
+        }
+    }
+
     /** Drops what has arrived, also the header fields that the superclass has gathered for an incomplete message. */
     private void discard(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
         buffer.skipBytes(buffer.readableBytes());
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
@@ -317,6 +317,11 @@
         }
     }
 
+    private void beginTurn() {
+        decoder.beginTurn();
+        readOn();
+    }
+
     private void start(ChannelHandlerContext context, PendingRequest pending) {
         if (pending.exchange() == null) {
             refuse(context, pending.refusalStatus());
@@ -398,6 +403,10 @@
                 continueExpected = true;
                 sendContinueIfDue(context);
             }
+            case CallerInput.TurnEnded ended -> {
+                context.channel().config().setAutoRead(false);
+                context.executor().execute(this::beginTurn);
+            }
             case CallerInput.Idle idle -> {
                 boolean unread = memory.hasUnsent();
                 if (memory.isOutputIdle() && unread) {
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/memory/MemoryBudget.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/memory/MemoryBudget.java
@@ -32,6 +32,9 @@
     private static final int SMALLEST_SOCKET_BUFFER = 16 * 1024;
     private static final int LARGEST_SOCKET_BUFFER = 64 * 1024;
 
+    /** The part of the budget by which holdings grow before it is decided again that none can be stopped. */
+    private static final int DECISION_PART = 128;
+
     private final long budgetBytes;
     private final int maximumConnections;
     private final Clock clock;
@@ -39,6 +42,9 @@
     private final List<Holding> holdings = new ArrayList<>();
     private final ArrayDeque<byte[]> unusedSegments = new ArrayDeque<>();
     private long heldBytes;
+    /** What may be held until the next decision, as nothing could be stopped at the last one. */
+    private long undecidedBytes;
+
     private int connections;
     private long stoppedSinceLog;
     private long nextLogAtMillis = Long.MIN_VALUE;
@@ -135,8 +141,9 @@
             if (newState != state) {
                 sinceMillis = clock.nowMillis();
                 state = newState;
+                undecidedBytes = 0;
             }
-            if (grown && heldBytes > budgetBytes) {
+            if (grown && heldBytes > Math.max(budgetBytes, undecidedBytes)) {
                 stopSome();
             }
         }
@@ -257,7 +264,7 @@
             }
         }
         switch (HoldingDecision.decide(budgetBytes, heldBytes, stoppable)) {
-            case HoldingDecision.Decision.Keep ignored -> {}
+            case HoldingDecision.Decision.Keep ignored -> undecidedBytes = heldBytes + budgetBytes / DECISION_PART;
             case HoldingDecision.Decision.Stop decision -> {
                 List<Holding> stopped =
                         decision.indexes().stream().map(holdings::get).toList();
