Show within moments that the caller of a stream does not read

Callers saw: a daemon whose descriptors were taken by callers that ask for streams and read nothing closed ordinary connections, since requests were in work on all others.

Cause: a stream counts as unread when the queue of its socket is full; events of 200 bytes fill 64 kB in half a minute and more.

Change: the queue of a stream has 8 kB; its connection gets the usual one back for the next response.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/ConnectionExchange.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/ConnectionExchange.java
@@ -147,6 +147,7 @@
         if (progress.compareAndSet(Progress.NOT_ANSWERED, Progress.STREAM_BEGUN)) {
             runOnEventLoop(() -> {
                 setConnectionHeader(response.headers(), connection.endsWithStream());
+                connection.memory().streams(true);
                 write(response);
             });
         }
@@ -219,6 +220,7 @@
     public void endStream() {
         runOnEventLoop(() -> {
             if (progress.compareAndSet(Progress.STREAM_BEGUN, Progress.FINISHED)) {
+                connection.memory().streams(false);
                 writeLast(LastHttpContent.EMPTY_LAST_CONTENT);
             }
         });
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/ConnectionMemory.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/ConnectionMemory.java
@@ -25,6 +25,9 @@
     /** The bytes of responses that a caller may leave in the queue of the system without counting. */
     private static final long UNREAD_BYTES = 16 * 1024;
 
+    /** The queue of the system for a stream, so small that a caller which does not read shows within moments. */
+    private static final int STREAM_BUFFER_BYTES = 8 * 1024;
+
     private static final int RESETS = 0;
     private static final int LINGERS = -1;
 
@@ -92,10 +95,21 @@
             return;
         }
         resetsAtClose = resets;
+        setOption(ChannelOption.SO_LINGER, resets ? RESETS : LINGERS);
+    }
+
+    private void setOption(ChannelOption<Integer> option, int value) {
         try {
-            channel.config().setOption(ChannelOption.SO_LINGER, resets ? RESETS : LINGERS);
+            channel.config().setOption(option, value);
         } catch (ChannelException e) {
-            LOGGER.atFine().log("Connection could not be prepared to be reset, it is closed: %s", e);
+            LOGGER.atFine().log("Option of a connection not set, as its caller has left: %s", e);
+        }
+    }
+
+    /** States that a stream begins or ends. */
+    void streams(boolean begins) {
+        if (socketBufferBytes > 0 && channel.isOpen()) {
+            setOption(ChannelOption.SO_SNDBUF, begins ? STREAM_BUFFER_BYTES : socketBufferBytes);
         }
     }
 
