Bound the connections that cancellations and late ends take

Callers saw: the daemon ran out of descriptors when many callers left at once: sound engines counted as failed, and the ticker ended, as the classes it needed could not be read (NoClassDefFoundError; the process lived on before it was guarded).

Cause: each cancellation takes a connection of its own, hundreds at once, which then stay open for reuse. The connection of a request whose caller has left is closed later than the next caller's is opened.

--- a/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/ConnectionBudget.java
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/ConnectionBudget.java
@@ -18,6 +18,12 @@
     /** The descriptors that are kept for files, the store, peers and state queries. */
     private static final int OTHER_DESCRIPTORS = 150;
 
+    /**
+     * The part of the other descriptors that callers may take: a request needs a connection to its engine, and that of one
+     * which has left is closed later.
+     */
+    private static final int CALLER_PART = 3;
+
     private static final int MEGABYTE = 1024 * 1024;
 
     private ConnectionBudget() {}
@@ -37,7 +43,7 @@
 
     private static int connections(Settings settings) {
         long connections = settings.integer(SettingKey.MEMORY_CONNECTIONS);
-        return (int) (connections > 0 ? connections : Math.max(1, (descriptors() - OTHER_DESCRIPTORS) / 2));
+        return (int) (connections > 0 ? connections : Math.max(1, (descriptors() - OTHER_DESCRIPTORS) / CALLER_PART));
     }
 
     /** Returns how many descriptors the process may have open. */
--- a/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/settings/SettingKey.java
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/settings/SettingKey.java
@@ -87,7 +87,7 @@
             0,
             1_000_000,
             "count",
-            "Connections that may be open at once; 0 for half of the descriptors of the process, less 75."),
+            "Connections that may be open at once; 0 for a third of the descriptors of the process, less 50."),
     /** Address on which this router accepts connections of operators. */
     OPERATORS_LISTEN("operators.listen", Kind.ADDRESS, null, 0, 0, "IP:port", "Where to listen for operators."),
     /** Token that operators send with every request. */
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/client/EngineClient.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/client/EngineClient.java
@@ -39,6 +39,7 @@
     private static final int OK = 200;
 
     private final AsyncHttpClient http;
+    private final Cancellations cancellations = new Cancellations();
     private final ObjectMapper json = WireMapper.json();
     private final ObjectReader eventReader = json.readerFor(EngineEvent.class);
 
@@ -98,17 +99,17 @@
     }
 
     /**
-     * Cancels a request. The engine's response is ignored.
+     * Cancels a request, at once or when earlier cancellations have ended. The engine's response is ignored.
      *
      * @param address the engine's IP address and port
      * @param request the request
      */
     public void cancel(String address, RequestId request) {
-        http.preparePost("http://" + address + "/v1/cancel")
+        cancellations.add(ended -> http.preparePost("http://" + address + "/v1/cancel")
                 .setHeader("Content-Type", "application/json")
                 .setRequestTimeout(CONTROL_REQUEST_TIMEOUT)
                 .setBody(toJson(new Cancellation(request)))
-                .execute(new IgnoredResponseHandler());
+                .execute(new IgnoredResponseHandler(ended)));
     }
 
     /**
@@ -188,9 +189,22 @@
     }
 
     private static final class IgnoredResponseHandler extends AsyncCompletionHandlerBase {
+        private final Runnable ended;
+
+        IgnoredResponseHandler(Runnable ended) {
+            this.ended = ended;
+        }
+
+        @Override
+        public Response onCompleted(Response response) {
+            ended.run();
+            return response;
+        }
+
         @Override
         public void onThrowable(Throwable cause) {
             // A lost cancellation costs the engine some work and has no other effect.
+            ended.run();
         }
     }
 
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamClients.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/UpstreamClients.java
@@ -46,11 +46,7 @@
      * @return a client, to be closed by the caller
      */
     public static AsyncHttpClient create(
-            EventLoopGroup group,
-            EventLoop loop,
-            CallDialect dialect,
-            RouterMetrics metrics,
-            int receiveBufferBytes) {
+            EventLoopGroup group, EventLoop loop, CallDialect dialect, RouterMetrics metrics, int receiveBufferBytes) {
         EventLoopTimer timer = new EventLoopTimer(loop);
         ChannelPool idleConnections = new DefaultChannelPool(
                 IDLE_CONNECTION_TIMEOUT, UNLIMITED_CONNECTION_LIFETIME, timer, IDLE_CONNECTION_CHECK_INTERVAL);
