--- a/fuchsiatrail-daemon/src/test/java/org/fuchsiatrail/processes/UnrulyCallers.java
+++ b/fuchsiatrail-daemon/src/test/java/org/fuchsiatrail/processes/UnrulyCallers.java
@@ -27,7 +27,7 @@
     private static final int LARGEST_FRAME = 4 * 1024 * 1024 - 100;
 
     private static final String STREAM_BODY =
-            "{\"model\":\"tutor\",\"max_tokens\":100000,\"stream\":true,\"prompt\":\"hello\"}";
+            "{\"model\":\"tutor\",\"max_tokens\":2000,\"stream\":true,\"first_token_ms\":600000,\"prompt\":\"hello\"}";
     private static final int FIELDS = 3_200;
     private static final int RECEIVE_BUFFER = 4_096;
 
