--- a/fuchsiatrail-standins/src/main/java/org/fuchsiatrail/standins/process/ProcessUse.java
+++ b/fuchsiatrail-standins/src/main/java/org/fuchsiatrail/standins/process/ProcessUse.java
@@ -11,8 +11,8 @@
 import java.util.stream.Stream;
 
 /**
- * Watches what the kernel accounts to a process: its resident memory, the queues of its sockets and its descriptors. The
- * queue of a connection that the process has closed counts until the kernel has delivered or dropped it.
+ * Watches what the kernel accounts to a process: its resident memory, the queues of its sockets and its descriptors.
+ * The queue of a connection that the process has closed counts until the kernel has delivered or dropped it.
  */
 public final class ProcessUse implements AutoCloseable {
 
