--- a/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/ConnectionBudget.java
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/ConnectionBudget.java
@@ -19,8 +19,8 @@
     private static final int OTHER_DESCRIPTORS = 150;
 
     /**
-     * The part of the other descriptors that callers may take: a request needs a connection to its engine, and that of one
-     * which has left is closed later.
+     * The part of the other descriptors that callers may take: a request needs a connection to its engine, and that of
+     * one which has left is closed later.
      */
     private static final int CALLER_PART = 3;
 
--- a/fuchsiatrail-daemon/src/test/java/org/fuchsiatrail/processes/UnrulyCallers.java
+++ b/fuchsiatrail-daemon/src/test/java/org/fuchsiatrail/processes/UnrulyCallers.java
@@ -139,6 +139,12 @@
                 write(socket, head("POST", path, "Transfer-Encoding: chunked") + "\r\n", 1);
                 write(socket, "1\r\nx\r\n".repeat(1_000), SINGLE_BYTES / 1_000);
             }
+            default -> sendOther(kind, socket, path);
+        }
+    }
+
+    private void sendOther(Kind kind, Socket socket, String path) throws IOException {
+        switch (kind) {
             case SLOW_HEAD -> {
                 write(socket, "GET " + path + " HTTP/1.1\r\nHost: h.example\r\na: ", 1);
                 sendSlowly(socket);
@@ -159,7 +165,7 @@
                                 .array());
                 socket.getOutputStream().write(BODY, 0, LARGEST_FRAME - 10);
             }
-            case SILENT -> {}
+            default -> {}
         }
     }
 
