Decode what has arrived before more is read, and begin no large request above the budget

Cause: a connection whose turn was over read on before what had arrived was decoded, a read a turn. A complete request was begun whatever was held, and cannot be stopped then: 80 times half a megabyte.

Change: reading goes on once the buffer is decoded, and the buffer counts.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/CallerRequestDecoder.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/CallerRequestDecoder.java
@@ -124,16 +124,22 @@
         paused = true;
     }
 
-    /** Allows the next messages to be decoded once decoding is resumed. */
-    void beginTurn() {
+    /** Goes on with the next messages that have arrived, until the turn is over again. */
+    void beginTurn(ChannelHandlerContext context) {
         messagesInTurn = 0;
+        turnOver = false;
+        decodeRest(context);
+    }
+
+    /** Returns whether messages that have arrived wait for the next turn. */
+    boolean isTurnOver() {
+        return turnOver;
     }
 
     /** Goes on with the requests that have arrived; outside of a call of this handler. */
     void resume(ChannelHandlerContext context) {
-        if (paused || turnOver) {
+        if (paused) {
             paused = false;
-            turnOver = false;
             context.executor().execute(() -> decodeRest(context));
         }
     }
@@ -147,7 +153,7 @@
     }
 
     private void decodeRest(ChannelHandlerContext context) {
-        if (!paused && !context.isRemoved() && internalBuffer().isReadable()) {
+        if (!paused && !turnOver && !context.isRemoved() && internalBuffer().isReadable()) {
             try {
                 channelRead(context, Unpooled.EMPTY_BUFFER);
             } catch (Exception e) {
@@ -204,7 +210,7 @@
             return;
         }
         if (messagesInTurn >= MESSAGES_IN_TURN && !decodesWhole) {
-            endTurn(context);
+            endTurn(context, buffer);
             return;
         }
         if (!inHead && !inBody) {
@@ -243,9 +249,10 @@
         updateHeaderTimeout(context);
     }
 
-    private void endTurn(ChannelHandlerContext context) {
+    private void endTurn(ChannelHandlerContext context, ByteBuf buffer) {
         if (!turnOver) {
             turnOver = true;
+            memory.setReading((inHead || inBody ? requestBytes : 0) + buffer.capacity());
             context.fireUserEventTriggered(new CallerInput.TurnEnded());
         }
     }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/ConnectionMemory.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/ConnectionMemory.java
@@ -31,6 +31,7 @@
     private static final int RESETS = 0;
     private static final int LINGERS = -1;
 
+    private final MemoryBudget budget;
     private final MemoryBudget.Holding holding;
     private final Channel channel;
     /** What each direction may keep in the queues of the system, or 0 for any amount. */
@@ -53,6 +54,7 @@
     private long lastProgress = -1;
 
     ConnectionMemory(MemoryBudget budget, Channel channel) {
+        this.budget = budget;
         this.channel = channel;
         this.socketBufferBytes = budget.socketBufferBytes();
         this.holding = budget.openConnection(this::stop, this::closeNow);
@@ -172,6 +174,11 @@
         state();
     }
 
+    /** Returns whether a complete request that keeps this many bytes may be begun. */
+    boolean canTake(long bytes) {
+        return budget.canTake(bytes);
+    }
+
     /** States that a request waits no longer. */
     void requestEnded(long bytes) {
         waitingBytes -= bytes;
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/HttpConnection.java
@@ -117,6 +117,12 @@
         }
         long bytes = decoder.requestBytes();
         memory.requestWaits(bytes);
+        if (!memory.canTake(bytes)) {
+            memory.requestEnded(bytes);
+            endInput();
+            enqueue(context, PendingRequest.refused(HttpResponseStatus.SERVICE_UNAVAILABLE.code()));
+            return;
+        }
         enqueue(context, new PendingRequest(new ConnectionExchange(context, this, request), 0, bytes));
     }
 
@@ -317,8 +323,9 @@
         }
     }
 
+    /** Decodes what has arrived before more is read. */
     private void beginTurn() {
-        decoder.beginTurn();
+        decoder.beginTurn(context.pipeline().context(decoder));
         readOn();
     }
 
@@ -353,7 +360,10 @@
     }
 
     private void readOn() {
-        if (context.channel().isActive() && !readingHasStopped() && !memory.isFull(pendingRequests.size())) {
+        if (context.channel().isActive()
+                && !readingHasStopped()
+                && !memory.isFull(pendingRequests.size())
+                && !decoder.isTurnOver()) {
             context.channel().config().setAutoRead(true);
             memory.setReadingPaused(false);
             decoder.resume(context.pipeline().context(decoder));
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/memory/MemoryBudget.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/memory/MemoryBudget.java
@@ -227,6 +227,17 @@
                 : (int) Math.clamp(budgetBytes / SOCKET_BUFFER_PART, SMALLEST_SOCKET_BUFFER, LARGEST_SOCKET_BUFFER);
     }
 
+    /**
+     * Returns whether a request that is complete may be begun. One that is begun cannot be stopped any more.
+     *
+     * @param bytes the bytes that it keeps, which are stated already
+     * @return false if the budget is exceeded, for a small request if it is far exceeded
+     */
+    public boolean canTake(long bytes) {
+        return heldBytes <= budgetBytes
+                || (bytes < HoldingDecision.SMALL_BYTES && heldBytes <= budgetBytes + budgetBytes / 4);
+    }
+
     /** Counts a connection that has closed. */
     public void connectionClosed() {
         if (!isUnlimited()) {
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/memory/HoldingDecisionTest.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/memory/HoldingDecisionTest.java
@@ -92,4 +92,19 @@
         assertThat(budget.connectionOpened()).isFalse();
         assertThat(stopped).isEmpty();
     }
+
+    @Test
+    void should_begin_no_large_request_above_the_budget_and_no_small_one_far_above_it() {
+        MemoryBudget budget = MemoryBudget.ofMachine(8 * BUDGET, 10, () -> 0, new RouterMetrics());
+        MemoryBudget.Holding inWork = budget.open(() -> {});
+        inWork.keep(BUDGET, State.IN_WORK);
+        assertThat(budget.canTake(MEGABYTE)).isTrue();
+
+        inWork.keep(BUDGET + 1, State.IN_WORK);
+        assertThat(budget.canTake(MEGABYTE)).isFalse();
+        assertThat(budget.canTake(1_000)).isTrue();
+
+        inWork.keep(2 * BUDGET, State.IN_WORK);
+        assertThat(budget.canTake(1_000)).isFalse();
+    }
 }
