Read as many short requests ahead as before header fields counted more

Cause: a connection reads no second request while unanswered ones keep more than 64 kB; with 640 bytes a field that was reached by five ordinary requests of twenty fields, not by many fields as before.

Change: 256 kB of unanswered requests; 64 kB of unread responses as before.

--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/ConnectionMemory.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/http/ConnectionMemory.java
@@ -20,7 +20,10 @@
     private static final int MAXIMUM_PIPELINED_REQUESTS = 4;
 
     /** The bytes of unanswered requests above which no second one is read. */
-    private static final long MAXIMUM_PIPELINED_BYTES = 64 * 1024;
+    private static final long MAXIMUM_PIPELINED_BYTES = 256 * 1024;
+
+    /** The bytes of unread responses above which no further request is begun. */
+    private static final long MAXIMUM_UNSENT_BYTES = 64 * 1024;
 
     /** The bytes of responses that a caller may leave in the queue of the system without counting. */
     private static final long UNREAD_BYTES = 16 * 1024;
@@ -194,7 +197,7 @@
 
     /** Returns whether so much of the responses is not read that no further request is begun. */
     boolean isOutputFull() {
-        return unsentBytes > MAXIMUM_PIPELINED_BYTES;
+        return unsentBytes > MAXIMUM_UNSENT_BYTES;
     }
 
     /** States that a part of a response was handed over. */
