review/9: a crowd takes a router over the memory of the smallest machine

Seen: 80 clients send bodies far over the limit in chunks to a router on a machine of 88 MB. Its resident memory rises from below 80 MB to 113 to 122 MB and stays there. Ordinary requests are answered.

Code at fault, as far as known: the deploy file gives the heap 40% of the memory; with shared classes, compiled code and metaspace the process needs 91 MB once the whole heap has been used, and 27 MB are mapped from files.

--- a/review/support-2/Router.java
+++ b/review/support-2/Router.java
@@ -24,6 +24,11 @@
     private Process process;
 
     Router(Path directory, String name, String zone, String storeAddress) throws IOException {
+        this(directory, name, zone, storeAddress, 280);
+    }
+
+    /** A router on a machine of another size. */
+    Router(Path directory, String name, String zone, String storeAddress, int megabytes) throws IOException {
         this.name = name;
         this.directory = directory;
         this.settings = directory.resolve(name + ".yaml");
@@ -39,7 +44,7 @@
                 Map.entry("bounds.lease_ms", "3000"),
                 Map.entry("bounds.version_ms", "8000"),
                 Map.entry("bounds.grace_s", "8"),
-                Map.entry("limits.memory_mb", "280"),
+                Map.entry("limits.memory_mb", Integer.toString(megabytes)),
                 Map.entry("limits.max_fds", "4100"));
         // All routers have one address on loopback, so the ports that a deployment has in common differ here.
         String template = Files.readString(Path.of("deploy/router.yaml"))
