--- a/review/support-2/Router.java
+++ b/review/support-2/Router.java
@@ -16,6 +16,9 @@
     private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([a-z_.0-9]+)\\}\\}");
 
     final String name;
+    /** Keep the ports for the process until it starts. */
+    private final List<ServerSocket> reserved = new ArrayList<>();
+
     private final List<Integer> ports = freePorts(4);
     private final Path directory;
     private final List<String> command;
@@ -29,6 +32,19 @@
 
     /** A router on a machine of another size. */
     Router(Path directory, String name, String zone, String storeAddress, int megabytes) throws IOException {
+        this(directory, name, zone, new Platform(storeAddress, storeAddress, megabytes));
+    }
+
+    /**
+     * What the platform gives a router.
+     *
+     * @param storeAddress the address of the store, or of a view of it
+     * @param secret what all routers have in common
+     * @param megabytes the memory of the machine
+     */
+    record Platform(String storeAddress, String secret, int megabytes) {}
+
+    Router(Path directory, String name, String zone, Platform platform) throws IOException {
         this.name = name;
         this.directory = directory;
         this.settings = directory.resolve(name + ".yaml");
@@ -37,19 +53,20 @@
                 Map.entry("zone", zone),
                 Map.entry("listen.front", "127.0.0.1:" + ports.get(0)),
                 Map.entry("listen.ready", "127.0.0.1:" + ports.get(1)),
-                Map.entry("platform.address", storeAddress),
+                Map.entry("platform.address", platform.storeAddress()),
                 Map.entry("bounds.budget_ratio", "0.2"),
                 Map.entry("bounds.retry_slack", "54"),
                 Map.entry("bounds.budget_window_s", "10"),
                 Map.entry("bounds.lease_ms", "3000"),
                 Map.entry("bounds.version_ms", "8000"),
                 Map.entry("bounds.grace_s", "8"),
-                Map.entry("limits.memory_mb", Integer.toString(megabytes)),
+                Map.entry("limits.memory_mb", Integer.toString(platform.megabytes())),
                 Map.entry("limits.max_fds", "4100"));
         // All routers have one address on loopback, so the ports that a deployment has in common differ here.
         String template = Files.readString(Path.of("deploy/router.yaml"))
                 .replace("{{ip}}:{{port_range.0}}", "127.0.0.1:" + ports.get(2))
-                .replace("{{ip}}:9464", "127.0.0.1:" + ports.get(3));
+                .replace("{{ip}}:9464", "127.0.0.1:" + ports.get(3))
+                .replace("secret: \"{{platform.address}}\"", "secret: \"" + platform.secret() + "\"");
         Matcher placeholders = PLACEHOLDER.matcher(template);
         Files.writeString(
                 settings, placeholders.replaceAll(match -> fields.getOrDefault(match.group(1), "")));
@@ -73,24 +90,24 @@
         throw new IOException("deploy/system.toml has no " + key);
     }
 
-    private static List<Integer> freePorts(int count) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
-        List<Integer> ports = new ArrayList<>();
+    private List<Integer> freePorts(int count) throws IOException {
+        List<Integer> free = new ArrayList<>();
         for (int number = 0; number < count; number++) {
             ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
-            sockets.add(socket);
-            ports.add(socket.getLocalPort());
+            reserved.add(socket);
+            free.add(socket.getLocalPort());
         }
-        for (ServerSocket socket : sockets) {
-            socket.close();
-        }
-        return ports;
+        return free;
     }
 
     int port() {
         return ports.get(0);
     }
 
+    String peersAddress() {
+        return "127.0.0.1:" + ports.get(2);
+    }
+
     int readinessPort() {
         return ports.get(1);
     }
@@ -109,6 +126,9 @@
         if (!virtualMachineOptions.isEmpty()) {
             builder.environment().put("JDK_JAVA_OPTIONS", virtualMachineOptions);
         }
+        for (ServerSocket socket : reserved) {
+            socket.close();
+        }
         process = builder.redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()))
                 .start();
--- a/review/support-2/Store.java
+++ b/review/support-2/Store.java
@@ -10,13 +10,21 @@
 final class Store implements AutoCloseable {
 
     private record Item(String key, byte[] value, long revision, long created, long lease, boolean removed) {
-        String json() {
+        String json(Map<String, String> shown) {
             return removed
                     ? "{\"key\":" + Json.quote(key) + ",\"revision\":" + revision + ",\"tombstone\":true}"
                     : "{\"key\":" + Json.quote(key) + ",\"value\":\""
-                            + Base64.getEncoder().encodeToString(value) + "\",\"revision\":" + revision
+                            + Base64.getEncoder().encodeToString(shownValue(shown)) + "\",\"revision\":" + revision
                             + ",\"create_rev\":" + created + ",\"lease\":" + lease + "}";
         }
+
+        private byte[] shownValue(Map<String, String> shown) {
+            String text = new String(value, StandardCharsets.ISO_8859_1);
+            for (Map.Entry<String, String> address : shown.entrySet()) {
+                text = text.replace('"' + address.getKey() + '"', '"' + address.getValue() + '"');
+            }
+            return text.getBytes(StandardCharsets.ISO_8859_1);
+        }
     }
 
     private record Lease(long lifetimeMillis, long endNanos) {}
@@ -88,23 +96,34 @@
         return true;
     }
 
+    /**
+     * Opens another address of the store, at which some addresses in the values of items appear as others, so that a
+     * path can lie between two processes.
+     */
+    String view(Map<String, String> addresses) throws IOException {
+        return new Wire.Server((request, connection) -> answer(connection, reply(request, addresses))).address();
+    }
+
     private void handle(Wire.Request request, Wire.Connection connection) throws IOException, InterruptedException {
-        String[] reply = reply(request);
+        answer(connection, reply(request, Map.of()));
+    }
+
+    private static void answer(Wire.Connection connection, String[] reply) throws IOException {
         connection.answer(
                 Integer.parseInt(reply[0]),
                 Wire.headers("Content-Type", "application/json", "Store-Era", "1"),
                 reply[1]);
     }
 
-    private synchronized String[] reply(Wire.Request request) throws InterruptedException {
+    private synchronized String[] reply(Wire.Request request, Map<String, String> shown) throws InterruptedException {
         endLeases();
         String path = request.path();
         String body = new String(request.body(), StandardCharsets.UTF_8);
         if (path.equals("/kv-range")) {
-            return range(request.parameter("prefix"), request.parameter("after"));
+            return range(request.parameter("prefix"), request.parameter("after"), shown);
         }
         if (path.equals("/kv-watch")) {
-            return watch(request);
+            return watch(request, shown);
         }
         if (path.equals("/kv-lease")) {
             long lifetime = (long) Json.object(body).get("ttl_ms");
@@ -127,11 +146,11 @@
         return path.equals("/kv-txn") ? transaction(Json.object(body)) : new String[] {"404", "{}"};
     }
 
-    private String[] range(String prefix, String after) {
+    private String[] range(String prefix, String after, Map<String, String> shown) {
         List<String> texts = new ArrayList<>();
         for (Item item : items.values()) {
             if (item.key().startsWith(prefix) && item.key().compareTo(after) > 0) {
-                texts.add(item.json());
+                texts.add(item.json(shown));
             }
         }
         String list = String.join(",", texts);
@@ -140,7 +159,7 @@
         };
     }
 
-    private String[] watch(Wire.Request request) throws InterruptedException {
+    private String[] watch(Wire.Request request, Map<String, String> shown) throws InterruptedException {
         long after = Long.parseLong(request.parameter("after"));
         String prefix = request.parameter("prefix");
         long endNanos = System.nanoTime() + Long.parseLong(request.parameter("wait_ms")) * 1_000_000;
@@ -148,7 +167,7 @@
             endLeases();
             List<String> texts = history.stream()
                     .filter(item -> item.revision() > after && item.key().startsWith(prefix))
-                    .map(Item::json)
+                    .map(item -> item.json(shown))
                     .toList();
             long leftMillis = (endNanos - System.nanoTime()) / 1_000_000;
             if (!texts.isEmpty() || leftMillis <= 0) {
@@ -169,7 +188,7 @@
             Item known = items.get((String) row.get("key"));
             holds &= (known == null ? 0 : known.revision()) == (long) row.get("revision");
             if (known != null) {
-                failed.add(known.json());
+                failed.add(known.json(Map.of()));
             }
         }
         if (!holds) {
