review: keep the names of the platform's protocol out of the cases' sources

A test of the project checks that no Java source outside platform/ holds them, and failed on review/8. Nothing else changes in the cases.

--- a/review/7/SilentLinks.java
+++ b/review/7/SilentLinks.java
@@ -61,7 +61,7 @@
 
         @Override
         void begin(Wire.Request request) {
-            record.line("run " + request.header("Attempt-Id") + " at " + id + ", Last-Event-Id '"
+            record.line("run " + request.header(Protocol.ATTEMPT_ID) + " at " + id + ", Last-Event-Id '"
                     + request.header("Last-Event-Id") + "'");
         }
 
@@ -79,9 +79,9 @@
 
     private void configure() {
         store.put(
-                "op/config",
+                Protocol.CONFIGURATION_KEY,
                 "{\"version\":1,\"routes\":[{\"name\":\"ask\",\"host\":\"tutor.example\",\"prefix\":\"/ask/\","
-                        + "\"kind\":\"streaming\",\"timeout_ms\":15000,\"target_latency_ms\":400,\"priority\":0,"
+                        + "\"kind\":\"streaming\",\"timeout_ms\":15000,\"" + Protocol.LATENCY_TARGET + "\":400,\"priority\":0,"
                         + "\"service\":\"tutor\",\"attempts\":2,\"public\":false,\"sticky\":true,\"resumable\":true,"
                         + "\"gap_aim_ms\":400}],\"services\":[{\"name\":\"tutor\",\"health_path\":\"/health\","
                         + "\"max_conns\":360,\"engine\":{\"slots\":64,\"kv_capacity\":101787,"
@@ -94,10 +94,10 @@
     private Wire.Reply ask(Router router, int subject, String id, Map<String, String> more, int deadlineMillis) {
         Map<String, String> headers = Wire.headers(
                 "Host", "tutor.example",
-                "Attempt-Id", id,
+                Protocol.ATTEMPT_ID, id,
                 "Model", "m1",
-                "Token-Counts", "826,73",
-                "Prompt-Prefix", "5c1e" + subject % 5 + ":198,91bd" + subject + ":628",
+                Protocol.TOKEN_COUNTS, "826,73",
+                Protocol.PROMPT_PREFIX, "5c1e" + subject % 5 + ":198,91bd" + subject + ":628",
                 "Deadline-Ms", Integer.toString(deadlineMillis),
                 "Key", "key-of-crew");
         headers.putAll(more);
--- a/review/8/TenantBecomesIsolated.java
+++ b/review/8/TenantBecomesIsolated.java
@@ -46,19 +46,19 @@
         void begin(Wire.Request request) {
             synchronized (TenantBecomesIsolated.this) {
                 String tenant = request.header("Tenant");
-                record.line("run " + request.header("Attempt-Id") + " at " + id + " for " + tenant + ", salt '"
-                        + request.header("Cache-Salt") + "', " + request.header("Prompt-Prefix"));
-                String[] parts = request.header("Prompt-Prefix").split(",");
+                record.line("run " + request.header(Protocol.ATTEMPT_ID) + " at " + id + " for " + tenant + ", salt '"
+                        + request.header(Protocol.CACHE_SALT) + "', " + request.header(Protocol.PROMPT_PREFIX));
+                String[] parts = request.header(Protocol.PROMPT_PREFIX).split(",");
                 boolean prefix = true;
                 for (String part : parts) {
-                    String key = request.header("Cache-Salt") + "|" + request.header("Model") + "|"
+                    String key = request.header(Protocol.CACHE_SALT) + "|" + request.header("Model") + "|"
                             + part.substring(0, part.indexOf(':'));
                     String maker = makers.get(key);
                     boolean foreign = maker != null && !maker.equals(tenant);
                     boolean isolated = maker != null && (maker.equals("north") || tenant.equals("north"));
                     if (prefix && foreign && isolated && record.now() > isolatedSince + CONFIG_APPLY_MILLIS) {
                         uses++;
-                        record.line("WALL: " + request.header("Attempt-Id") + " of " + tenant + " uses part " + part
+                        record.line("WALL: " + request.header(Protocol.ATTEMPT_ID) + " of " + tenant + " uses part " + part
                                 + " that a request of " + maker + " made");
                     }
                     prefix &= maker != null;
@@ -70,10 +70,10 @@
 
     private void configure(int version, boolean northIsolated) {
         store.put(
-                "op/config",
+                Protocol.CONFIGURATION_KEY,
                 "{\"version\":" + version
                         + ",\"routes\":[{\"name\":\"ask\",\"host\":\"tutor.example\",\"prefix\":\"/ask/\","
-                        + "\"kind\":\"streaming\",\"timeout_ms\":15000,\"target_latency_ms\":400,\"priority\":0,"
+                        + "\"kind\":\"streaming\",\"timeout_ms\":15000,\"" + Protocol.LATENCY_TARGET + "\":400,\"priority\":0,"
                         + "\"service\":\"tutor\",\"attempts\":2,\"public\":false,\"sticky\":true,\"resumable\":true,"
                         + "\"gap_aim_ms\":400}],\"services\":[{\"name\":\"tutor\",\"health_path\":\"/health\","
                         + "\"max_conns\":360,\"engine\":{\"slots\":64,\"kv_capacity\":101787,"
@@ -95,10 +95,10 @@
                 "/ask/" + subject,
                 Wire.headers(
                         "Host", "tutor.example",
-                        "Attempt-Id", id,
+                        Protocol.ATTEMPT_ID, id,
                         "Model", "m1",
-                        "Token-Counts", "826,73",
-                        "Prompt-Prefix", "5c1e" + subject + ":198,91bd" + subject + ":400,own" + id + ":228",
+                        Protocol.TOKEN_COUNTS, "826,73",
+                        Protocol.PROMPT_PREFIX, "5c1e" + subject + ":198,91bd" + subject + ":400,own" + id + ":228",
                         "Deadline-Ms", Integer.toString(DEADLINE_MILLIS),
                         "Key", "key-of-" + tenant),
                 "prompt".getBytes(),
--- a/review/support-2/ModelEngine.java
+++ b/review/support-2/ModelEngine.java
@@ -69,10 +69,10 @@
     }
 
     private void run(Wire.Request request, Wire.Connection connection) throws IOException, InterruptedException {
-        String expected = request.header("Expect-Instance");
-        String attempt = request.header("Attempt-Id");
+        String expected = request.header(Protocol.EXPECTED_ENGINE);
+        String attempt = request.header(Protocol.ATTEMPT_ID);
         if (!expected.isEmpty() && !expected.equals(id)) {
-            connection.answer(421, Wire.headers("Attempt-Id", attempt, "Instance-Id", id), "");
+            connection.answer(421, Wire.headers(Protocol.ATTEMPT_ID, attempt, "Instance-Id", id), "");
             return;
         }
         begin(request);
@@ -94,9 +94,9 @@
 
     void beginStream(Wire.Request request, Wire.Connection connection) throws IOException {
         Map<String, String> headers = Wire.headers(
-                "Attempt-Id", request.header("Attempt-Id"),
-                "Engine-Stamp", id + "." + request.header("Attempt-Id"),
-                "Weight-Versions", "1",
+                Protocol.ATTEMPT_ID, request.header(Protocol.ATTEMPT_ID),
+                Protocol.SIGNATURE, id + "." + request.header(Protocol.ATTEMPT_ID),
+                Protocol.WEIGHTS, "1",
                 "Content-Type", "text/event-stream",
                 "Transfer-Encoding", "chunked");
         StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\n");
--- a/review/support-2/Store.java
+++ b/review/support-2/Store.java
@@ -119,13 +119,13 @@
         endLeases();
         String path = request.path();
         String body = new String(request.body(), StandardCharsets.UTF_8);
-        if (path.equals("/kv-range")) {
+        if (path.equals(Protocol.RANGE_PATH)) {
             return range(request.parameter("prefix"), request.parameter("after"), shown);
         }
-        if (path.equals("/kv-watch")) {
+        if (path.equals(Protocol.WATCH_PATH)) {
             return watch(request, shown);
         }
-        if (path.equals("/kv-lease")) {
+        if (path.equals(Protocol.GRANT_PATH)) {
             long lifetime = (long) Json.object(body).get("ttl_ms");
             leases.put(++nextLease, new Lease(lifetime, System.nanoTime() + lifetime * 1_000_000));
             return new String[] {"200", "{\"lease\":" + nextLease + ",\"ttl_ms\":" + lifetime + "}"};
@@ -139,11 +139,11 @@
             leases.put(id, new Lease(lease.lifetimeMillis(), System.nanoTime() + lease.lifetimeMillis() * 1_000_000));
             return new String[] {"200", "{\"ttl_ms\":" + lease.lifetimeMillis() + "}"};
         }
-        if (path.startsWith("/kv-lease-end/")) {
-            boolean ended = endLease(Long.parseLong(path.substring("/kv-lease-end/".length())));
+        if (path.startsWith(Protocol.END_PATH)) {
+            boolean ended = endLease(Long.parseLong(path.substring(Protocol.END_PATH.length())));
             return new String[] {ended ? "200" : "404", "{}"};
         }
-        return path.equals("/kv-txn") ? transaction(Json.object(body)) : new String[] {"404", "{}"};
+        return path.equals(Protocol.TRANSACTION_PATH) ? transaction(Json.object(body)) : new String[] {"404", "{}"};
     }
 
     private String[] range(String prefix, String after, Map<String, String> shown) {
