--- a/review/support-2/Router.java
+++ b/review/support-2/Router.java
@@ -132,6 +132,7 @@
         process = builder.redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()))
                 .start();
+        Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     }
 
     void awaitReady() throws IOException, InterruptedException {
