Notice connections between routers that went silent, and send again what they lost

Cause: a connection carried messages one way and nothing back. What was written to it vanished until the kernel gave it up, a quarter of an hour later; behind a path that answers kernel probes, never. Routers heard neither crashes, pauses, limits and started streams nor queries and their replies.

Why it works: the accepting side acknowledges probes, which are sent after what is to be acknowledged; its nonce tells that it does. A connection with an unanswered probe is replaced within two thirds of contact_ms, and updates that were not acknowledged are sent again. Peers of older builds get no probes.

PeerWaitingTest waits for the handshake's new, shorter limit; it named the former constant. The accepting side keeps its own limit of 3 s.

--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -595,6 +595,6 @@
                     router.tick(new ForwardingInput.PeerMessageReceived(
                             sender.self().id(), router.build.restrict(sender.build.restrict(message.message()))));
                 });
-        network.send(sender.self().id(), message, delivery);
+        network.send(sender.self().id(), message, paths.silence.guard(sender, message, delivery));
     }
 }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetPaths.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetPaths.java
@@ -18,6 +18,9 @@
 
     private final SplittableRandom random;
     private final LongSupplier clock;
+    /** The silence of links between routers. */
+    final FleetSilence silence = new FleetSilence();
+
     private final Map<EntryVmId, PathCut> cuts = new HashMap<>();
     private final Map<EntryVmId, Long> isolatedUntilMillis = new HashMap<>();
     private final Map<EntryVmId, Long> routersUnreachableUntilMillis = new HashMap<>();
--- a/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/RouterProcess.java
+++ b/fuchsiatrail-daemon/src/main/java/org/fuchsiatrail/daemon/RouterProcess.java
@@ -31,6 +31,7 @@
 import org.fuchsiatrail.wire.observe.ProcessGuard;
 import org.fuchsiatrail.wire.observe.RouterMetrics;
 import org.fuchsiatrail.wire.peer.Addresses;
+import org.fuchsiatrail.wire.peer.LivenessTimeouts;
 import org.fuchsiatrail.wire.peer.PeerTransport;
 
 /** Runs a router core as a process: one thread ticks the core, the network threads queue its inputs. */
@@ -83,7 +84,8 @@
                     inputs.add(new Input.PeerSpoke(from, message));
                 },
                 clock,
-                ConnectionBudget.descriptors());
+                ConnectionBudget.descriptors(),
+                new LivenessTimeouts(settings.integer(SettingKey.MEMBERSHIP_DEAD_MILLIS)));
         callers = new CallerServer(settings, incarnation, clock, inputs::add, () -> ready, metrics, traces);
         operators = new OperatorServer(settings, inputs::add, () -> ready, metrics);
         outputHandler = new OutputHandler(
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/Handshake.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/Handshake.java
@@ -16,6 +16,9 @@
  * <p>The accepting side sends a challenge that consists of the protocol version and a nonce. The connecting side
  * responds with a hello frame: a nonce of its own, an HMAC over the challenge, that nonce and its router name, and the
  * name. The accepting side responds with a welcome frame: an HMAC over the connecting side's nonce.
+ *
+ * <p>An accepting side that acknowledges probes marks its nonce: the last bytes are an HMAC over the others. Older
+ * builds send a nonce that is random throughout, and accept either.
  */
 final class Handshake {
 
@@ -23,6 +26,7 @@
     static final byte PROTOCOL_VERSION = 1;
 
     static final int NONCE_BYTES = 16;
+    private static final int NONCE_MARK_BYTES = 4;
     private static final int SIGNATURE_BYTES = 32;
     private static final String ALGORITHM = "HmacSHA256";
     private static final SecureRandom RANDOM = new SecureRandom();
@@ -39,6 +43,26 @@
         return nonce;
     }
 
+    /** Returns a nonce that marks the challenge of a router which acknowledges probes. */
+    byte[] acknowledgingNonce() {
+        byte[] nonce = nonce();
+        byte[] mark = acknowledgementMark(nonce);
+        System.arraycopy(mark, 0, nonce, NONCE_BYTES - NONCE_MARK_BYTES, NONCE_MARK_BYTES);
+        return nonce;
+    }
+
+    /** Returns whether the router that sent a challenge acknowledges probes. */
+    boolean announcesAcknowledgements(byte[] challenge) {
+        byte[] nonce = Arrays.copyOfRange(challenge, 1, challenge.length);
+        byte[] mark = Arrays.copyOfRange(nonce, NONCE_BYTES - NONCE_MARK_BYTES, NONCE_BYTES);
+        return MessageDigest.isEqual(mark, acknowledgementMark(nonce));
+    }
+
+    private byte[] acknowledgementMark(byte[] nonce) {
+        byte[] random = Arrays.copyOf(nonce, NONCE_BYTES - NONCE_MARK_BYTES);
+        return Arrays.copyOf(sign("acknowledges", random), NONCE_MARK_BYTES);
+    }
+
     byte[] challenge(byte[] nonce) {
         return ByteBuffer.allocate(1 + NONCE_BYTES)
                 .put(PROTOCOL_VERSION)
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/OutboundConnection.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/OutboundConnection.java
@@ -1,6 +1,7 @@
 package org.fuchsiatrail.wire.peer;
 
 import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Queue;
 
 import io.netty.bootstrap.Bootstrap;
@@ -19,18 +20,20 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import org.fuchsiatrail.EntryVmId;
 import org.fuchsiatrail.PeerMessage;
+import org.fuchsiatrail.wire.http.KeepAliveProbes;
 
 /**
- * The connection to the peer at one address; opened on demand, and again after it was closed. While it takes nothing,
- * messages wait in {@link WaitingMessages}.
+ * The connection to the peer at one address; opened on demand, and again after it was closed or went silent. While it
+ * takes nothing, messages wait in {@link WaitingMessages}.
+ *
+ * <p>A probe is an empty frame, and so is its acknowledgement, which tells that all frames before the probe were
+ * received. Updates are kept until then, and sent again over the next connection if this one is lost. Peers of older
+ * builds acknowledge nothing; their connections are neither probed nor given up.
  */
 final class OutboundConnection {
 
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
-    /** The time in which a connection has to be set up, with its handshake, in milliseconds. */
-    static final long HANDSHAKE_TIMEOUT_MILLIS = 3_000;
-
     /**
      * Below the high mark a message is passed to the connection, so that of updates of 16 KB at most 32 KB wait in it;
      * a link of 7 Mbit/s takes them in 40 ms.
@@ -56,6 +59,19 @@
     private long attemptSinceMillis;
     private boolean draining;
 
+    /** Updates that the kernel has taken and the peer has not acknowledged; empty for a peer of an older build. */
+    private final Deque<OutgoingMessage> unacknowledged = new ArrayDeque<>();
+    /** How many of these the pending probe covers. */
+    private int probedMessages;
+
+    private boolean peerAcknowledges;
+    private boolean probePending;
+    private boolean sentSinceProbe;
+    /** The checks since the last probe was sent. */
+    private int checksSinceProbe;
+    /** The connections in a row that were given up before they acknowledged anything. */
+    private int silentInRow;
+
     /**
      * What all connections of a router share.
      *
@@ -64,9 +80,15 @@
      * @param handshake the handshake
      * @param encoder encodes and merges messages
      * @param traffic counts what is sent
+     * @param timeouts when a connection counts as silent
      */
     record Dependencies(
-            EventLoopGroup group, EntryVmId self, Handshake handshake, UpdateEncoder encoder, PeerTraffic traffic) {}
+            EventLoopGroup group,
+            EntryVmId self,
+            Handshake handshake,
+            UpdateEncoder encoder,
+            PeerTraffic traffic,
+            LivenessTimeouts timeouts) {}
 
     OutboundConnection(Dependencies dependencies, EntryVmId peer, String address) {
         this.dependencies = dependencies;
@@ -80,11 +102,7 @@
         if (channel != null && !channel.isActive()) {
             disconnected(attempt);
         }
-        if (channel == null && attempt != null && nowMillis - attemptSinceMillis >= HANDSHAKE_TIMEOUT_MILLIS) {
-            Channel unanswered = attempt;
-            disconnected(unanswered);
-            unanswered.close();
-        }
+        endLateHandshake(nowMillis);
         OutgoingMessage outgoing = OutgoingMessage.of(message, bytes, nowMillis);
         if (channel != null && channel.isWritable() && waiting.isEmpty()) {
             write(outgoing, nowMillis);
@@ -102,6 +120,71 @@
         }
     }
 
+    private void endLateHandshake(long nowMillis) {
+        boolean late = nowMillis - attemptSinceMillis >= dependencies.timeouts().handshakeMillis();
+        if (channel == null && attempt != null && late) {
+            Channel unanswered = attempt;
+            disconnected(unanswered);
+            unanswered.close();
+        }
+    }
+
+    /** Checks at a fixed interval whether the peer still receives what is sent, and connects anew if it does not. */
+    synchronized void checkLiveness(long nowMillis) {
+        if (channel == null) {
+            boolean connecting = attempt != null;
+            endLateHandshake(nowMillis);
+            if (connecting && attempt == null && !waiting.isEmpty()) {
+                connect(nowMillis);
+            }
+            return;
+        }
+        if (!peerAcknowledges) {
+            return;
+        }
+        checksSinceProbe++;
+        if (probePending && checksSinceProbe >= LivenessTimeouts.unansweredChecks(silentInRow)) {
+            giveUpSilentConnection(nowMillis);
+        } else if (!probePending && (sentSinceProbe || checksSinceProbe >= LivenessTimeouts.IDLE_CHECKS)) {
+            sendProbe();
+        }
+    }
+
+    private void sendProbe() {
+        probePending = true;
+        sentSinceProbe = false;
+        checksSinceProbe = 0;
+        probedMessages = unacknowledged.size();
+        traffic.recordSent(PeerTransport.LENGTH_FIELD_BYTES);
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER);
+    }
+
+    private synchronized void acknowledged(Channel from) {
+        if (from != channel || !probePending) {
+            return;
+        }
+        probePending = false;
+        for (int message = 0; message < probedMessages; message++) {
+            unacknowledged.remove();
+        }
+        if (checksSinceProbe < LivenessTimeouts.unansweredChecks(0)) {
+            silentInRow = 0;
+        }
+    }
+
+    private void giveUpSilentConnection(long nowMillis) {
+        traffic.recordSilent(peer.value(), unacknowledged.size(), checksSinceProbe);
+        silentInRow++;
+        Channel silent = channel;
+        disconnected(silent);
+        // Without a reset the kernel would go on to send what is sent again over the next connection.
+        silent.config().setOption(ChannelOption.SO_LINGER, 0);
+        silent.close();
+        if (!waiting.isEmpty()) {
+            connect(nowMillis);
+        }
+    }
+
     /** Sends what waits as long as the connection takes it. */
     synchronized void drain() {
         if (draining || channel == null) {
@@ -123,24 +206,42 @@
             return;
         }
         traffic.recordSent(message.bytes().length + PeerTransport.LENGTH_FIELD_BYTES);
-        ChannelFuture written = channel.writeAndFlush(Unpooled.wrappedBuffer(message.bytes()));
+        sentSinceProbe = true;
+        Channel target = channel;
+        ChannelFuture written = target.writeAndFlush(Unpooled.wrappedBuffer(message.bytes()));
         if (written.isSuccess()) {
-            recordWait(message, nowMillis);
+            taken(message, target, nowMillis);
             return;
         }
         inFlight.add(message);
         inFlightBytes += message.bytes().length;
-        written.addListener(done -> written(message, done.isSuccess()));
+        written.addListener(done -> written(message, target, done.isSuccess()));
     }
 
-    private synchronized void written(OutgoingMessage message, boolean success) {
+    private synchronized void written(OutgoingMessage message, Channel target, boolean success) {
         inFlight.remove(message);
         inFlightBytes -= message.bytes().length;
         if (success) {
-            recordWait(message, traffic.nowMillis());
-        } else {
-            waiting.takeBack(message);
+            taken(message, target, traffic.nowMillis());
+            return;
         }
+        if (target == channel) {
+            takeBackUnacknowledged();
+        }
+        waiting.takeBack(message);
+    }
+
+    private void taken(OutgoingMessage message, Channel target, long nowMillis) {
+        recordWait(message, nowMillis);
+        if (peerAcknowledges && target == channel && message.isPureUpdate()) {
+            unacknowledged.add(message);
+        }
+    }
+
+    private void takeBackUnacknowledged() {
+        unacknowledged.forEach(waiting::takeBack);
+        unacknowledged.clear();
+        probedMessages = 0;
     }
 
     private void recordWait(OutgoingMessage message, long nowMillis) {
@@ -168,6 +269,10 @@
                 .group(dependencies.group())
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(KeepAliveProbes.IDLE_OPTION, dependencies.timeouts().keepAliveIdleSeconds())
+                .option(KeepAliveProbes.INTERVAL_OPTION, dependencies.timeouts().keepAliveIntervalSeconds())
+                .option(KeepAliveProbes.PROBE_COUNT_OPTION, KeepAliveProbes.PROBE_COUNT)
                 .option(ChannelOption.SO_SNDBUF, KERNEL_BUFFER_BYTES)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
@@ -188,10 +293,14 @@
         });
     }
 
-    private synchronized void connected(Channel newChannel) {
+    private synchronized void connected(Channel newChannel, boolean acknowledges) {
         if (newChannel == attempt) {
             channel = newChannel;
+            peerAcknowledges = acknowledges;
             drain();
+            if (acknowledges) {
+                sendProbe();
+            }
         }
     }
 
@@ -199,6 +308,7 @@
         if (closed == attempt) {
             attempt = null;
             channel = null;
+            takeBackUnacknowledged();
             waiting.discardQueue();
         }
     }
@@ -216,20 +326,28 @@
         }
     }
 
-    /** The connecting side of a connection: performs the handshake; receives no messages. */
+    /** The connecting side of a connection: performs the handshake; then receives acknowledgements only. */
     private final class OutboundHandler extends SimpleChannelInboundHandler<ByteBuf> {
         private byte[] nonce;
+        private boolean peerMarked;
+        private boolean welcomed;
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+            if (welcomed && !frame.isReadable()) {
+                acknowledged(context.channel());
+                return;
+            }
             byte[] bytes = ByteBufUtil.getBytes(frame);
             Handshake handshake = dependencies.handshake();
             if (nonce == null && handshake.isChallenge(bytes)) {
                 nonce = handshake.nonce();
+                peerMarked = handshake.announcesAcknowledgements(bytes);
                 byte[] hello = handshake.hello(bytes, nonce, dependencies.self().value());
                 context.writeAndFlush(Unpooled.wrappedBuffer(hello));
-            } else if (nonce != null && handshake.verifyWelcome(nonce, bytes)) {
-                connected(context.channel());
+            } else if (nonce != null && !welcomed && handshake.verifyWelcome(nonce, bytes)) {
+                welcomed = true;
+                connected(context.channel(), peerMarked);
             } else {
                 traffic.recordRefused();
                 context.close();
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerTraffic.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerTraffic.java
@@ -22,6 +22,7 @@
     private final AtomicLong merged = new AtomicLong();
     private final AtomicLong sentBytes = new AtomicLong();
     private final AtomicLong longestWaitMillis = new AtomicLong();
+    private final AtomicLong silent = new AtomicLong();
     private final AtomicLong nextLogAtMillis = new AtomicLong(Long.MIN_VALUE);
 
     PeerTraffic(Clock clock) {
@@ -73,6 +74,19 @@
         }
     }
 
+    /** Records that a connection was given up because the peer acknowledged nothing any more. */
+    void recordSilent(String peer, int updates, int checks) {
+        silent.incrementAndGet();
+        LogLines.info(
+                "peers",
+                "Connection to a peer went silent.",
+                Map.of("peer", peer, "unacknowledgedUpdates", updates, "checks", checks));
+    }
+
+    long silent() {
+        return silent.get();
+    }
+
     long refused() {
         return refused.get();
     }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerTransport.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerTransport.java
@@ -25,6 +25,7 @@
 import org.fuchsiatrail.Clock;
 import org.fuchsiatrail.EntryVmId;
 import org.fuchsiatrail.PeerMessage;
+import org.fuchsiatrail.wire.http.KeepAliveProbes;
 import org.fuchsiatrail.wire.observe.RouterMetrics;
 
 /**
@@ -43,6 +44,9 @@
     /** The largest frame before the handshake is complete, which is enough for a router's name. */
     static final int MAXIMUM_HANDSHAKE_FRAME_BYTES = 1_024;
 
+    /** The time in which a peer has to complete the handshake of its connection, in milliseconds. */
+    private static final long HANDSHAKE_TIMEOUT_MILLIS = 3_000;
+
     /** The default number of connections whose handshake may be incomplete at once: more than a fleet has routers. */
     private static final int DEFAULT_HANDSHAKES = 512;
 
@@ -70,11 +74,16 @@
 
     private final PeerTraffic traffic;
     private final UpdateEncoder encoder = new UpdateEncoder();
+    private final LivenessTimeouts timeouts;
+    private final ScheduledFuture<?> livenessChecks;
+    /** The accepted connections whose handshake is complete. */
+    private final Set<InboundHandler> inboundConnections = ConcurrentHashMap.newKeySet();
+
     private final OutboundConnection.Dependencies connectionDependencies;
     private volatile long nextExpiryAtMillis;
 
     /**
-     * Creates a transport for a process whose descriptors do not matter.
+     * Creates a transport for a process whose descriptors do not matter, with the usual contact time.
      *
      * @param group the event loops that serve the connections
      * @param self this router's id, which it sends in the handshake
@@ -90,7 +99,7 @@
             String secret,
             PeerListener listener,
             Clock clock) {
-        this(group, self, address, secret, listener, clock, Integer.MAX_VALUE);
+        this(group, self, address, secret, listener, clock, Integer.MAX_VALUE, LivenessTimeouts.DEFAULTS);
     }
 
     /**
@@ -104,6 +113,7 @@
      * @param clock the clock by which waiting messages are corrected and measured
      * @param descriptors the descriptors that the process may have open; an eighth of them, at most 512, may be taken
      *     by connections whose handshake is not complete, and the oldest of more is closed
+     * @param timeouts when a connection counts as silent
      */
     public PeerTransport(
             EventLoopGroup group,
@@ -112,18 +122,25 @@
             String secret,
             PeerListener listener,
             Clock clock,
-            int descriptors) {
+            int descriptors,
+            LivenessTimeouts timeouts) {
         this.maximumHandshakes = Math.clamp(descriptors / HANDSHAKE_DESCRIPTOR_PART, 1, DEFAULT_HANDSHAKES);
         this.handshake = new Handshake(secret);
         this.listener = listener;
         this.traffic = new PeerTraffic(clock);
-        this.connectionDependencies = new OutboundConnection.Dependencies(group, self, handshake, encoder, traffic);
+        this.timeouts = timeouts;
+        this.connectionDependencies =
+                new OutboundConnection.Dependencies(group, self, handshake, encoder, traffic, timeouts);
         this.server = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_KEEPALIVE, true)
+                .childOption(KeepAliveProbes.IDLE_OPTION, timeouts.keepAliveIdleSeconds())
+                .childOption(KeepAliveProbes.INTERVAL_OPTION, timeouts.keepAliveIntervalSeconds())
+                .childOption(KeepAliveProbes.PROBE_COUNT_OPTION, KeepAliveProbes.PROBE_COUNT)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
@@ -134,6 +151,18 @@
                 .bind(address)
                 .syncUninterruptibly()
                 .channel();
+        this.livenessChecks = group.next()
+                .scheduleWithFixedDelay(
+                        this::checkLiveness,
+                        timeouts.checkIntervalMillis(),
+                        timeouts.checkIntervalMillis(),
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void checkLiveness() {
+        long nowMillis = traffic.nowMillis();
+        outboundConnections.values().forEach(connection -> connection.checkLiveness(nowMillis));
+        inboundConnections.forEach(InboundHandler::checkLiveness);
     }
 
     /** Adds the handlers that divide a connection into frames of at most this size. */
@@ -167,6 +196,11 @@
                 .send(message, bytes, nowMillis);
     }
 
+    /** Returns the port on which peers connect. */
+    int port() {
+        return ((InetSocketAddress) server.localAddress()).getPort();
+    }
+
     /**
      * Blocks or unblocks messages to and from a peer, to simulate a network partition in tests.
      *
@@ -218,6 +252,24 @@
         return traffic.merged();
     }
 
+    /**
+     * Returns how many connections to peers were given up because the peer acknowledged nothing any more.
+     *
+     * @return a count since the start
+     */
+    public long silentConnections() {
+        return traffic.silent();
+    }
+
+    /**
+     * Returns how many connections of peers are open, not counting those whose handshake is not complete.
+     *
+     * @return the current number
+     */
+    public int acceptedConnections() {
+        return inboundConnections.size();
+    }
+
     /**
      * Returns how many bytes were passed to connections, including length prefixes.
      *
@@ -267,6 +319,8 @@
      */
     public void registerMetrics(RouterMetrics metrics) {
         metrics.gauge("peers.refused-connections", this::refusedConnections);
+        metrics.gauge("peers.silent-connections", this::silentConnections);
+        metrics.gauge("peers.accepted-connections", this::acceptedConnections);
         metrics.gauge("peers.sent-bytes", this::sentBytes);
         metrics.gauge("peers.dropped-messages", this::droppedMessages);
         metrics.gauge("peers.dropped-parts", this::droppedParts);
@@ -278,6 +332,7 @@
 
     @Override
     public void close() {
+        livenessChecks.cancel(false);
         server.close().syncUninterruptibly();
         outboundConnections.values().forEach(OutboundConnection::close);
     }
@@ -303,12 +358,18 @@
         context.close();
     }
 
-    /** The accepting side of a connection: performs the handshake, then only receives messages. */
+    /** The accepting side of a connection: performs the handshake, then receives messages and acknowledges probes. */
     private final class InboundHandler extends SimpleChannelInboundHandler<ByteBuf> {
         private final PeerFrameDecoder decoder;
         private byte[] challenge;
         private EntryVmId peer;
         private ScheduledFuture<?> handshakeTimeout;
+        private volatile Channel channel;
+        private volatile boolean probed;
+        /** Whether the peer has set up another connection since, which it does when it has given this one up. */
+        private volatile boolean replaced;
+        /** The checks since anything was received; an update that gets lost between threads only delays the end. */
+        private volatile int idleChecks;
 
         InboundHandler(PeerFrameDecoder decoder) {
             this.decoder = decoder;
@@ -317,16 +378,26 @@
         @Override
         public void channelActive(ChannelHandlerContext context) {
             beginHandshake(context.channel());
-            handshakeTimeout = context.executor()
-                    .schedule(
-                            () -> refuse(context), OutboundConnection.HANDSHAKE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-            challenge = handshake.challenge(handshake.nonce());
+            handshakeTimeout =
+                    context.executor().schedule(() -> refuse(context), HANDSHAKE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            challenge = handshake.challenge(handshake.acknowledgingNonce());
             context.writeAndFlush(Unpooled.wrappedBuffer(challenge));
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             endHandshake(context.channel());
+            inboundConnections.remove(this);
+        }
+
+        /** Closes the connection once the peer must have given it up; otherwise it would stay open for good. */
+        private void checkLiveness() {
+            idleChecks++;
+            boolean givenUp = replaced && idleChecks > LivenessTimeouts.REPLACED_CHECKS
+                    || probed && idleChecks > 2 * LivenessTimeouts.IDLE_CHECKS;
+            if (givenUp) {
+                channel.close();
+            }
         }
 
         private void endHandshake(Channel channel) {
@@ -346,6 +417,13 @@
             if (blockedPeers.contains(peer)) {
                 return;
             }
+            idleChecks = 0;
+            if (bytes.length == 0) {
+                probed = true;
+                traffic.recordSent(LENGTH_FIELD_BYTES);
+                context.writeAndFlush(Unpooled.EMPTY_BUFFER);
+                return;
+            }
             try {
                 listener.receive(peer, PeerCodec.decode(bytes));
             } catch (MalformedPeerMessageException e) {
@@ -361,6 +439,11 @@
             }
             peer = new EntryVmId(name);
             endHandshake(context.channel());
+            channel = context.channel();
+            for (InboundHandler other : inboundConnections) {
+                other.replaced |= other.peer.equals(peer);
+            }
+            inboundConnections.add(this);
             decoder.setMaximumFrameBytes(MAXIMUM_FRAME_BYTES);
             context.writeAndFlush(Unpooled.wrappedBuffer(handshake.welcome(hello)));
         }
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerWaitingTest.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/peer/PeerWaitingTest.java
@@ -199,7 +199,7 @@
         send(crash(1));
         assertThat(peer.leavesConnectionSilent()).isTrue();
         peer.setSilent(false);
-        nowMillis.addAndGet(OutboundConnection.HANDSHAKE_TIMEOUT_MILLIS - 1);
+        nowMillis.addAndGet(LivenessTimeouts.DEFAULTS.handshakeMillis() - 1);
         send(heartbeat(2));
         assertThat(peer.connectionWithin(200)).isNull();
         nowMillis.addAndGet(1);
