Keep prompt parts apart that customers left before one of them became isolated

What callers saw: nothing.

Cause: the others kept their salt. A customer left the shared salt when it became isolated, and its parts stayed under it. The same cause on related paths: isolated, shared and isolated again; requests that waited or were sent again used the isolation of their arrival; an id listed twice; no salt at all on an engine with unknown weights.

Why it works: the shared salt names the set of isolated customers. Under one name only customers outside that set have ever left parts, so no history has to be known.

CallSystemTest, CacheEventReaderTest and SiteTraffic named the shared salt w1 although their configuration isolates a customer; they now take the salt of that configuration, and CallSystemTest also checks its form.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/RoutingTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/RoutingTable.java
@@ -22,6 +22,7 @@
     private final List<CustomerEntry> customers;
     private final boolean keysRequired;
     private final boolean limitsCustomers;
+    private final CacheSharing cacheSharing;
     private final CallerLimits limits;
 
     /**
@@ -47,6 +48,7 @@
         this.keysRequired = !customers.isEmpty();
         this.limitsCustomers =
                 customers.stream().anyMatch(customer -> customer.limit().isPresent());
+        this.cacheSharing = CacheSharing.of(this.customers);
         routes.forEach(route -> routesByHost
                 .computeIfAbsent(route.host(), host -> new ArrayList<>())
                 .add(route));
@@ -174,6 +176,15 @@
         return limitsCustomers;
     }
 
+    /**
+     * Returns which customers share cached prompt parts.
+     *
+     * @return the customers that share none, and a name of what the others share
+     */
+    public CacheSharing cacheSharing() {
+        return cacheSharing;
+    }
+
     /**
      * Returns the limits for callers.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/Dispatches.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/Dispatches.java
@@ -20,7 +20,7 @@
                 remainingMillis,
                 pending.customer.map(CustomerEntry::id),
                 version == null ? OptionalLong.empty() : OptionalLong.of(version),
-                version == null ? "" : CacheSalt.of(pending.customer, version),
+                pending.placement.chain().salt(),
                 pending.route.describesPrompt() ? OptionalInt.of(EnginePriority.of(pending)) : OptionalInt.empty(),
                 pending.lastEventId,
                 resumedAttemptId(pending),
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PromptChain.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PromptChain.java
@@ -10,9 +10,13 @@
  * The parts of a prompt with the keys under which an engine's prefix cache finds them. A part is found only after all
  * parts before it, for the same model and salt.
  *
+ * @param salt the salt under which they are cached
  * @param links the parts in order
  */
-record PromptChain(List<Link> links) {
+record PromptChain(String salt, List<Link> links) {
+
+    /** The chain of a request that is placed without regard to cached parts. */
+    static final PromptChain EMPTY = new PromptChain("", List.of());
 
     /**
      * A part of a prompt.
@@ -27,7 +31,7 @@
         for (ForwardedCall.PromptPart part : call.prompt()) {
             links.add(new Link(key(salt, call.model(), part.id()), part.tokens()));
         }
-        return new PromptChain(links);
+        return new PromptChain(salt, links);
     }
 
     /** Computes the key of a part for a model and a salt. */
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamPlacement.java
@@ -120,7 +120,7 @@
 
     /** The placement on another router, which selects the upstream itself. */
     static Placement onRouter(UpstreamState router) {
-        return new Placement(router, new PromptChain(List.of()), 0, 0, 0, 0, Optional.empty(), Optional.empty());
+        return new Placement(router, PromptChain.EMPTY, 0, 0, 0, 0, Optional.empty(), Optional.empty());
     }
 
     /**
@@ -175,7 +175,7 @@
                     + random.nextDouble(RANDOM_COST_MILLIS);
             double predictedMillis = queueMillis + EXPECTED_CALL_MILLIS;
             Placement place = new Placement(
-                    upstream, new PromptChain(List.of()), predictedMillis, 0, 0, 0, Optional.empty(), Optional.empty());
+                    upstream, PromptChain.EMPTY, predictedMillis, 0, 0, 0, Optional.empty(), Optional.empty());
             choice.add(upstream.domain(), place, cost, predictedMillis, 0);
         }
         return choice.select();
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 
 import org.fuchsiatrail.UpstreamId;
+import org.fuchsiatrail.forwarding.CacheSharing;
 import org.fuchsiatrail.forwarding.RoutingTable;
 import org.fuchsiatrail.forwarding.ServiceDefinition;
 import org.fuchsiatrail.internal.locality.DomainChoice;
@@ -220,9 +221,11 @@
                         > timing.replacedWeightsGraceMillis(context.settings().replacedWeightsGraceMillis());
     }
 
-    private static UpstreamPlacement.PromptChains promptChains(PendingCall pending) {
+    private UpstreamPlacement.PromptChains promptChains(PendingCall pending) {
+        CacheSharing sharing =
+                storeReplica.routing().map(RoutingTable::cacheSharing).orElse(CacheSharing.AMONG_ALL);
         Map<Long, PromptChain> chainsByVersion = new HashMap<>();
         return version -> chainsByVersion.computeIfAbsent(
-                version, key -> PromptChain.of(CacheSalt.of(pending.customer, key), pending.call));
+                version, key -> PromptChain.of(CacheSalt.of(pending.customer, sharing, key), pending.call));
     }
 }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/CallSystemTest.java
@@ -351,7 +351,9 @@
         startWithEngines();
         RequestId shared = fixture.call("/ask/1", ForwardingFixture.KEY, ForwardingFixture.prompt("c", "s", "o"));
         RequestId isolated = fixture.call("/ask/1", "key-2", ForwardingFixture.prompt("c", "s", "o"));
-        assertThat(fixture.send(shared).dispatch().cacheSalt()).isEqualTo("w1");
+        assertThat(fixture.send(shared).dispatch().cacheSalt())
+                .isEqualTo(SharedCacheSalt.VALUE)
+                .startsWith("w1~");
         assertThat(fixture.send(isolated).dispatch().cacheSalt()).isEqualTo("w1/apart");
         assertThat(fixture.send(shared).dispatch().weightsVersion()).hasValue(1);
     }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetCaches.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetCaches.java
@@ -28,6 +28,7 @@
     private final BiConsumer<Long, Runnable> scheduler;
     private final Map<String, Cache> caches = new HashMap<>();
     private boolean published;
+    private long storedTokens;
 
     private record Part(String salt, String id) {}
 
@@ -39,13 +40,15 @@
         private long totalTokens;
         private long lastNumber;
 
-        private void store(Part part, long tokens, long nowMillis) {
+        /** Stores a part; returns how many of its tokens were missing. */
+        private long store(Part part, long tokens, long nowMillis) {
             long stored = tokensByPart.getOrDefault(part, 0L);
             if (stored < tokens) {
                 tokensByPart.put(part, tokens);
                 totalTokens += tokens - stored;
                 publish(part, tokens, nowMillis);
             }
+            return Math.max(0, tokens - stored);
         }
 
         private void evictLeastRecentlyUsed(long nowMillis) {
@@ -106,11 +109,21 @@
     void prefill(String engine, String salt, List<ForwardedCall.PromptPart> prompt) {
         Cache cache = caches.computeIfAbsent(engine, id -> new Cache());
         for (ForwardedCall.PromptPart part : prompt) {
-            cache.store(new Part(salt, part.id()), part.tokens(), clock.getAsLong());
+            storedTokens += cache.store(new Part(salt, part.id()), part.tokens(), clock.getAsLong());
         }
         cache.evictLeastRecentlyUsed(clock.getAsLong());
     }
 
+    /** The tokens that the engines have prefilled or fetched since the start, as they had them not cached. */
+    long storedTokens() {
+        return storedTokens;
+    }
+
+    /** The tokens that all engines have cached. */
+    long cachedTokens() {
+        return caches.values().stream().mapToLong(cache -> cache.totalTokens).sum();
+    }
+
     /** Replies to a read of the cache events once there are some, or after the wait that it allows. */
     void read(ForwardingFixture router, ForwardingOutput.ReadCacheEvents query) {
         if (published) {
