--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/LivenessTimeouts.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/LivenessTimeouts.java
@@ -24,7 +24,7 @@
     /** The number of checks after which a connection on which nothing is sent is probed. */
     static final int IDLE_CHECKS = 60;
 
-    /** The number of checks after which an accepted connection that replaced another one of its peer outlives it. */
+    /** The number of idle checks after which an accepted connection is closed whose peer has set up another one. */
     static final int REPLACED_CHECKS = 6;
 
     private static final int CHECKS_PER_CONTACT = 6;
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerTransport.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/peer/PeerTransport.java
@@ -374,7 +374,7 @@
         private volatile boolean probed;
         /** Whether the peer has set up another connection since, which it does when it has given this one up. */
         private volatile boolean replaced;
-        /** The checks since anything was received; an update that gets lost between threads only delays the end. */
+        /** The checks since anything was received. */
         private volatile int idleChecks;
 
         InboundHandler(PeerFrameDecoder decoder) {
