--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -307,6 +307,7 @@
         boolean retry = unusable && pending.mayRetry() && retryBudgets.mayRetry(pending.service);
         if (retry && selector.hasCandidate(pending)) {
             log.failedByUpstream(pending, head);
+            pending.previousOutcome = "server error";
             pending.upstream.recordOutcome(failed);
             context.emit(new ForwardingOutput.Cancel(pending.attempt));
             place(pending);
@@ -333,32 +334,26 @@
      * route or customer for a request that this router accepted; else delivers its refusal.
      */
     private void handleRefusalOfRouter(PendingCall pending, AttemptEvent.Head head) {
-        boolean otherConfiguration = RelayRouters.OTHER_CONFIGURATION_STATUSES.contains(head.status());
-        if (head.withoutPath() || otherConfiguration) {
-            upstreams.recordFailure(
-                    pending.upstream,
-                    otherConfiguration
-                            ? "the router has another configuration in force"
-                            : "the router reaches no upstream or is about to stop");
-            placeAfterRefusedRelay(pending, true);
-        } else if (pending.streamBegun && RelayRouters.NOT_RUN_STATUSES.contains(head.status())) {
-            placeAfterRefusedRelay(pending, head.notSent());
-        } else if (head.status() < RelayRouters.FIRST_ERROR_STATUS || pending.streamBegun) {
-            handleLoss(
-                    pending,
-                    new AttemptEvent.Lost(true, true, "", "relayed answer is no stream or lacks a valid signature"));
-        } else if (pending.mayHaveRun() && RelayRouters.NOT_RUN_STATUSES.contains(head.status())) {
-            upstreams.recordSuccess(pending.upstream);
-            context.emit(new ForwardingOutput.Cancel(pending.attempt));
-            refuseOrAbort(
-                    pending, ResultCode.OUTCOME_UNKNOWN, 0, "another router refused with status " + head.status());
-        } else {
-            upstreams.recordSuccess(pending.upstream);
-            if (RelayRouters.NOT_RUN_STATUSES.contains(head.status())) {
-                intake.giveBack(pending);
+        switch (RouterRefusal.decide(head, pending.streamBegun, pending.mayHaveRun())) {
+            case RouterRefusal.TryAnotherWay another -> {
+                another.failure().ifPresent(reason -> upstreams.recordFailure(pending.upstream, reason));
+                placeAfterRefusedRelay(pending, another.notSent());
+            }
+            case RouterRefusal.Lost lost -> handleLoss(pending, new AttemptEvent.Lost(true, true, "", lost.reason()));
+            case RouterRefusal.OutcomeUnknown unknown -> {
+                upstreams.recordSuccess(pending.upstream);
+                context.emit(new ForwardingOutput.Cancel(pending.attempt));
+                refuseOrAbort(
+                        pending, ResultCode.OUTCOME_UNKNOWN, 0, "another router refused with status " + head.status());
+            }
+            case RouterRefusal.PassOn refusal -> {
+                upstreams.recordSuccess(pending.upstream);
+                if (refusal.notRun()) {
+                    intake.giveBack(pending);
+                }
+                context.emit(new ForwardingOutput.Deliver(pending.request, pending.attempt));
+                finish(pending, "Refusal of another router delivered.", head.status());
             }
-            context.emit(new ForwardingOutput.Deliver(pending.request, pending.attempt));
-            finish(pending, "Refusal of another router delivered.", head.status());
         }
     }
 
@@ -369,6 +364,7 @@
         context.emit(new ForwardingOutput.Cancel(pending.attempt));
         pending.relayRefusals++;
         pending.sends--;
+        pending.previousOutcome = "refused by another router";
         if (returnsRetry && pending.mayHaveRun()) {
             retryBudgets.returnRetry(pending.service);
         }
@@ -404,6 +400,7 @@
     private void handleNotExecuted(PendingCall pending, AttemptEvent.Head head) {
         releaseAttempt(pending);
         log.notExecuted(pending, head);
+        pending.previousOutcome = "not executed";
         context.emit(new ForwardingOutput.Cancel(pending.attempt));
         if (head.status() == CallTiming.MISDIRECTED_STATUS) {
             answerHeads.recordMisdirected(pending, head);
@@ -428,6 +425,7 @@
         log.lost(pending, lost, pending.state == PendingCall.State.DELIVERING);
         silentStreams.recordLoss(pending.upstream, lost, shortSilence);
         pending.excludedUpstreams.add(pending.upstream.id());
+        pending.previousOutcome = lost.sent() ? "lost: " + lost.reason() : "not sent: " + lost.reason();
         context.emit(new ForwardingOutput.Cancel(pending.attempt));
         if (lost.sent()) {
             pending.possibleExecutions++;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/HeldAttempts.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/HeldAttempts.java
@@ -55,6 +55,7 @@
         pending.held = Optional.of(HeldAttempt.of(pending));
         pending.excludedUpstreams.add(pending.upstream.id());
         pending.possibleExecutions++;
+        pending.previousOutcome = "held";
         pending.attempt = null;
         pending.attemptTimeoutAtMillis = Long.MAX_VALUE;
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
@@ -65,6 +65,9 @@
     /** Attempts that may have been executed. */
     int possibleExecutions;
 
+    /** How the previous attempt ended, or an empty string before the first one. */
+    String previousOutcome = "";
+
     /** Whether part of a stream was passed on, after which only further events or its end may follow. */
     boolean streamBegun;
 
