--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/EngineFleet.java
@@ -442,10 +442,10 @@
         }
         network.requestSent(router.self().id(), request);
         arrivals.add(new Arrival(now(), router.self().id(), engine.id, request, request.sends));
-        Optional<AttemptEvent.Head> rejection = engine.rejection(send.dispatch().weightsVersion());
+        Optional<AttemptEvent> rejection = engine.rejection(send.dispatch().weightsVersion());
         if (rejection.isPresent()) {
             request.failedAttempt = send.attempt();
-            after(1, () -> close(attempt, new AttemptEvent.Answered(rejection.get())));
+            after(1, () -> close(attempt, rejection.get()));
             return;
         }
         after(START_MILLIS + paths.delayMillis(router), () -> start(attempt));
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetEngine.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetEngine.java
@@ -31,8 +31,8 @@
     long silentUntilMillis;
     /** Whether it turns all new requests away. */
     boolean refusing;
-    /** Whether it answers all new requests with a failure. */
-    boolean failing;
+    /** How all new requests end that it runs, if not with an answer. */
+    Optional<AttemptEvent> failure = Optional.empty();
 
     FleetEngine(String id, String softwareVersion, long weightsVersion) {
         this.id = id;
@@ -54,18 +54,15 @@
                 .build();
     }
 
-    /** The head of an answer with which it turns a request for some weights away or fails it, if it does. */
-    Optional<AttemptEvent.Head> rejection(OptionalLong requestedWeights) {
+    /** The end of a request for some weights that it turns away or fails, if it does. */
+    Optional<AttemptEvent> rejection(OptionalLong requestedWeights) {
         if (requestedWeights.orElse(weightsVersion) != weightsVersion) {
-            return Optional.of(misdirectedHead());
+            return Optional.of(new AttemptEvent.Answered(misdirectedHead()));
         }
         if (pauseMillis > 0) {
-            return Optional.of(pausingHead());
+            return Optional.of(new AttemptEvent.Answered(pausingHead()));
         }
-        if (refusing) {
-            return Optional.of(overloadedHead());
-        }
-        return failing ? Optional.of(failureHead()) : Optional.empty();
+        return refusing ? Optional.of(new AttemptEvent.Answered(overloadedHead())) : failure;
     }
 
     /** The head of an answer to a request for other weights. */
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamCutBesideConfigurationTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamCutBesideConfigurationTest.java
@@ -12,6 +12,7 @@
 import java.util.stream.LongStream;
 
 import org.fuchsiatrail.CustomerId;
+import org.fuchsiatrail.forwarding.AttemptEvent;
 import org.fuchsiatrail.forwarding.CallerLimits;
 import org.fuchsiatrail.forwarding.CustomerEntry;
 import org.fuchsiatrail.forwarding.RequestKind;
@@ -156,9 +157,10 @@
                 }
                 case ENGINES_FAIL -> {
                     List<FleetEngine> engines = randomEngines(1 + fleet.random.nextInt(ENGINES / 2));
-                    engines.forEach(engine -> engine.failing = true);
+                    engines.forEach(engine ->
+                            engine.failure = Optional.of(new AttemptEvent.Answered(FleetEngine.failureHead())));
                     traffic.sendFor(600);
-                    engines.forEach(engine -> engine.failing = false);
+                    engines.forEach(engine -> engine.failure = Optional.empty());
                 }
                 case ENGINES_REPLACED ->
                     repeat(6, () -> fleet.replaceOldestEngine(fleet.random.nextBoolean() ? "v1" : "v2"));
