Count all attempts of a request as one account, whichever routers make them

Cause: each router counted its own attempts. A router to which a request is relayed had all attempts of the route, and the router that relayed it counted the loss of that attempt as one.

The router that received a request now accounts for it alone. It tells another router how many attempts are left; that one makes a single attempt that may be executed, and reports its loss and where (Fuchsiatrail-Attempt-Lost, code 3006), so that the first router sends the request again and the upstreams that were tried in vain are not tried once more. A begun stream that another router breaks off goes on through any router, also the same one. No attempt is sent once all are used, and a silent attempt is given up only if one is left.

Routers of older builds tell nothing, so their worst counts: what is relayed to one may use all attempts left, and a request that may have run is not relayed to one (entry boundsRelayedAttempts); what an older router relays is attempted once, and its loss closes the connection, which that router counts as one.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ResultCode.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/ResultCode.java
@@ -83,6 +83,13 @@
     QUARANTINED(3004, 422, true, "Engines crashed while they ran this request.", "Do not repeat it; tell an operator."),
     /** The upstream did not respond in time. */
     TIMED_OUT(3005, 504, true, "The request was sent and not answered in time.", "Ask again only if it may run twice."),
+    /** The only attempt that another router allows for the request it relayed was lost; that router may try again. */
+    ATTEMPT_LOST(
+            3006,
+            502,
+            true,
+            "An upstream lost the request, which another router relayed and may send again.",
+            "Ask again only if it may run twice."),
     /** The operator token is missing or wrong. */
     OPERATOR_UNAUTHORIZED(4001, 401, false, "The operator token is missing or wrong.", "Send a valid operator token."),
     /** The intent is invalid. */
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AnswerHeadBuilder.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AnswerHeadBuilder.java
@@ -4,6 +4,8 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
+import org.fuchsiatrail.UpstreamId;
+
 /** Builds the head of an answer, {@link AttemptEvent.Head}. What is not set was not reported. */
 public final class AnswerHeadBuilder {
 
@@ -17,6 +19,8 @@
     private boolean leaving;
     private boolean withoutPath;
     private boolean notSent;
+    private Optional<UpstreamId> ranAt = Optional.empty();
+    private Optional<UpstreamId> lostAt = Optional.empty();
 
     AnswerHeadBuilder(int status) {
         this.status = status;
@@ -121,6 +125,28 @@
         return this;
     }
 
+    /**
+     * Sets the upstream that answered a relayed request.
+     *
+     * @param upstream the upstream, or empty if the other router names none
+     * @return this builder
+     */
+    public AnswerHeadBuilder ranAt(Optional<UpstreamId> upstream) {
+        ranAt = upstream;
+        return this;
+    }
+
+    /**
+     * Sets the upstream at which a router lost its attempt of a relayed request.
+     *
+     * @param upstream the upstream, or empty if the router reports no lost attempt
+     * @return this builder
+     */
+    public AnswerHeadBuilder lostAt(Optional<UpstreamId> upstream) {
+        lostAt = upstream;
+        return this;
+    }
+
     /**
      * Builds the head.
      *
@@ -137,6 +163,8 @@
                 requestedPause,
                 leaving,
                 withoutPath,
-                notSent);
+                notSent,
+                ranAt,
+                lostAt);
     }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AttemptEvent.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/AttemptEvent.java
@@ -4,6 +4,8 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
+import org.fuchsiatrail.UpstreamId;
+
 /** An event of one attempt: progress of an upstream's answer, or the loss of the connection. */
 public sealed interface AttemptEvent {
 
@@ -22,6 +24,8 @@
      * @param leaving whether the upstream says that it is leaving
      * @param withoutPath whether the request was relayed to a router that reaches no upstream either
      * @param notSent whether the request was relayed to a router that sent it to no upstream
+     * @param ranAt the upstream that answered a relayed request, when the other router names it
+     * @param lostAt the upstream at which a router lost its attempt of a relayed request, when it reports that
      */
     record Head(
             int status,
@@ -33,7 +37,9 @@
             Optional<RequestedPause> requestedPause,
             boolean leaving,
             boolean withoutPath,
-            boolean notSent) {
+            boolean notSent,
+            Optional<UpstreamId> ranAt,
+            Optional<UpstreamId> lostAt) {
 
         /**
          * Returns a builder of a head that reports nothing but its status.
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/Dispatch.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/Dispatch.java
@@ -19,7 +19,8 @@
  * @param priority the priority, from 0 (most urgent) to 9
  * @param resumeAfterEventId the id of the last event that the caller received, or an empty string
  * @param resumedAttemptId the caller's attempt that brought the first event of the stream to resume, or an empty string
- * @param toRouter whether the request goes to another router, which selects the upstream
+ * @param relay what another router is allowed to which the request goes and which selects the upstream; empty for an
+ *     upstream
  * @param fetchFrom the address of an engine or KV cache store to fetch cached prompt parts from
  * @param saveTo the address of the KV cache store to which the engine should save cached prompt parts
  */
@@ -33,6 +34,16 @@
         OptionalInt priority,
         String resumeAfterEventId,
         String resumedAttemptId,
-        boolean toRouter,
+        Optional<RelayAllowance> relay,
         Optional<String> fetchFrom,
-        Optional<String> saveTo) {}
+        Optional<String> saveTo) {
+
+    /**
+     * Returns whether the request goes to another router.
+     *
+     * @return true if another router selects the upstream
+     */
+    public boolean toRouter() {
+        return relay.isPresent();
+    }
+}
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardedCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/ForwardedCall.java
@@ -1,6 +1,7 @@
 package org.fuchsiatrail.forwarding;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The properties of a caller's request that routing decisions depend on. Headers and body stay on the network side.
@@ -17,7 +18,7 @@
  * @param resumeAfterEventId the id of the last event that the caller received, or an empty string
  * @param resumedAttemptId the caller's id of the attempt that brought the first event of the stream to resume, or an
  *     empty string
- * @param relayed whether another router relayed the request because it reaches no upstream
+ * @param relay what the router allows that relayed the request because it reaches no upstream; empty if none did
  * @param fingerprint a hash of the method, the path with its query, and the body
  */
 public record ForwardedCall(
@@ -32,9 +33,18 @@
         List<PromptPart> prompt,
         String resumeAfterEventId,
         String resumedAttemptId,
-        boolean relayed,
+        Optional<RelayAllowance> relay,
         long fingerprint) {
 
+    /**
+     * Returns whether another router relayed the request because it reaches no upstream.
+     *
+     * @return true if the caller of this router is another router
+     */
+    public boolean relayed() {
+        return relay.isPresent();
+    }
+
     /**
      * Returns whether the caller resumes a stream of which it has received events.
      *
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/StoreItemContent.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/forwarding/StoreItemContent.java
@@ -37,8 +37,10 @@
      * @param vm the router
      * @param callerAddress the IP address and port at which it accepts requests, or an empty string
      * @param appliesVersionShares whether it begins resumable streams at the versions that the shares tell
+     * @param boundsRelayedAttempts whether it keeps to the {@link RelayAllowance} of a relayed request
      */
-    record Member(EntryVm vm, String callerAddress, boolean appliesVersionShares) implements StoreItemContent {
+    record Member(EntryVm vm, String callerAddress, boolean appliesVersionShares, boolean boundsRelayedAttempts)
+            implements StoreItemContent {
 
         /**
          * Creates the registration of a router that does not apply version shares.
@@ -47,7 +49,7 @@
          * @param callerAddress the IP address and port at which it accepts requests, or an empty string
          */
         public Member(EntryVm vm, String callerAddress) {
-            this(vm, callerAddress, false);
+            this(vm, callerAddress, false, true);
         }
 
         /**
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AnswerHeads.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AnswerHeads.java
@@ -21,6 +21,7 @@
 
     /** Records the head of an answer; that of a relayed request concerns an upstream that this router does not know. */
     void record(PendingCall pending, AttemptEvent.Head head) {
+        pending.ranAt = head.ranAt();
         if (pending.relayed) {
             return;
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AttemptSender.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/AttemptSender.java
@@ -1,5 +1,7 @@
 package org.fuchsiatrail.internal.forwarding;
 
+import java.util.Optional;
+
 import org.fuchsiatrail.forwarding.Dispatch;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
 import org.fuchsiatrail.forwarding.RequestKind;
@@ -44,6 +46,7 @@
         pending.incarnation = upstream.incarnationId();
         pending.attemptVersion = upstream.entry.softwareVersion();
         pending.sends++;
+        pending.ranAt = Optional.empty();
         pending.keptReason = "";
         pending.pathLost = false;
         pending.firstEventAtMillis = context.now();
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallLog.java
@@ -3,6 +3,7 @@
 import java.util.stream.Collectors;
 
 import org.fuchsiatrail.ResultCode;
+import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.AttemptEvent;
 import org.fuchsiatrail.forwarding.CustomerEntry;
 import org.fuchsiatrail.forwarding.Dispatch;
@@ -49,9 +50,11 @@
                 "runs",
                 pending.possibleExecutions,
                 "runsAllowed",
-                pending.route.maximumAttempts(),
+                pending.maximumExecutions,
+                "attemptsLeft",
+                pending.attemptsLeft - pending.possibleExecutions,
                 "allowedBy",
-                "route",
+                allowedBy(pending),
                 "relayed",
                 pending.call.relayed(),
                 "fingerprint",
@@ -82,6 +85,13 @@
                 configurationVersion());
     }
 
+    private static String allowedBy(PendingCall pending) {
+        return pending.call
+                .relay()
+                .map(allowance -> allowance.told() ? "relaying router" : "relaying router of an older build")
+                .orElse("route");
+    }
+
     private static String sharedPartIds(ForwardedCall call) {
         return call.sharedParts().stream().map(ForwardedCall.PromptPart::id).collect(Collectors.joining(" "));
     }
@@ -177,6 +187,22 @@
                 delivering);
     }
 
+    void lostAtRouter(PendingCall pending, UpstreamId upstream) {
+        // Counts attempts of relayed requests that other routers report as lost.
+        context.count("attempts.lost-at-router");
+        context.log(
+                COMPONENT,
+                "Attempt lost at another router.",
+                "request",
+                pending.call.callerAttemptId(),
+                "router",
+                pending.upstream.id(),
+                "upstream",
+                upstream,
+                "send",
+                pending.sends);
+    }
+
     void held(PendingCall pending) {
         // Counts silent attempts that stay in flight until another attempt has begun.
         context.count("attempts.held");
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -124,6 +124,10 @@
             handleDeadline(pending);
             return;
         }
+        if (pending.isExhausted()) {
+            refuseOrAbort(pending, ResultCode.OUTCOME_UNKNOWN, 0, "no attempt is left");
+            return;
+        }
         Optional<CrashProtection.Quarantine> quarantine = crashProtection.quarantine(pending);
         if (quarantine.isPresent()) {
             refuseOrAbort(
@@ -163,6 +167,7 @@
             return;
         }
         pending.relayed = false;
+        pending.executionsAtRisk = 1;
         sender.send(pending, placement.get(), remainingMillis);
     }
 
@@ -183,13 +188,15 @@
                     pending, ResultCode.WITHOUT_PATH, CallTiming.NO_UPSTREAM_RETRY_MILLIS, "no upstream is reachable");
             return true;
         }
-        Optional<UpstreamState> router = relayRouters.select(pending);
-        if (router.isEmpty() || (pending.mayHaveRun() && !retryBudgets.tryRetry(pending.service))) {
+        Optional<RelayRouters.Relay> relay = relayRouters.select(pending);
+        if (relay.isEmpty() || (pending.mayHaveRun() && !retryBudgets.tryRetry(pending.service))) {
             return false;
         }
         context.count("attempts.relayed");
         pending.relayed = true;
-        sender.send(pending, UpstreamPlacement.onRouter(router.get()), remainingMillis);
+        pending.executionsAtRisk =
+                relay.get().boundsAttempts() ? 1 : pending.maximumExecutions - pending.possibleExecutions;
+        sender.send(pending, UpstreamPlacement.onRouter(relay.get().router()), remainingMillis);
         return true;
     }
 
@@ -220,14 +227,6 @@
     }
 
     private void waitOrRefuse(PendingCall pending) {
-        if (pending.streamVersion.isPresent() && !selector.isVersionServed(pending)) {
-            refuseOrAbort(
-                    pending,
-                    ResultCode.STREAM_NOT_RESUMABLE,
-                    CallTiming.NOT_RESUMABLE_RETRY_MILLIS,
-                    "no upstream has software version " + pending.streamVersion.orElse(""));
-            return;
-        }
         Optional<UpstreamAvailability.Unavailable> unavailable = selector.unavailable(pending);
         if (unavailable.isPresent()) {
             refuseOrAbort(
@@ -271,7 +270,7 @@
         switch (event) {
             case AttemptEvent.Answered answered -> handleAnswer(pending, answered.head());
             case AttemptEvent.Started started -> handleStreamStart(pending, started);
-            case AttemptEvent.Progressed progressed -> handleProgress(pending, progressed.lastEventId());
+            case AttemptEvent.Progressed progressed -> silentStreams.recordEvent(pending, progressed.lastEventId());
             case AttemptEvent.Finished finished -> {
                 upstreams.recordSuccess(pending.upstream);
                 crashProtection.recordCompletion(pending);
@@ -300,10 +299,10 @@
             return;
         }
         releaseAttempt(pending);
-        pending.possibleExecutions++;
+        pending.recordExecution();
         boolean failed = head.status() >= 500;
         boolean unusable = failed || pending.streamBegun;
-        pending.excludedUpstreams.add(pending.upstream.id());
+        pending.excludedUpstreams.add(pending.answeredBy());
         boolean retry = unusable && pending.mayRetry() && retryBudgets.mayRetry(pending.service);
         if (retry && selector.hasCandidate(pending)) {
             log.failedByUpstream(pending, head);
@@ -339,6 +338,7 @@
                 another.failure().ifPresent(reason -> upstreams.recordFailure(pending.upstream, reason));
                 placeAfterRefusedRelay(pending, another.notSent());
             }
+            case RouterRefusal.AttemptLost lost -> retryAfterLossAtRouter(pending, lost.upstream());
             case RouterRefusal.Lost lost -> handleLoss(pending, new AttemptEvent.Lost(true, true, "", lost.reason()));
             case RouterRefusal.OutcomeUnknown unknown -> {
                 upstreams.recordSuccess(pending.upstream);
@@ -357,6 +357,16 @@
         }
     }
 
+    /** Counts the attempt that another router lost, and sends the request again if it may be. */
+    private void retryAfterLossAtRouter(PendingCall pending, UpstreamId upstream) {
+        releaseAttempt(pending);
+        upstreams.recordSuccess(pending.upstream);
+        log.lostAtRouter(pending, upstream);
+        pending.recordLossAtRouter(upstream);
+        context.emit(new ForwardingOutput.Cancel(pending.attempt));
+        retryAfterLoss(pending, true);
+    }
+
     /** Tries another way after a router refused a request that it has not run; a retry if it may have sent it. */
     private void placeAfterRefusedRelay(PendingCall pending, boolean returnsRetry) {
         releaseAttempt(pending);
@@ -383,18 +393,7 @@
         pending.state = PendingCall.State.DELIVERING;
         pending.firstEventAtMillis = context.now();
         context.emit(new ForwardingOutput.Deliver(pending.request, pending.attempt));
-        handleProgress(pending, started.firstEventId());
-    }
-
-    private void handleProgress(PendingCall pending, String eventId) {
-        pending.lastEventAtMillis = context.now();
-        pending.recordEventId(eventId);
-        pending.keptReason = "";
-        pending.silentAttempt = null;
-        if (pending.state == PendingCall.State.DELIVERING && pending.mayBeReplaced()) {
-            pending.attemptTimeoutAtMillis = context.now() + CallTiming.STREAM_IDLE_TIMEOUT_MILLIS;
-            timers.schedule(pending, pending.attemptTimeoutAtMillis);
-        }
+        silentStreams.recordEvent(pending, started.firstEventId());
     }
 
     private void handleNotExecuted(PendingCall pending, AttemptEvent.Head head) {
@@ -423,12 +422,11 @@
         boolean shortSilence = silentStreams.isShortSilence(pending, lost);
         releaseAttempt(pending);
         log.lost(pending, lost, pending.state == PendingCall.State.DELIVERING);
-        silentStreams.recordLoss(pending.upstream, lost, shortSilence);
-        pending.excludedUpstreams.add(pending.upstream.id());
+        silentStreams.recordLoss(pending, lost, shortSilence);
         pending.previousOutcome = lost.sent() ? "lost: " + lost.reason() : "not sent: " + lost.reason();
         context.emit(new ForwardingOutput.Cancel(pending.attempt));
         if (lost.sent()) {
-            pending.possibleExecutions++;
+            pending.recordExecution();
             crashProtection.recordUnanswered(pending, lost == DeclaredLosses.NO_PROGRESS);
         } else {
             pending.unsentAttempts++;
@@ -449,7 +447,8 @@
             pending.placementDeadlineMillis = context.now() + CallTiming.RESUME_TIMEOUT_MILLIS;
             place(pending);
         } else {
-            refuseOrAbort(pending, ResultCode.OUTCOME_UNKNOWN, 0, "attempt lost after sending; outcome unknown");
+            ResultCode code = pending.mayBeSentAgainByRouter() ? ResultCode.ATTEMPT_LOST : ResultCode.OUTCOME_UNKNOWN;
+            refuseOrAbort(pending, code, 0, "attempt lost after sending; outcome unknown");
         }
     }
 
@@ -539,7 +538,7 @@
             releaseAttempt(pending);
             crashProtection.recordGivenUp(pending);
             context.emit(new ForwardingOutput.Cancel(pending.attempt));
-            pending.possibleExecutions++;
+            pending.recordExecution();
         }
         refuseOrAbort(
                 pending, pending.mayHaveRun() ? ResultCode.TIMED_OUT : ResultCode.NO_UPSTREAM, 0, "deadline expired");
@@ -556,7 +555,7 @@
         ResultCode reportedCode = code.mayHaveRun() || !pending.mayHaveRun() ? code : ResultCode.OUTCOME_UNKNOWN;
         log.refused(pending, reportedCode, retryAfterMillis, reason);
         intake.giveBack(pending);
-        if (pending.streamBegun) {
+        if (pending.streamBegun || pending.endsWithConnection(code)) {
             bindings.recordInterrupted(pending);
             context.emit(new ForwardingOutput.AbortStream(pending.request));
         } else {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DeclaredLosses.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/DeclaredLosses.java
@@ -13,4 +13,8 @@
             new AttemptEvent.Lost(true, true, "", "answer does not belong to this request");
 
     private DeclaredLosses() {}
+
+    static boolean includes(AttemptEvent.Lost lost) {
+        return lost == NO_PROGRESS || lost == MISMATCHED;
+    }
 }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/Dispatches.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/Dispatches.java
@@ -1,5 +1,6 @@
 package org.fuchsiatrail.internal.forwarding;
 
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
@@ -24,7 +25,7 @@
                 pending.route.describesPrompt() ? OptionalInt.of(EnginePriority.of(pending)) : OptionalInt.empty(),
                 pending.lastEventId,
                 resumedAttemptId(pending),
-                pending.relayed,
+                pending.relayed ? Optional.of(pending.relayAllowance()) : Optional.empty(),
                 pending.placement.fetchFrom(),
                 pending.placement.saveTo());
     }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/HeldAttempt.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/HeldAttempt.java
@@ -13,6 +13,7 @@
  * @param placement where it was placed
  * @param softwareVersion the software version of the upstream when it was sent
  * @param relayed whether it goes to another router
+ * @param executionsAtRisk how many executions it may lead to
  * @param state the progress of the request with this attempt
  * @param firstEventAtMillis when its first event arrived, in milliseconds
  * @param lastEventAtMillis when its last event arrived, in milliseconds
@@ -24,6 +25,7 @@
         UpstreamPlacement.Placement placement,
         String softwareVersion,
         boolean relayed,
+        int executionsAtRisk,
         PendingCall.State state,
         long firstEventAtMillis,
         long lastEventAtMillis) {
@@ -36,6 +38,7 @@
                 pending.placement,
                 pending.attemptVersion,
                 pending.relayed,
+                pending.executionsAtRisk,
                 pending.state,
                 pending.firstEventAtMillis,
                 pending.lastEventAtMillis);
@@ -49,6 +52,7 @@
         pending.placement = placement;
         pending.attemptVersion = softwareVersion;
         pending.relayed = relayed;
+        pending.executionsAtRisk = executionsAtRisk;
         pending.state = state;
         pending.firstEventAtMillis = firstEventAtMillis;
         pending.lastEventAtMillis = lastEventAtMillis;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/HeldAttempts.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/HeldAttempts.java
@@ -27,7 +27,10 @@
     private final CallTimers timers;
     private final CallLog log;
     /** The replacements that were cancelled and of which nothing was heard since, with their requests. */
-    private final Map<AttemptId, PendingCall> cancelledReplacements = new HashMap<>();
+    private final Map<AttemptId, CancelledReplacement> cancelledReplacements = new HashMap<>();
+
+    /** A cancelled replacement, which counts as so many executions. */
+    private record CancelledReplacement(PendingCall pending, int executionsAtRisk) {}
 
     HeldAttempts(
             ForwardingContext context,
@@ -54,7 +57,7 @@
         }
         pending.held = Optional.of(HeldAttempt.of(pending));
         pending.excludedUpstreams.add(pending.upstream.id());
-        pending.possibleExecutions++;
+        pending.recordExecution();
         pending.previousOutcome = "held";
         pending.attempt = null;
         pending.attemptTimeoutAtMillis = Long.MAX_VALUE;
@@ -71,12 +74,12 @@
         if (calls.hasAttemptInFlight(pending)) {
             calls.releaseAttempt(pending);
             context.emit(new ForwardingOutput.Cancel(pending.attempt));
-            pending.possibleExecutions++;
-            cancelledReplacements.put(pending.attempt, pending);
+            pending.recordExecution();
+            cancelledReplacements.put(pending.attempt, new CancelledReplacement(pending, pending.executionsAtRisk));
         }
         pending.held.get().restoreTo(pending);
         pending.held = Optional.empty();
-        pending.possibleExecutions--;
+        pending.possibleExecutions -= pending.executionsAtRisk;
         pending.upstream.recordResumability(pending);
         pending.pathLost = false;
         pending.placeFound = false;
@@ -145,9 +148,10 @@
 
     /** Handles an event of an attempt that has ended: a replacement that was never sent has not run. */
     void recordLateEvent(AttemptId attempt, AttemptEvent event) {
-        PendingCall pending = cancelledReplacements.remove(attempt);
-        if (pending != null && event instanceof AttemptEvent.Lost lost && !lost.sent()) {
-            pending.possibleExecutions--;
+        CancelledReplacement cancelled = cancelledReplacements.remove(attempt);
+        if (cancelled != null && event instanceof AttemptEvent.Lost lost && !lost.sent()) {
+            PendingCall pending = cancelled.pending();
+            pending.possibleExecutions -= cancelled.executionsAtRisk();
             pending.upstream.recordResumability(pending);
         }
     }
@@ -155,7 +159,7 @@
     /** Forgets a request that ends. */
     void close(PendingCall pending) {
         giveUp(pending);
-        cancelledReplacements.values().removeIf(cancelled -> cancelled == pending);
+        cancelledReplacements.values().removeIf(cancelled -> cancelled.pending() == pending);
     }
 
     private void release(PendingCall pending, HeldAttempt held, String reason) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
@@ -1,15 +1,19 @@
 package org.fuchsiatrail.internal.forwarding;
 
 import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import org.fuchsiatrail.AttemptId;
 import org.fuchsiatrail.RequestId;
+import org.fuchsiatrail.ResultCode;
 import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.CustomerEntry;
 import org.fuchsiatrail.forwarding.ForwardedCall;
+import org.fuchsiatrail.forwarding.RelayAllowance;
 import org.fuchsiatrail.forwarding.RequestKind;
 import org.fuchsiatrail.forwarding.Route;
 
@@ -44,9 +48,21 @@
     /** The amount for which the request counts towards its customer's limit. */
     final long chargedAmount;
 
+    /** Attempts of the caller's request that may still have been executed when this router received it. */
+    final int attemptsLeft;
+
+    /** The attempts of this router that may be executed; a single one of a relayed request. */
+    final int maximumExecutions;
+
     /** Upstreams that are not tried again for this request. */
     final Set<UpstreamId> excludedUpstreams = new HashSet<>();
 
+    /** Upstreams that may have executed the request, in vain. */
+    final Set<UpstreamId> triedUpstreams = new LinkedHashSet<>();
+
+    /** Routers that broke a stream of this request off and are used again only when there is no other one. */
+    final Set<UpstreamId> avoidedRouters = new HashSet<>();
+
     State state = State.WAITING;
     AttemptId attempt;
     UpstreamState upstream;
@@ -62,8 +78,12 @@
     long placementDeadlineMillis;
     /** Attempts that were sent, whether or not they were executed. */
     int sends;
-    /** Attempts that may have been executed. */
+    /** Attempts that may have been executed, also by other routers to which the request was relayed. */
     int possibleExecutions;
+    /** How many executions the current attempt may lead to; more than one at a router of an older build. */
+    int executionsAtRisk = 1;
+    /** Whether an attempt may have reached an upstream, whether or not it was executed. */
+    boolean mayHaveArrived;
 
     /** How the previous attempt ended, or an empty string before the first one. */
     String previousOutcome = "";
@@ -79,6 +99,8 @@
 
     /** Whether the current attempt goes to another router. */
     boolean relayed;
+    /** The upstream that answered the current attempt at another router, if that router named it. */
+    Optional<UpstreamId> ranAt = Optional.empty();
     /** Routers that refused the request because they reach no upstream either. */
     int relayRefusals;
     /** Attempts that could not be sent because no connection was established. */
@@ -126,6 +148,12 @@
         this.receivedAtMillis = receivedAtMillis;
         this.chargedAmount = chargedAmount;
         this.deadlineAtMillis = receivedAtMillis + Math.min(call.deadlineMillis(), route.timeoutMillis());
+        this.attemptsLeft = Math.min(
+                route.maximumAttempts(),
+                call.relay().map(RelayAllowance::attemptsLeft).orElse(Integer.MAX_VALUE));
+        this.maximumExecutions = call.relayed() ? Math.min(1, attemptsLeft) : attemptsLeft;
+        this.mayHaveArrived = call.relay().map(RelayAllowance::repeated).orElse(false);
+        call.relay().ifPresent(allowance -> excludedUpstreams.addAll(allowance.triedUpstreams()));
         this.fingerprint = fingerprint(call, customer);
         this.sharedPartKeys = call.sharedParts().stream()
                 .mapToLong(part -> PromptChain.key("", call.model(), part.id()))
@@ -154,12 +182,64 @@
 
     /** Returns whether the request may be sent again although an earlier attempt may have been executed. */
     boolean mayRetry() {
-        return route.retryable() && possibleExecutions < route.maximumAttempts() && !isWithoutResumePosition();
+        return route.retryable() && possibleExecutions < maximumExecutions && !isWithoutResumePosition();
     }
 
     /** Returns whether another attempt may replace the current one although that may have been executed. */
     boolean mayBeReplaced() {
-        return mayRetry() && possibleExecutions + 1 < route.maximumAttempts();
+        // The router that relayed a request replaces its attempts itself, and learns of silence once events have begun.
+        return call.relayed()
+                ? route.retryable() && !streamBegun && possibleExecutions + executionsAtRisk < attemptsLeft
+                : mayRetry() && possibleExecutions + executionsAtRisk < maximumExecutions;
+    }
+
+    /** Records that the current attempt may have been executed. */
+    void recordExecution() {
+        possibleExecutions += executionsAtRisk;
+        mayHaveArrived = true;
+        UpstreamId tried = answeredBy();
+        if (!RelayRouters.isRouter(tried)) {
+            triedUpstreams.add(tried);
+        }
+    }
+
+    /** Returns the upstream that is not tried again after it answered; a router that names none is not used again. */
+    UpstreamId answeredBy() {
+        return relayed ? ranAt.orElse(upstream.id()) : upstream.id();
+    }
+
+    /** Records that another router lost the attempt at an upstream, which is not tried again. */
+    void recordLossAtRouter(UpstreamId lostAt) {
+        ranAt = Optional.of(lostAt);
+        recordExecution();
+        previousOutcome = "lost at another router";
+    }
+
+    /** Returns whether no attempt that may be executed is left. */
+    boolean isExhausted() {
+        return possibleExecutions > 0 && possibleExecutions >= maximumExecutions;
+    }
+
+    /** Returns whether the router that relayed the request may send it again after this attempt. */
+    boolean mayBeSentAgainByRouter() {
+        return call.relayed() && route.retryable() && (!isAllowanceTold() || possibleExecutions < attemptsLeft);
+    }
+
+    /**
+     * Returns whether a refusal ends the connection instead: a router of an older build takes that for a lost attempt,
+     * and any refusal for the last word.
+     */
+    boolean endsWithConnection(ResultCode code) {
+        return code == ResultCode.ATTEMPT_LOST && !isAllowanceTold();
+    }
+
+    private boolean isAllowanceTold() {
+        return call.relay().map(RelayAllowance::told).orElse(false);
+    }
+
+    /** What a router is allowed to which the request is relayed now. */
+    RelayAllowance relayAllowance() {
+        return new RelayAllowance(true, attemptsLeft - possibleExecutions, mayHaveArrived, List.copyOf(triedUpstreams));
     }
 
     /** Returns whether the caller may send the request again after an attempt of unknown outcome. */
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/RelayRouters.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/RelayRouters.java
@@ -24,6 +24,9 @@
     /** How long after the last timeout a request tries the lost paths to other routers again, in milliseconds. */
     private static final long RETRY_MILLIS = 1_000;
 
+    /** More than the requests that are relayed to one router at a time. */
+    private static final double AVOIDED_ROUTER_COST = 1e9;
+
     static final int FIRST_ERROR_STATUS = 400;
 
     /** The HTTP statuses that promise callers that the request has not run. */
@@ -40,6 +43,16 @@
     private final ForwardingContext context;
     private final StoreReplica replica;
     private final Map<EntryVmId, UpstreamState> routers = new HashMap<>();
+
+    /**
+     * A router to which a request may be relayed.
+     *
+     * @param router the router
+     * @param boundsAttempts whether it keeps to what it is allowed; an older build runs as many attempts as the route
+     *     allows
+     */
+    record Relay(UpstreamState router, boolean boundsAttempts) {}
+
     private long lastTrialAtMillis = Long.MIN_VALUE / 2;
 
     RelayRouters(ForwardingContext context, StoreReplica replica) {
@@ -51,7 +64,7 @@
      * Selects a usable router that was not tried yet, with the fewest relayed requests and at random among these. While
      * the paths to all other routers are lost, single requests try them.
      */
-    Optional<UpstreamState> select(PendingCall pending) {
+    Optional<Relay> select(PendingCall pending) {
         List<StoreItemContent.Member> members = replica.members().stream()
                 .filter(member -> !member.callerAddress().isEmpty())
                 .filter(member ->
@@ -66,14 +79,18 @@
         if (pending.routersLost && !mayTry()) {
             return Optional.empty();
         }
-        UpstreamState best = null;
+        Relay best = null;
         double bestCost = Double.MAX_VALUE;
         for (StoreItemContent.Member member : members) {
             UpstreamState router = state(member);
-            double cost = router.inFlight.size() + context.random().nextDouble();
-            boolean usable = !router.isSuspected(context.now()) && !pending.excludedUpstreams.contains(router.id());
+            double cost = router.inFlight.size()
+                    + context.random().nextDouble()
+                    + (pending.avoidedRouters.contains(router.id()) ? AVOIDED_ROUTER_COST : 0);
+            boolean usable = !router.isSuspected(context.now())
+                    && !pending.excludedUpstreams.contains(router.id())
+                    && (member.boundsRelayedAttempts() || !pending.mayHaveRun());
             if (usable && cost < bestCost) {
-                best = router;
+                best = new Relay(router, member.boundsRelayedAttempts());
                 bestCost = cost;
             }
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/RouterRefusal.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/RouterRefusal.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 
+import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.AttemptEvent;
 
 /** What follows from the answer of another router to a request that was relayed to it and that no upstream answered. */
@@ -15,6 +16,13 @@
      */
     record TryAnotherWay(Optional<String> failure, boolean notSent) implements RouterRefusal {}
 
+    /**
+     * The only attempt that the router was allowed is lost.
+     *
+     * @param upstream the upstream to which it was sent
+     */
+    record AttemptLost(UpstreamId upstream) implements RouterRefusal {}
+
     /**
      * The answer does not tell whether the request has run.
      *
@@ -34,6 +42,9 @@
 
     /** Decides what follows from the head of an answer without a valid signature of an upstream. */
     static RouterRefusal decide(AttemptEvent.Head head, boolean streamBegun, boolean mayHaveRun) {
+        if (head.lostAt().isPresent()) {
+            return new AttemptLost(head.lostAt().get());
+        }
         boolean notRun = RelayRouters.NOT_RUN_STATUSES.contains(head.status());
         if (RelayRouters.OTHER_CONFIGURATION_STATUSES.contains(head.status())) {
             return new TryAnotherWay(Optional.of("the router has another configuration in force"), true);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreams.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreams.java
@@ -56,6 +56,18 @@
         darkSights.onDark(this::lookAtAttempts);
     }
 
+    /** Records an event of a request's stream, and when its attempt is looked at next. */
+    void recordEvent(PendingCall pending, String eventId) {
+        pending.lastEventAtMillis = context.now();
+        pending.recordEventId(eventId);
+        pending.keptReason = "";
+        pending.silentAttempt = null;
+        if (pending.state == PendingCall.State.DELIVERING && pending.mayBeReplaced()) {
+            pending.attemptTimeoutAtMillis = context.now() + CallTiming.STREAM_IDLE_TIMEOUT_MILLIS;
+            timers.schedule(pending, pending.attemptTimeoutAtMillis);
+        }
+    }
+
     /** Returns whether an attempt that shows no progress is to be given up; a late look is repeated first. */
     boolean giveUp(PendingCall pending) {
         boolean late = context.now() - pending.attemptTimeoutAtMillis > CallTiming.LATE_TIMER_MILLIS;
@@ -84,7 +96,7 @@
 
     /** Returns whether an attempt that is given up ends its request, since no other one may replace it. */
     private boolean isEndedForCaller(PendingCall pending) {
-        return darkSights.areTold() && !pending.mayBeReplaced();
+        return !pending.mayBeReplaced();
     }
 
     /** Returns whether the attempt that is given up is held until another one has begun. */
@@ -215,10 +227,21 @@
     }
 
     /**
-     * Records a loss as a failure of its upstream, unless that switches weights. A short silence starts its backoff,
-     * but does not show that the path to it is lost.
+     * Records a loss as a failure of its upstream, unless that switches weights, and excludes it. A short silence
+     * starts its backoff, but does not show that the path to it is lost. A router that breaks a begun stream off is
+     * only avoided, as the upstream of the stream may have ended.
      */
-    void recordLoss(UpstreamState upstream, AttemptEvent.Lost lost, boolean shortSilence) {
+    void recordLoss(PendingCall pending, AttemptEvent.Lost lost, boolean shortSilence) {
+        boolean brokenOff = pending.state == PendingCall.State.DELIVERING && !DeclaredLosses.includes(lost);
+        if (pending.relayed && brokenOff) {
+            pending.avoidedRouters.add(pending.upstream.id());
+            return;
+        }
+        pending.excludedUpstreams.add(pending.upstream.id());
+        recordFailure(pending.upstream, lost, shortSilence);
+    }
+
+    private void recordFailure(UpstreamState upstream, AttemptEvent.Lost lost, boolean shortSilence) {
         if (lost.sent() && upstream.isSwitchingWeights(context.now())) {
             return;
         }
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamAvailability.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamAvailability.java
@@ -95,6 +95,14 @@
                 "neither upstreams nor other routers are reached");
     }
 
+    /** Returns the refusal of a stream whose software version no upstream has. */
+    Unavailable withoutVersion(String softwareVersion) {
+        return new Unavailable(
+                ResultCode.STREAM_NOT_RESUMABLE,
+                CallTiming.NOT_RESUMABLE_RETRY_MILLIS,
+                "no upstream has software version " + softwareVersion);
+    }
+
     private long spread(long retryMillis) {
         long spreadMillis = Math.max(MINIMUM_RETRY_SPREAD_MILLIS, Math.round(retryMillis * RETRY_SPREAD_FRACTION));
         return retryMillis + context.random().nextLong(spreadMillis);
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamSelector.java
@@ -139,7 +139,7 @@
     }
 
     /** Returns whether any registered upstream has the software version that began the request's stream. */
-    boolean isVersionServed(PendingCall pending) {
+    private boolean isVersionServed(PendingCall pending) {
         return upstreams.activeUpstreams(pending.service).stream()
                 .anyMatch(upstream -> mayContinueAt(pending, upstream));
     }
@@ -187,6 +187,9 @@
 
     /** Returns why no upstream may receive the request in time, if what they all said of themselves excludes it. */
     Optional<UpstreamAvailability.Unavailable> unavailable(PendingCall pending) {
+        if (pending.streamVersion.isPresent() && !isVersionServed(pending)) {
+            return Optional.of(availability.withoutVersion(pending.streamVersion.get()));
+        }
         if (reachesNobody(pending)) {
             // A stream that goes on is looked at anew.
             pending.upstreamsLost = false;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamState.java
@@ -115,7 +115,7 @@
     }
 
     private static boolean isNonResumable(PendingCall pending) {
-        return !pending.route.retryable() || pending.possibleExecutions + 1 >= pending.route.maximumAttempts();
+        return !pending.route.retryable() || pending.possibleExecutions + 1 >= pending.attemptsLeft;
     }
 
     /** Records whether a request can still continue elsewhere after an attempt that was to replace its current one. */
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetRelays.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetRelays.java
@@ -4,10 +4,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 import org.fuchsiatrail.RequestId;
 import org.fuchsiatrail.ResultCode;
+import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.AttemptEvent;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
 
@@ -71,10 +73,22 @@
     void deliver(ForwardingFixture router, RequestId request, boolean failed) {
         answer(router, request, relayed -> {
             if (failed) {
-                refuse(relayed, FleetEngine.failureHead());
+                refuse(
+                        relayed,
+                        AttemptEvent.Head.builder(500)
+                                .verified(true)
+                                .ranAt(lastUpstream(relayed))
+                                .build());
             } else {
                 String eventId = relayed.request().stream.lastEventId();
-                fleet.deliver(relayed, new AttemptEvent.Started(ForwardingFixture.head(200, true, false), eventId));
+                fleet.deliver(
+                        relayed,
+                        new AttemptEvent.Started(
+                                AttemptEvent.Head.builder(200)
+                                        .verified(true)
+                                        .ranAt(lastUpstream(relayed))
+                                        .build(),
+                                eventId));
             }
         });
     }
@@ -88,11 +102,19 @@
                     relayed,
                     AttemptEvent.Head.builder(code.httpStatus())
                             .withoutPath(code == ResultCode.WITHOUT_PATH)
+                            .lostAt(code == ResultCode.ATTEMPT_LOST ? lastUpstream(relayed) : Optional.empty())
                             .build());
         }
         return relayed != null;
     }
 
+    private Optional<UpstreamId> lastUpstream(FleetAttempt relayed) {
+        return fleet.arrivals().reversed().stream()
+                .filter(arrival -> arrival.request() == relayed.request())
+                .findFirst()
+                .map(arrival -> new UpstreamId(arrival.engine()));
+    }
+
     private void refuse(FleetAttempt relayed, AttemptEvent.Head head) {
         relayed.request().failedAttempt = relayed.send().attempt();
         fleet.close(relayed, new AttemptEvent.Answered(head));
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetStore.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/FleetStore.java
@@ -46,7 +46,8 @@
         StoreItemContent.Member member = new StoreItemContent.Member(
                 router.self(),
                 "10.0.0.1:" + id.substring(id.lastIndexOf('-') + 1),
-                router.build.appliesVersionShares());
+                router.build.appliesVersionShares(),
+                router.build == RouterBuild.PRESENT);
         routers.forEach(other -> other.put("members/" + id, member));
     }
 
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/ForwardingFixture.java
@@ -488,7 +488,7 @@
                 prompt,
                 resumeAfterEventId,
                 resumedAttemptId,
-                false,
+                Optional.empty(),
                 path.hashCode());
         calls.put(request, call);
         tick(new ForwardingInput.CallReceived(request, call));
@@ -510,7 +510,7 @@
                 call.prompt(),
                 dispatch.resumeAfterEventId(),
                 dispatch.resumedAttemptId(),
-                true,
+                dispatch.relay(),
                 call.fingerprint());
         tick(new ForwardingInput.CallReceived(request, relayed));
         return request;
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RelayedStreamCutByStopTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RelayedStreamCutByStopTest.java
@@ -14,6 +14,7 @@
 import org.fuchsiatrail.forwarding.Dispatch;
 import org.fuchsiatrail.forwarding.ForwardingInput;
 import org.fuchsiatrail.forwarding.ForwardingOutput;
+import org.fuchsiatrail.forwarding.RelayAllowance;
 import org.fuchsiatrail.forwarding.StoreItemContent;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -122,7 +123,7 @@
                 OptionalInt.empty(),
                 "",
                 "",
-                true,
+                Optional.of(RelayAllowance.UNTOLD),
                 Optional.empty(),
                 Optional.empty());
     }
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RequestLostBesideFailedInputTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RequestLostBesideFailedInputTest.java
@@ -2,6 +2,7 @@
 
 import java.util.AbstractList;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Stream;
 
 import org.fuchsiatrail.EntryVmId;
@@ -63,7 +64,7 @@
                 prompt,
                 "",
                 "",
-                false,
+                Optional.empty(),
                 1);
     }
 
@@ -113,7 +114,7 @@
 
     static Stream<AttemptEvent> eventsThatThrow() {
         AttemptEvent.Head headWithoutLoad =
-                new AttemptEvent.Head(200, true, false, null, null, null, null, false, false, false);
+                new AttemptEvent.Head(200, true, false, null, null, null, null, false, false, false, null, null);
         return Stream.of(
                 new AttemptEvent.Answered(null),
                 new AttemptEvent.Answered(headWithoutLoad),
@@ -219,7 +220,7 @@
     @Test
     void should_answer_requests_while_a_part_of_the_core_throws_in_each_tick() {
         fixture.start();
-        fixture.put("members/poisoned", new StoreItemContent.Member(null, "", true));
+        fixture.put("members/poisoned", new StoreItemContent.Member(null, "", true, true));
         fixture.advanceTime(2_000);
         fixture.tick(received("request", "/read/1"));
         ForwardingOutput.Send send = outputs(ForwardingOutput.Send.class).getFirst();
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamOriginLookupTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/StreamOriginLookupTest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.fuchsiatrail.EntryVm;
 import org.fuchsiatrail.EntryVmId;
@@ -54,7 +55,7 @@
 
     private static long streamKey(String attemptId) {
         return StreamOrigins.streamKey(new ForwardedCall(
-                attemptId, "", "", "", 0, "", 0, 0, List.<ForwardedCall.PromptPart>of(), "", "", false, 0));
+                attemptId, "", "", "", 0, "", 0, 0, List.<ForwardedCall.PromptPart>of(), "", "", Optional.empty(), 0));
     }
 
     private void receive(EntryVm peer, ForwardingNewsBuilder message) {
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/UnreadableSharesJoinVersionsTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/UnreadableSharesJoinVersionsTest.java
@@ -24,7 +24,7 @@
             router.register(ForwardingFixture.entry(
                     engine, "tutors", 64, Map.of(ForwardingFixture.MODEL, 1L), false, 1, "lima-a", "v" + engine));
         }
-        router.put("members/vm-1", new StoreItemContent.Member(router.self(), "", true));
+        router.put("members/vm-1", new StoreItemContent.Member(router.self(), "", true, true));
         VersionShares shares = new VersionShares("tutors", 2, List.of(new VersionShares.Share("ve2", 1)));
         router.put("versions/tutors/current", new StoreItemContent.CurrentVersionShares(shares));
         router.put("versions/tutors/1", new StoreItemContent.Unreadable("why"));
--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/VersionSharesLookupTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/VersionSharesLookupTest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.fuchsiatrail.EntryVm;
 import org.fuchsiatrail.EntryVmId;
@@ -50,8 +51,8 @@
         register("e0", "v1");
         register("e2", "v2");
         register("e3", "v2");
-        fixture.put("members/vm-1", new StoreItemContent.Member(fixture.self(), "", true));
-        fixture.put("members/vm-2", new StoreItemContent.Member(PEER, "", true));
+        fixture.put("members/vm-1", new StoreItemContent.Member(fixture.self(), "", true, true));
+        fixture.put("members/vm-2", new StoreItemContent.Member(PEER, "", true, true));
     }
 
     private void register(String id, String softwareVersion) {
@@ -65,7 +66,7 @@
 
     private static long streamKey(String attemptId) {
         return StreamOrigins.streamKey(new ForwardedCall(
-                attemptId, "", "", "", 0, "", 0, 0, List.<ForwardedCall.PromptPart>of(), "", "", false, 0));
+                attemptId, "", "", "", 0, "", 0, 0, List.<ForwardedCall.PromptPart>of(), "", "", Optional.empty(), 0));
     }
 
     private String versionOf(RequestId request) {
@@ -147,7 +148,7 @@
     @Test
     void should_not_go_by_shares_while_a_router_does_not_apply_them() {
         fixture.put(CURRENT, new StoreItemContent.CurrentVersionShares(SECOND_ONLY));
-        fixture.put("members/vm-2", new StoreItemContent.Member(PEER, "", false));
+        fixture.put("members/vm-2", new StoreItemContent.Member(PEER, "", false, true));
         fixture.start();
         RequestId request = resume("a-1");
         fixture.advanceTime(REPLIES_AWAITED_MILLIS);
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/CallerResponse.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/CallerResponse.java
@@ -1,7 +1,10 @@
 package org.fuchsiatrail.wire.forwarding;
 
+import java.util.Optional;
+
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
+import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.wire.http.HttpExchange;
 
 /** The response to one caller. A stream may be continued by a further attempt at another upstream. */
@@ -13,11 +16,17 @@
     private final HttpExchange exchange;
     private boolean streamBegun;
     private String lastEventId = "";
+    private Optional<UpstreamId> namedUpstream = Optional.empty();
 
     CallerResponse(HttpExchange exchange) {
         this.exchange = exchange;
     }
 
+    /** Names the upstream of the response to the router that relayed the request. */
+    void nameUpstream(UpstreamId upstream) {
+        namedUpstream = Optional.of(upstream);
+    }
+
     /** Sends a complete response that is not a stream. */
     void sendPlain(int status, HttpHeaders headers, byte[] body) {
         exchange.respond(status, endToEndHeaders(headers), body);
@@ -66,9 +75,11 @@
         return lastEventId;
     }
 
-    private static HttpHeaders endToEndHeaders(HttpHeaders headers) {
+    private HttpHeaders endToEndHeaders(HttpHeaders headers) {
         HttpHeaders copy = new DefaultHttpHeaders().set(headers);
         HopByHopHeaders.remove(copy);
+        copy.remove(RelayHeaders.UPSTREAM);
+        namedUpstream.ifPresent(upstream -> copy.set(RelayHeaders.UPSTREAM, upstream.value()));
         return copy;
     }
 }
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/OpenRequests.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/OpenRequests.java
@@ -12,6 +12,7 @@
 import org.fuchsiatrail.AttemptId;
 import org.fuchsiatrail.RequestId;
 import org.fuchsiatrail.ResultCode;
+import org.fuchsiatrail.UpstreamId;
 import org.fuchsiatrail.forwarding.ForwardedCall;
 import org.fuchsiatrail.wire.http.HttpExchange;
 
@@ -35,6 +36,8 @@
         private boolean limited;
         /** The last attempt that was handed to the HTTP client, or null; the request may have run since then. */
         private AttemptId lastAttempt;
+        /** The upstream of that attempt. */
+        private UpstreamId lastUpstream;
 
         private OpenRequest(HttpExchange exchange, ForwardedCall call) {
             this.exchange = exchange;
@@ -54,8 +57,12 @@
             return response;
         }
 
-        void attemptBegins(AttemptId attempt) {
+        void attemptBegins(AttemptId attempt, UpstreamId upstream) {
             lastAttempt = attempt;
+            lastUpstream = upstream;
+            if (call.relayed()) {
+                response.nameUpstream(upstream);
+            }
         }
     }
 
@@ -122,6 +129,9 @@
         if (request.call.relayed() && request.lastAttempt == null) {
             headers.set(RelayHeaders.NOT_SENT, "1");
         }
+        if (code == ResultCode.ATTEMPT_LOST && request.lastUpstream != null) {
+            headers.set(RelayHeaders.ATTEMPT_LOST, request.lastUpstream.value());
+        }
         refuse(request.exchange, headers, code, retryAfterMillis);
     }
 
--- a/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/OutputExecutor.java
+++ b/fuchsiatrail-wire/src/main/java/org/fuchsiatrail/wire/forwarding/OutputExecutor.java
@@ -188,7 +188,7 @@
                 event -> receiveAttemptEvent(attempt, event));
         RunningAttempt running = new RunningAttempt(send.request(), attemptHandler);
         runningAttempts.put(attempt, running);
-        openRequest.attemptBegins(attempt);
+        openRequest.attemptBegins(attempt, send.dispatch().upstream());
         running.future = http.executeRequest(request.build(), attemptHandler);
     }
 
--- a/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/forwarding/LoopOnLoopback.java
+++ b/fuchsiatrail-wire/src/test/java/org/fuchsiatrail/wire/forwarding/LoopOnLoopback.java
@@ -208,7 +208,7 @@
                     List.of(),
                     "",
                     "",
-                    false,
+                    Optional.empty(),
                     exchange.uri().hashCode());
         }
 
