--- a/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RelayedRequestRunsOnMoreEnginesTest.java
+++ b/fuchsiatrail-core/src/test/java/org/fuchsiatrail/internal/forwarding/RelayedRequestRunsOnMoreEnginesTest.java
@@ -105,10 +105,14 @@
         "ANSWERS_ANOTHER,HANGS",
         "FAILS,RESETS",
         "FAILS,HANGS",
+        "BREAKS_OFF,RESETS",
+        "BREAKS_OFF,HANGS",
+        "BREAKS_OFF,REFUSES_NEW",
         "SILENT,",
         "CLOSES,",
         "ANSWERS_ANOTHER,",
-        "FAILS,"
+        "FAILS,",
+        "BREAKS_OFF,"
     })
     void should_run_no_request_on_more_engines_than_its_route_allows(Fault fault, PathCut cut) {
         ForwardingFixture entryRouter = fleet.routers.getFirst();
