Count a relayed request towards one retry budget only

Cause: the router that received a request and the one it was relayed to both counted it, so both were allowed retries for it; and a request that engines had turned away was relayed without a retry.

A request now counts at the router that relays it until it is relayed, then at the other one, which is told by the lack of Fuchsiatrail-Repeated; it is taken back when that one sent it nowhere. What may have reached an upstream takes a retry when it is relayed.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/CallSystem.java
@@ -110,7 +110,7 @@
                 pending.placementDeadlineMillis =
                         pending.receivedAtMillis + timing.placementTimeoutMillis(pending.route);
                 calls.add(pending);
-                retryBudgets.recordRequest(pending.service);
+                retryBudgets.recordRequest(pending);
                 timers.schedule(pending, pending.deadlineAtMillis);
                 place(pending);
             }
@@ -156,7 +156,7 @@
                     pending, ResultCode.OVERLOADED, advisedRetryMillis, "predicted " + Math.round(predictedMillis));
             return;
         }
-        if (!firstAttempt && !retryBudgets.tryRetry(pending.service)) {
+        if ((!firstAttempt || pending.mayHaveArrived) && !retryBudgets.tryRetry(pending.service)) {
             context.count("retries.over-budget");
             if (pending.streamBegun && context.now() < pending.placementDeadlineMillis) {
                 awaitPlacement(pending);
@@ -189,7 +189,7 @@
             return true;
         }
         Optional<RelayRouters.Relay> relay = relayRouters.select(pending);
-        if (relay.isEmpty() || (pending.mayHaveRun() && !retryBudgets.tryRetry(pending.service))) {
+        if (relay.isEmpty() || !retryBudgets.tryRelay(pending)) {
             return false;
         }
         context.count("attempts.relayed");
@@ -368,16 +368,14 @@
     }
 
     /** Tries another way after a router refused a request that it has not run; a retry if it may have sent it. */
-    private void placeAfterRefusedRelay(PendingCall pending, boolean returnsRetry) {
+    private void placeAfterRefusedRelay(PendingCall pending, boolean notSent) {
         releaseAttempt(pending);
         pending.excludedUpstreams.add(pending.upstream.id());
         context.emit(new ForwardingOutput.Cancel(pending.attempt));
         pending.relayRefusals++;
         pending.sends--;
         pending.previousOutcome = "refused by another router";
-        if (returnsRetry && pending.mayHaveRun()) {
-            retryBudgets.returnRetry(pending.service);
-        }
+        retryBudgets.recordRefusedRelay(pending, notSent);
         place(pending);
     }
 
@@ -400,6 +398,7 @@
         releaseAttempt(pending);
         log.notExecuted(pending, head);
         pending.previousOutcome = "not executed";
+        pending.mayHaveArrived = true;
         context.emit(new ForwardingOutput.Cancel(pending.attempt));
         if (head.status() == CallTiming.MISDIRECTED_STATUS) {
             answerHeads.recordMisdirected(pending, head);
@@ -430,6 +429,7 @@
             crashProtection.recordUnanswered(pending, lost == DeclaredLosses.NO_PROGRESS);
         } else {
             pending.unsentAttempts++;
+            retryBudgets.recordUnsent(pending);
             crashProtection.recordEnded(pending.incarnation);
             silentStreams.recordUnsent(pending, lost);
         }
@@ -555,6 +555,7 @@
         ResultCode reportedCode = code.mayHaveRun() || !pending.mayHaveRun() ? code : ResultCode.OUTCOME_UNKNOWN;
         log.refused(pending, reportedCode, retryAfterMillis, reason);
         intake.giveBack(pending);
+        retryBudgets.recordRefusal(pending, code);
         if (pending.streamBegun || pending.endsWithConnection(code)) {
             bindings.recordInterrupted(pending);
             context.emit(new ForwardingOutput.AbortStream(pending.request));
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/PendingCall.java
@@ -82,8 +82,12 @@
     int possibleExecutions;
     /** How many executions the current attempt may lead to; more than one at a router of an older build. */
     int executionsAtRisk = 1;
-    /** Whether an attempt may have reached an upstream, whether or not it was executed. */
+    /** Whether an attempt of this router may have reached an upstream, whether or not it was executed. */
     boolean mayHaveArrived;
+    /** Whether the request counts towards the retry budget of this router. */
+    boolean counted;
+    /** Whether the last relayed attempt took a retry from the budget. */
+    boolean relayTookRetry;
 
     /** How the previous attempt ended, or an empty string before the first one. */
     String previousOutcome = "";
@@ -152,7 +156,6 @@
                 route.maximumAttempts(),
                 call.relay().map(RelayAllowance::attemptsLeft).orElse(Integer.MAX_VALUE));
         this.maximumExecutions = call.relayed() ? Math.min(1, attemptsLeft) : attemptsLeft;
-        this.mayHaveArrived = call.relay().map(RelayAllowance::repeated).orElse(false);
         call.relay().ifPresent(allowance -> excludedUpstreams.addAll(allowance.triedUpstreams()));
         this.fingerprint = fingerprint(call, customer);
         this.sharedPartKeys = call.sharedParts().stream()
@@ -215,6 +218,13 @@
         previousOutcome = "lost at another router";
     }
 
+    /** Returns whether the request counts towards the retry budget of this router rather than of the relaying one. */
+    boolean isCountedHere() {
+        return call.relay()
+                .map(allowance -> allowance.told() && !allowance.repeated())
+                .orElse(true);
+    }
+
     /** Returns whether no attempt that may be executed is left. */
     boolean isExhausted() {
         return possibleExecutions > 0 && possibleExecutions >= maximumExecutions;
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/RetryBudgets.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/RetryBudgets.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.Map;
 
+import org.fuchsiatrail.ResultCode;
+
 /** The retry budgets of this router, one for each service. */
 final class RetryBudgets {
 
@@ -21,17 +23,61 @@
         this.replica = replica;
     }
 
-    void recordRequest(String service) {
-        budget(service).recordRequest(context.now());
+    /** Counts a request, unless the router that relayed it does. */
+    void recordRequest(PendingCall pending) {
+        if (pending.isCountedHere()) {
+            budget(pending.service).recordRequest(context.now());
+            pending.counted = true;
+        }
     }
 
-    boolean tryRetry(String service) {
-        return budget(service).tryRetry(context.now(), reserve());
+    /**
+     * Returns whether a request may be relayed: it counts at the other router from then on, or takes a retry if it may
+     * have reached an upstream before.
+     */
+    boolean tryRelay(PendingCall pending) {
+        if (pending.mayHaveArrived) {
+            pending.relayTookRetry = tryRetry(pending.service);
+            return pending.relayTookRetry;
+        }
+        pending.relayTookRetry = false;
+        takeBack(pending);
+        return true;
+    }
+
+    /** Records that another router did not run a request that was relayed to it. */
+    void recordRefusedRelay(PendingCall pending, boolean notSent) {
+        pending.mayHaveArrived |= !notSent;
+        if (notSent && pending.relayTookRetry) {
+            budget(pending.service).returnRetry();
+        } else if (notSent) {
+            recordRequest(pending);
+        }
     }
 
-    /** Gives back the latest retry, which reached no upstream. */
-    void returnRetry(String service) {
-        budget(service).returnRetry();
+    /** Records that an attempt could not be sent. */
+    void recordUnsent(PendingCall pending) {
+        if (pending.relayed) {
+            recordRefusedRelay(pending, true);
+        }
+    }
+
+    /** Takes a request back that counts at the router that relayed it, as it was sent to no upstream here. */
+    void recordRefusal(PendingCall pending, ResultCode code) {
+        if (pending.call.relayed() && (code == ResultCode.WITHOUT_PATH || pending.sends == 0)) {
+            takeBack(pending);
+        }
+    }
+
+    private void takeBack(PendingCall pending) {
+        if (pending.counted) {
+            budget(pending.service).returnRequest();
+            pending.counted = false;
+        }
+    }
+
+    boolean tryRetry(String service) {
+        return budget(service).tryRetry(context.now(), reserve());
     }
 
     boolean mayRetry(String service) {
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WindowedRetryBudget.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/WindowedRetryBudget.java
@@ -28,6 +28,11 @@
         removeExpired(nowMillis);
     }
 
+    /** Takes the latest request back, which another router counts. */
+    void returnRequest() {
+        requests.pollLast();
+    }
+
     /**
      * Takes one retry from the budget if one is left; {@code reserve} is this router's share of the reserve.
      */
