Probe at most eight outdated engines after one misdirected request

The engines whose last probe is longest ago are probed, eight at most; further answers have more of them probed.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/EngineProbes.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/EngineProbes.java
@@ -1,6 +1,8 @@
 package org.fuchsiatrail.internal.forwarding;
 
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 import org.fuchsiatrail.UpstreamId;
@@ -24,6 +26,14 @@
         return lastSentAtMillis.getOrDefault(engine.id(), context.now());
     }
 
+    /** Probes at most so many of some engines, those first whose last probe is longest ago. */
+    void sendToSome(List<UpstreamState> engines, int limit) {
+        engines.stream()
+                .sorted(Comparator.comparingLong(engine -> lastSentAtMillis.getOrDefault(engine.id(), Long.MIN_VALUE)))
+                .limit(limit)
+                .forEach(this::send);
+    }
+
     /** Probes an engine unless it was probed within the minimum interval; returns whether a probe was sent. */
     boolean send(UpstreamState engine) {
         Long previousMillis = lastSentAtMillis.get(engine.id());
--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/UpstreamTable.java
@@ -45,6 +45,9 @@
     /** The same of an engine that may only be slow, in milliseconds. */
     private static final long SILENT_PROBE_INTERVAL_MILLIS = 800;
 
+    /** The most engines that are probed for newer weights after one answer. */
+    private static final int MAXIMUM_OUTDATED_PROBES = 8;
+
     /** The longest backoff of an upstream, in milliseconds; two of its heartbeats. */
     private static final long MAXIMUM_BACKOFF_MILLIS = 2_400;
 
@@ -318,17 +321,23 @@
     }
 
     /**
-     * Probes the engines of the same service that are known with older weights, and on request the engine itself.
+     * Probes some engines of the same service that are known with older weights, and on request the engine itself. Each
+     * answer of another engine with newer weights has more of them probed.
      */
     void probeOutdated(UpstreamState upstream, String model, boolean includeItself) {
         long newest = upstream.weightVersions.getOrDefault(model, 0L);
+        List<UpstreamState> outdated = new ArrayList<>();
         for (UpstreamState engine : activeUpstreams(upstream.entry.service())) {
-            boolean outdated = engine.weightVersions.getOrDefault(model, 0L) < newest;
-            boolean needsProbe = outdated || (includeItself && engine == upstream);
-            if (needsProbe && pauses.millisLeft(engine) == 0) {
-                probes.send(engine);
+            if (engine != upstream
+                    && engine.weightVersions.getOrDefault(model, 0L) < newest
+                    && pauses.millisLeft(engine) == 0) {
+                outdated.add(engine);
             }
         }
+        if (includeItself && pauses.millisLeft(upstream) == 0) {
+            probes.send(upstream);
+        }
+        probes.sendToSome(outdated, MAXIMUM_OUTDATED_PROBES);
     }
 
     /**
