Give up attempts at dark engines as before, also those that are not replaced

Found by running it on each commit: attempts that no other one may replace stayed at dark engines, so that crashes were noticed later.

--- a/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreams.java
+++ b/fuchsiatrail-core/src/main/java/org/fuchsiatrail/internal/forwarding/SilentStreams.java
@@ -96,7 +96,7 @@
 
     /** Returns whether an attempt that is given up ends its request, since no other one may replace it. */
     private boolean isEndedForCaller(PendingCall pending) {
-        return !pending.mayBeReplaced();
+        return darkSights.areTold() && !pending.mayBeReplaced();
     }
 
     /** Returns whether the attempt that is given up is held until another one has begun. */
